Shared types: verdict, importance, wire, call messages

Needed first: one error language that says whether a request may have run, the identity of a node's incarnation, and the messages between nodes. Ruled out: status codes without a verdict (a 503 does not say whether the request ran), addresses as identity (a restart would inherit its predecessor's calls).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+# make test     what CI runs: formatting, vet, staticcheck, all tests
+# make demo     the whole path as separate processes on loopback
+# make prove    the state machines long, with a fresh seed (PROVE_SEED to repeat)
+# make measure  the load scenarios; OUT=folder for tables and plots
+# make bench    benchmarks
+
+GO ?= go
+BIN := bin
+OUT ?= $(or $(TMPDIR),/tmp)/cassialoom-measure
+
+.PHONY: build test check demo prove measure bench capacity clean
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+check:
+	@fmt=$$(gofmt -l .); if [ -n "$$fmt" ]; then echo "gofmt: $$fmt"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+test: check
+	$(GO) test ./...
+
+demo: build
+	$(BIN)/demo --bin $(BIN)
+
+prove:
+	PROVE=1 $(GO) test -count=1 -timeout 60m -v -run 'Prop|Prove|Property' ./...
+
+measure: build
+	$(BIN)/measure --bin $(BIN) --out $(OUT)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+capacity:
+	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 1x
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/call/message.go
@@ -0,0 +1,100 @@
+// Package call holds the messages by which one node asks another to run one
+// call at its backend server, and the plain types on both ends that decide
+// about a call.
+package call
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Field is one HTTP header field.
+type Field struct {
+	_     struct{} `cbor:",toarray"`
+	Name  string
+	Value string
+}
+
+// Request asks the incarnation To to run one attempt. From and Seq name the
+// attempt: a sender never uses a Seq twice, on whatever connection.
+type Request struct {
+	From wire.NodeID `cbor:"1,keyasint"`
+	Seq  uint64      `cbor:"2,keyasint"`
+	To   wire.NodeID `cbor:"3,keyasint"`
+	// RequestID names the whole request; all its calls carry it.
+	RequestID string `cbor:"4,keyasint"`
+	Service   string `cbor:"5,keyasint"`
+	Operation string `cbor:"6,keyasint"`
+	// Importance is that of the whole request.
+	Importance importance.Importance `cbor:"7,keyasint"`
+	// Budget is the time left until the deadline when the message was sent.
+	// It is relative: no two machines need to agree on the time.
+	Budget time.Duration `cbor:"8,keyasint"`
+	// Grant is the number of extra attempts that the callee may spend on
+	// the calls that it makes.
+	Grant uint32 `cbor:"9,keyasint,omitempty"`
+	// Key is the caller's idempotency key, empty for none.
+	Key string `cbor:"10,keyasint,omitempty"`
+	// Fingerprint names the content of the request, also when a caller
+	// sends it again; see package poison.
+	Fingerprint uint64 `cbor:"11,keyasint,omitempty"`
+	// Depth is the number of calls above this one.
+	Depth  uint8   `cbor:"12,keyasint,omitempty"`
+	Header []Field `cbor:"13,keyasint,omitempty"`
+	Query  string  `cbor:"14,keyasint,omitempty"`
+	Body   []byte  `cbor:"15,keyasint,omitempty"`
+	// Alone asks for the request to run with nothing beside it.
+	Alone bool `cbor:"16,keyasint,omitempty"`
+}
+
+// Reply answers one Request. It is matched by (To, Seq) and From; one that
+// matches no waiting attempt is dropped.
+type Reply struct {
+	From    wire.NodeID     `cbor:"1,keyasint"`
+	To      wire.NodeID     `cbor:"2,keyasint"`
+	Seq     uint64          `cbor:"3,keyasint"`
+	Verdict verdict.Verdict `cbor:"4,keyasint"`
+	Reason  verdict.Reason  `cbor:"5,keyasint,omitempty"`
+	Detail  string          `cbor:"6,keyasint,omitempty"`
+	// RetryAfter is the time after which another attempt makes sense.
+	RetryAfter time.Duration `cbor:"7,keyasint,omitempty"`
+	// Status, Header and Body are the backend server's own answer; Status
+	// is zero when it gave none.
+	Status int     `cbor:"8,keyasint,omitempty"`
+	Header []Field `cbor:"9,keyasint,omitempty"`
+	Body   []byte  `cbor:"10,keyasint,omitempty"`
+	// Unused is what is left of the grant.
+	Unused uint32 `cbor:"11,keyasint,omitempty"`
+	// Levels are the admission levels above zero of this node's service and
+	// of those that it calls.
+	Levels []Level `cbor:"12,keyasint,omitempty"`
+	// InFlight and Limit are the replying node's own measure of its load.
+	InFlight uint32 `cbor:"13,keyasint,omitempty"`
+	Limit    uint32 `cbor:"14,keyasint,omitempty"`
+	// ConfigVersion is the configuration in force at the replying node.
+	ConfigVersion uint64 `cbor:"15,keyasint,omitempty"`
+	// BoundTo names the incarnation that a key is bound to, when it is
+	// another than From.
+	BoundTo wire.NodeID `cbor:"16,keyasint,omitempty"`
+	// KeyHeld is how long a resend with the same key stays safe.
+	KeyHeld time.Duration `cbor:"17,keyasint,omitempty"`
+}
+
+// Level is the least priority that a service admits.
+type Level struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Priority uint16
+}
+
+// Cancel tells the callee that nobody waits for the attempt any more. The
+// callee answers with a Reply: NotRun if the attempt had not been handed to
+// the backend server, which it then never will be.
+type Cancel struct {
+	From wire.NodeID `cbor:"1,keyasint"`
+	Seq  uint64      `cbor:"2,keyasint"`
+	To   wire.NodeID `cbor:"3,keyasint"`
+}
