platform: client of the append-only log, its fake and its stand-in

Nodes and operators reach the platform's log over HTTP. What a writer needs most is a truthful error: "not written" only for a refusal or a connection that was never made, "outcome unknown" for everything else.

Ruled out: following redirects (an append could be sent twice) and retries inside the client (only a reader of the stream can settle a lost answer).

The fake takes its time from a clock that is passed in; the stand-in is a thin HTTP shell around it with control endpoints for outages, lost answers, delayed writes and slowness, and is driven by the tests of the client.

--- /dev/null
+++ b/internal/standin/logserver/server.go
@@ -0,0 +1,166 @@
+// Package logserver is a small stand-in of the platform's log service over
+// HTTP, for tests and demonstrations, with control endpoints for its faults.
+//
+//	POST /streams/{stream}/records              body = record -> {"offset": 7}
+//	GET  /streams/{stream}/records?from=0&max=100 -> a platform.Page in JSON
+//	POST /control/outage?for=10s                answer 503
+//	POST /control/lose-answers?n=3              write, then drop the connection
+//	POST /control/delay-appends?n=3&by=2s       drop the connection, write later
+//	POST /control/slow?by=500ms                 wait before each request
+package logserver
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/cassialoom/cassialoom/internal/fakelog"
+	"github.com/cassialoom/cassialoom/platform"
+)
+
+// Config of the stand-in.
+type Config struct {
+	// Retention is how long a record is kept. One hour makes a
+	// demonstration see trimming; the platform's own value is unknown to us.
+	Retention time.Duration
+	// MaxRecords bounds each stream, and with it memory.
+	MaxRecords int
+	// AppendsPerSecond over all streams: the platform takes several hundred.
+	AppendsPerSecond int
+	// MaxRecordBytes bounds one record.
+	MaxRecordBytes int64
+	// MaxPageBytes ends a page early, so that a reader's memory is bounded.
+	MaxPageBytes int
+}
+
+// DefaultConfig returns limits like those of the platform.
+func DefaultConfig() Config {
+	return Config{
+		Retention:        time.Hour,
+		MaxRecords:       100_000,
+		AppendsPerSecond: 500,
+		MaxRecordBytes:   4 << 20,
+		MaxPageBytes:     1 << 20,
+	}
+}
+
+const (
+	streamPattern = "[A-Za-z0-9._-]+"
+	defaultMax    = 100
+	mostMax       = 1000
+)
+
+// Server is the stand-in. Its handler is safe for concurrent use.
+type Server struct {
+	cfg   Config
+	clock func() time.Time
+	log   *fakelog.Log
+	slow  atomic.Int64
+}
+
+// New returns an empty log server that asks clock for the time.
+func New(cfg Config, clock func() time.Time) *Server {
+	log := fakelog.New(fakelog.Config{
+		Retention:        cfg.Retention,
+		MaxRecords:       cfg.MaxRecords,
+		AppendsPerSecond: cfg.AppendsPerSecond,
+		MaxPageBytes:     cfg.MaxPageBytes,
+	}, clock)
+	return &Server{cfg: cfg, clock: clock, log: log}
+}
+
+// Log gives tests the faults without the control endpoints.
+func (s *Server) Log() *fakelog.Log { return s.log }
+
+// Handler returns the HTTP interface.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	records := r.Path("/streams/{stream:" + streamPattern + "}/records").Subrouter()
+	records.Methods(http.MethodPost).HandlerFunc(s.append)
+	records.Methods(http.MethodGet).HandlerFunc(s.read)
+	control := r.PathPrefix("/control").Methods(http.MethodPost).Subrouter()
+	control.HandleFunc("/outage", s.controlOutage)
+	control.HandleFunc("/lose-answers", s.controlLoseAnswers)
+	control.HandleFunc("/delay-appends", s.controlDelayAppends)
+	control.HandleFunc("/slow", s.controlSlow)
+	return r
+}
+
+// wait happens before the request takes effect, also when its sender has
+// given up: a slow log writes late what its writer no longer waits for.
+func (s *Server) wait() { time.Sleep(time.Duration(s.slow.Load())) }
+
+func (s *Server) append(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxRecordBytes))
+	if err != nil {
+		http.Error(w, fmt.Sprintf("record: %v", err), http.StatusRequestEntityTooLarge)
+		return
+	}
+	s.wait()
+	offset, err := s.log.Append(withoutCancel(r), mux.Vars(r)["stream"], data)
+	if err != nil {
+		failAppend(w, err)
+		return
+	}
+	writeJSON(w, struct {
+		Offset uint64 `json:"offset"`
+	}{offset})
+}
+
+func failAppend(w http.ResponseWriter, err error) {
+	if errors.Is(err, platform.ErrNotWritten) {
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+		return
+	}
+	if errors.Is(err, fakelog.ErrOutage) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	// The connection ends without an answer.
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Server) read(w http.ResponseWriter, r *http.Request) {
+	s.wait()
+	from, err := uintParam(r, "from", 0)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	most, err := uintParam(r, "max", defaultMax)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	page, err := s.log.Read(r.Context(), mux.Vars(r)["stream"], from, int(min(most, mostMax)))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	writeJSON(w, page)
+}
+
+func uintParam(r *http.Request, name string, fallback uint64) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return fallback, nil
+	}
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("parameter %s: %w", name, err)
+	}
+	return n, nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failure to write means that the client has gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
