standin: a backend server that can misbehave on demand

Tests, the demo and measurements need backend servers that drain, start cold, shed, accept deadlines and cancellation, mislead about their load and crash on a chosen request, and whose answers prove that a caller got the complete answer to its own request.

--- /dev/null
+++ b/internal/standin/backend/pages.go
@@ -0,0 +1,37 @@
+package backend
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.load.report(time.Now(), s.currentLoad()))
+}
+
+// handleHealth misleads as real ones do: it is fine as long as the process
+// answers, also while the server drains or is far too slow.
+func (s *Server) handleHealth(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) handleSummary(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, s.Summary())
+}
+
+// handleLog streams one JSON object a line.
+func (s *Server) handleLog(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	enc := json.NewEncoder(w)
+	for _, e := range s.execs.list() {
+		if err := enc.Encode(e); err != nil {
+			return
+		}
+	}
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v)
+}
