Transport: one WebSocket per pair of nodes, CBOR frames

Calls need to know three things of the network: that a message went to the very incarnation it was meant for, whether it may have been handed over, and when its connection ended. Delivery.Written is set before the first byte, so "not run" is only said of messages that never left. Ruled out: acknowledgements per message (the reply is one already), and a shared stream for all peers (a frozen peer would hold up the others). Speed is not measured yet.

--- /dev/null
+++ b/transport/config.go
@@ -0,0 +1,65 @@
+// Package transport carries messages between nodes: one WebSocket per pair of
+// nodes in use, CBOR frames, many calls multiplexed.
+//
+// It promises three things to the duties above it. A message goes to the very
+// incarnation that it is meant for or to nobody: both ends name themselves
+// before anything else. A message that was never handed to the network is
+// known as such (Delivery.Written). And memory stays bounded whatever a peer
+// does: sizes, queue lengths and waiting times all have limits.
+package transport
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// ProtocolVersion is refused when the peer's differs.
+const ProtocolVersion = 1
+
+// Path is where peers connect.
+const Path = "/peer"
+
+// Hello is the first message in each direction.
+type Hello struct {
+	Cluster string      `cbor:"1,keyasint"`
+	Version uint16      `cbor:"2,keyasint"`
+	ID      wire.NodeID `cbor:"3,keyasint"`
+	// Addr is where the sender takes connections from peers.
+	Addr string `cbor:"4,keyasint"`
+}
+
+// Config of a Transport.
+type Config struct {
+	// Cluster keeps installations apart that reach each other by mistake.
+	Cluster string
+	ID      wire.NodeID
+	Addr    string
+	// DialTimeout bounds connecting and both hellos. One second is many
+	// round trips between regions, and short against a request's patience.
+	DialTimeout time.Duration
+	// WriteTimeout ends a connection whose peer takes nothing, for example
+	// because it is frozen: what waits for it then fails instead of waiting
+	// for good.
+	WriteTimeout time.Duration
+	// IdleTimeout closes a connection that nothing used, so that their
+	// number follows the work and not the size of the fleet.
+	IdleTimeout time.Duration
+	// Outbound bounds the messages that wait for one peer. It covers the
+	// calls of a few seconds at the design load of 400 calls/s.
+	Outbound int
+	// MaxInbound bounds connections taken from peers: at the design size a
+	// node hears from at most all 3,500 others.
+	MaxInbound int
+}
+
+// DefaultConfig returns the settings that the daemon starts from.
+func DefaultConfig() Config {
+	return Config{
+		DialTimeout:  time.Second,
+		WriteTimeout: 3 * time.Second,
+		IdleTimeout:  30 * time.Second,
+		Outbound:     1024,
+		MaxInbound:   4096,
+	}
+}
--- /dev/null
+++ b/transport/conn.go
@@ -0,0 +1,166 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// ErrClosed is returned for a connection that has ended.
+var ErrClosed = errors.New("connection to peer closed")
+
+// ErrBusy is returned when too many messages wait for the peer.
+var ErrBusy = errors.New("too many messages wait for peer")
+
+// Delivery tells what became of one message.
+type Delivery struct {
+	written atomic.Bool
+}
+
+// Written reports whether the message may have reached the peer. It is set
+// just before the first byte is written: a false is certain once the
+// connection is done, a true is not. Only with a false may a caller be told
+// "not run".
+func (d *Delivery) Written() bool { return d.written.Load() }
+
+type outgoing struct {
+	data     []byte
+	delivery *Delivery
+}
+
+// Conn is one connection to one incarnation of a peer. Safe for concurrent
+// use.
+type Conn struct {
+	peer   Hello
+	ws     *websocket.Conn
+	out    chan outgoing
+	done   chan struct{}
+	once   sync.Once
+	holds  atomic.Int64
+	active atomic.Int64 // unix nanoseconds of the last message
+	cfg    *Config
+}
+
+func newConn(cfg *Config, ws *websocket.Conn, peer Hello) *Conn {
+	c := &Conn{
+		peer: peer,
+		ws:   ws,
+		out:  make(chan outgoing, cfg.Outbound),
+		done: make(chan struct{}),
+		cfg:  cfg,
+	}
+	c.touch()
+	return c
+}
+
+// Peer returns what the other end said of itself.
+func (c *Conn) Peer() Hello { return c.peer }
+
+// Done is closed when the connection has ended; no message is written and
+// none handed to the Handler after that.
+func (c *Conn) Done() <-chan struct{} { return c.done }
+
+// Hold keeps the connection from being closed as idle while an answer is
+// awaited on it. Each Hold needs one Release.
+func (c *Conn) Hold() { c.holds.Add(1) }
+
+// Release ends a Hold.
+func (c *Conn) Release() { c.holds.Add(-1) }
+
+// Send queues a message; it does not wait for the network. With an error the
+// message has not been and will not be sent.
+func (c *Conn) Send(kind wire.Kind, msg any) (*Delivery, error) {
+	data, err := wire.Encode(kind, msg)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > wire.MaxMessageBytes {
+		return nil, fmt.Errorf("message of %d bytes: at most %d", len(data), wire.MaxMessageBytes)
+	}
+	return c.enqueue(data)
+}
+
+func (c *Conn) enqueue(data []byte) (*Delivery, error) {
+	select {
+	case <-c.done:
+		return nil, ErrClosed
+	default:
+	}
+	d := &Delivery{}
+	select {
+	case c.out <- outgoing{data: data, delivery: d}:
+		return d, nil
+	default:
+		return nil, ErrBusy
+	}
+}
+
+// Close ends the connection at once.
+func (c *Conn) Close() {
+	c.once.Do(func() {
+		close(c.done)
+		c.ws.CloseNow()
+	})
+}
+
+func (c *Conn) touch() { c.active.Store(time.Now().UnixNano()) }
+
+func (c *Conn) idle(now time.Time) bool {
+	if c.holds.Load() > 0 {
+		return false
+	}
+	last := time.Unix(0, c.active.Load())
+	return now.Sub(last) > c.cfg.IdleTimeout
+}
+
+func (c *Conn) writeLoop() {
+	defer c.Close()
+	for {
+		select {
+		case <-c.done:
+			return
+		case m := <-c.out:
+			if c.write(m) != nil {
+				return
+			}
+		}
+	}
+}
+
+func (c *Conn) write(m outgoing) error {
+	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.WriteTimeout)
+	defer cancel()
+	m.delivery.written.Store(true)
+	c.touch()
+	return c.ws.Write(ctx, websocket.MessageBinary, m.data)
+}
+
+func (c *Conn) readLoop(h Handler) {
+	defer c.Close()
+	for {
+		f, err := c.readFrame(context.Background())
+		if err != nil {
+			return
+		}
+		c.touch()
+		h.Handle(c, f)
+	}
+}
+
+func (c *Conn) readFrame(ctx context.Context) (wire.Frame, error) {
+	kind, data, err := c.ws.Read(ctx)
+	if err != nil {
+		return wire.Frame{}, err
+	}
+	if kind != websocket.MessageBinary {
+		return wire.Frame{}, fmt.Errorf("peer sent a text message")
+	}
+	return wire.Decode(data)
+}
--- /dev/null
+++ b/transport/transport.go
@@ -0,0 +1,324 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// ErrOther is returned when another incarnation answers at the address: the
+// one that was asked for is gone.
+var ErrOther = errors.New("another incarnation answers at the address")
+
+// Handler receives what peers send. Its methods are called from the
+// connections' goroutines and must not block.
+type Handler interface {
+	// Handle takes one message; messages of one connection come in order.
+	Handle(c *Conn, f wire.Frame)
+	// Up is called after the hellos, before the first message.
+	Up(c *Conn)
+	// Down is called once when a connection has ended.
+	Down(c *Conn)
+}
+
+// Transport keeps the connections of one node.
+type Transport struct {
+	cfg     Config
+	handler Handler
+
+	mu      sync.Mutex
+	conns   map[wire.NodeID]*Conn // the one used for new messages
+	all     map[*Conn]struct{}
+	dials   map[string]*dial
+	inbound int
+	closed  bool
+	wg      sync.WaitGroup
+	stop    chan struct{}
+}
+
+// dial is one attempt to connect that several callers may wait for.
+type dial struct {
+	done chan struct{}
+	conn *Conn
+	err  error
+}
+
+// New returns a Transport that hands messages to h. Close must be called.
+func New(cfg Config, h Handler) *Transport {
+	t := &Transport{
+		cfg:     cfg,
+		handler: h,
+		conns:   make(map[wire.NodeID]*Conn),
+		all:     make(map[*Conn]struct{}),
+		dials:   make(map[string]*dial),
+		stop:    make(chan struct{}),
+	}
+	t.wg.Add(1)
+	go t.sweep()
+	return t
+}
+
+// Close ends all connections and waits for their goroutines.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return
+	}
+	t.closed = true
+	close(t.stop)
+	for c := range t.all {
+		c.Close()
+	}
+	t.mu.Unlock()
+	t.wg.Wait()
+}
+
+// Connect returns a connection to the incarnation id, dialling addr if there
+// is none. An error says that nothing was handed over. A zero id takes
+// whichever incarnation answers.
+func (t *Transport) Connect(ctx context.Context, id wire.NodeID, addr string) (*Conn, error) {
+	d, start, err := t.join(id, addr)
+	if err != nil {
+		return nil, err
+	}
+	if d.conn != nil {
+		return d.conn, nil
+	}
+	if start {
+		go t.run(addr, d)
+	}
+	select {
+	case <-d.done:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if d.err != nil {
+		return nil, d.err
+	}
+	if !id.IsZero() && d.conn.peer.ID != id {
+		return nil, ErrOther
+	}
+	return d.conn, nil
+}
+
+// join finds a live connection or an attempt under way; start tells the
+// caller to run a new attempt.
+func (t *Transport) join(id wire.NodeID, addr string) (d *dial, start bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, false, ErrClosed
+	}
+	if c, ok := t.conns[id]; ok {
+		return &dial{conn: c}, false, nil
+	}
+	if d, ok := t.dials[addr]; ok {
+		return d, false, nil
+	}
+	d = &dial{done: make(chan struct{})}
+	t.dials[addr] = d
+	t.wg.Add(1)
+	return d, true, nil
+}
+
+func (t *Transport) run(addr string, d *dial) {
+	defer t.wg.Done()
+	conn, err := t.dial(addr)
+	t.mu.Lock()
+	delete(t.dials, addr)
+	t.mu.Unlock()
+	d.conn, d.err = conn, err
+	close(d.done)
+}
+
+func (t *Transport) dial(addr string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.DialTimeout)
+	defer cancel()
+	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
+	ws, _, err := websocket.Dial(ctx, "ws://"+addr+Path, opts)
+	if err != nil {
+		return nil, fmt.Errorf("dial peer %s: %w", addr, err)
+	}
+	return t.open(ctx, ws, func() {})
+}
+
+// ServeHTTP takes a connection from a peer.
+func (t *Transport) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !t.admitInbound() {
+		http.Error(w, "too many peers", http.StatusServiceUnavailable)
+		return
+	}
+	opts := &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled}
+	ws, err := websocket.Accept(w, r, opts)
+	if err != nil {
+		t.releaseInbound()
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.DialTimeout)
+	defer cancel()
+	// open reports its own failures to the peer by closing the connection.
+	_, _ = t.open(ctx, ws, t.releaseInbound)
+}
+
+func (t *Transport) admitInbound() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed || t.inbound >= t.cfg.MaxInbound {
+		return false
+	}
+	t.inbound++
+	return true
+}
+
+func (t *Transport) releaseInbound() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.inbound--
+}
+
+// open exchanges the hellos and starts the connection's goroutines. ended is
+// called once when the connection has ended or was never opened.
+func (t *Transport) open(ctx context.Context, ws *websocket.Conn, ended func()) (*Conn, error) {
+	ws.SetReadLimit(wire.MaxMessageBytes)
+	peer, err := t.greet(ctx, ws)
+	if err != nil {
+		ws.CloseNow()
+		ended()
+		return nil, err
+	}
+	c := newConn(&t.cfg, ws, peer)
+	if !t.register(c) {
+		c.Close()
+		ended()
+		return nil, ErrClosed
+	}
+	t.handler.Up(c)
+	go func() {
+		defer t.wg.Done()
+		c.writeLoop()
+	}()
+	go func() {
+		defer t.wg.Done()
+		defer ended()
+		c.readLoop(t.handler)
+		t.unregister(c)
+		t.handler.Down(c)
+	}()
+	return c, nil
+}
+
+func (t *Transport) greet(ctx context.Context, ws *websocket.Conn) (Hello, error) {
+	own := Hello{Cluster: t.cfg.Cluster, Version: ProtocolVersion, ID: t.cfg.ID, Addr: t.cfg.Addr}
+	data, err := wire.Encode(wire.KindHello, own)
+	if err != nil {
+		return Hello{}, err
+	}
+	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
+		return Hello{}, fmt.Errorf("send hello: %w", err)
+	}
+	_, data, err = ws.Read(ctx)
+	if err != nil {
+		return Hello{}, fmt.Errorf("read hello: %w", err)
+	}
+	return t.readHello(data)
+}
+
+func (t *Transport) readHello(data []byte) (Hello, error) {
+	f, err := wire.Decode(data)
+	if err != nil {
+		return Hello{}, err
+	}
+	if f.Kind != wire.KindHello {
+		return Hello{}, fmt.Errorf("peer began with message kind %d, want hello", f.Kind)
+	}
+	var h Hello
+	if err := wire.Unmarshal(f.Body, &h); err != nil {
+		return Hello{}, fmt.Errorf("decode hello: %w", err)
+	}
+	switch {
+	case h.Version != ProtocolVersion:
+		return Hello{}, fmt.Errorf("peer speaks protocol version %d, want %d", h.Version, ProtocolVersion)
+	case h.Cluster != t.cfg.Cluster:
+		return Hello{}, fmt.Errorf("peer belongs to cluster %q, want %q", h.Cluster, t.cfg.Cluster)
+	case h.ID.IsZero():
+		return Hello{}, errors.New("peer has no id")
+	case h.ID == t.cfg.ID:
+		return Hello{}, errors.New("connected to itself")
+	}
+	return h, nil
+}
+
+// register makes c the connection to its peer. When both ends dialled at once
+// there are two; either serves, and the later is used for new messages.
+func (t *Transport) register(c *Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.conns[c.peer.ID] = c
+	t.all[c] = struct{}{}
+	t.wg.Add(2)
+	return true
+}
+
+func (t *Transport) unregister(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.all, c)
+	if t.conns[c.peer.ID] == c {
+		delete(t.conns, c.peer.ID)
+	}
+}
+
+// Lookup returns the connection to id, if there is one.
+func (t *Transport) Lookup(id wire.NodeID) (*Conn, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.conns[id]
+	return c, ok
+}
+
+// Connected returns the peers that there is a connection to.
+func (t *Transport) Connected() []wire.NodeID {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := make([]wire.NodeID, 0, len(t.conns))
+	for id := range t.conns {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// sweep closes idle connections.
+func (t *Transport) sweep() {
+	defer t.wg.Done()
+	ticker := time.NewTicker(t.cfg.IdleTimeout / 4)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-t.stop:
+			return
+		case now := <-ticker.C:
+			t.closeIdle(now)
+		}
+	}
+}
+
+func (t *Transport) closeIdle(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.all {
+		if c.idle(now) {
+			c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/transport/transport_test.go
@@ -0,0 +1,156 @@
+package transport
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// recorder hands what it is told to channels that tests wait on.
+type recorder struct {
+	frames chan wire.Frame
+	down   chan wire.NodeID
+}
+
+func newRecorder() *recorder {
+	return &recorder{frames: make(chan wire.Frame, 16), down: make(chan wire.NodeID, 16)}
+}
+
+func (r *recorder) Handle(_ *Conn, f wire.Frame) { r.frames <- f }
+func (r *recorder) Up(*Conn)                     {}
+func (r *recorder) Down(c *Conn)                 { r.down <- c.Peer().ID }
+
+type peer struct {
+	*Transport
+	*recorder
+	id   wire.NodeID
+	addr string
+}
+
+func startPeer(t *testing.T, cluster string) *peer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg := DefaultConfig()
+	cfg.Cluster = cluster
+	cfg.ID = wire.NewNodeID()
+	cfg.Addr = ln.Addr().String()
+	p := &peer{recorder: newRecorder(), id: cfg.ID, addr: cfg.Addr}
+	p.Transport = New(cfg, p.recorder)
+	srv := &http.Server{Handler: p.Transport}
+	go srv.Serve(ln)
+	t.Cleanup(func() {
+		p.Transport.Close()
+		srv.Close()
+	})
+	return p
+}
+
+func TestCallReachesTheIncarnationItNames(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+
+	c, err := a.Connect(context.Background(), b.id, b.addr)
+	is.NoErr(err)
+	d, err := c.Send(wire.KindCall, call.Request{Seq: 7, Body: []byte("x")})
+	is.NoErr(err)
+
+	f := <-b.frames
+	var got call.Request
+	is.NoErr(wire.Unmarshal(f.Body, &got))
+	is.Equal(got.Seq, uint64(7))
+	is.True(d.Written())
+}
+
+// A backend server's node was replaced; the caller's node still has the old
+// identity for the address. The call is refused before anything is handed
+// over, so that the caller can be told "not run".
+func TestRestartOnTheSameAddressIsAnotherIncarnation(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+
+	_, err := a.Connect(context.Background(), wire.NewNodeID(), b.addr)
+	is.Equal(err, ErrOther)
+}
+
+func TestOtherClusterIsRefused(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "d")
+
+	_, err := a.Connect(context.Background(), b.id, b.addr)
+	is.True(err != nil)
+}
+
+// The peer dies while a call is on its way: both ends learn of it at once,
+// and the message counts as perhaps delivered.
+func TestEndOfConnectionIsSeenByBothEnds(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+	c, err := a.Connect(context.Background(), b.id, b.addr)
+	is.NoErr(err)
+	d, err := c.Send(wire.KindCall, call.Request{Seq: 1})
+	is.NoErr(err)
+	<-b.frames
+
+	b.Transport.Close()
+
+	<-c.Done()
+	is.Equal(<-a.down, b.id)
+	is.True(d.Written())
+	_, err = c.Send(wire.KindCall, call.Request{Seq: 2})
+	is.Equal(err, ErrClosed)
+}
+
+// A hostile peer sends a message above the limit, noise, or no hello at all.
+// Its connection is ended; nothing reaches the duties, others are served on.
+func TestHostilePeerIsDisconnected(t *testing.T) {
+	tooLarge := make([]byte, wire.MaxMessageBytes+1)
+	for name, data := range map[string][]byte{
+		"oversized": tooLarge,
+		"noise":     {0xff, 0x00, 0x13},
+		"no hello":  mustEncode(t, wire.KindCall, call.Request{Seq: 1}),
+		"version":   mustEncode(t, wire.KindHello, Hello{Cluster: "c", Version: 99, ID: wire.NewNodeID()}),
+		"no id":     mustEncode(t, wire.KindHello, Hello{Cluster: "c", Version: ProtocolVersion}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := startPeer(t, "c")
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			ws, _, err := websocket.Dial(ctx, "ws://"+b.addr+Path, nil)
+			is.NoErr(err)
+			defer ws.CloseNow()
+
+			_ = ws.Write(ctx, websocket.MessageBinary, data) // may fail half way: the peer hangs up
+			for err == nil {
+				_, _, err = ws.Read(ctx)
+			}
+
+			is.NoErr(ctx.Err()) // it ended because the peer hung up
+			is.Equal(len(b.frames), 0)
+			is.Equal(len(b.Connected()), 0)
+		})
+	}
+}
+
+func mustEncode(t *testing.T, k wire.Kind, msg any) []byte {
+	t.Helper()
+	data, err := wire.Encode(k, msg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
