explain: bounded recorder of one node's decisions

Operators ask why one request was shed or lost; the node must answer from fixed memory, also during the surge that caused it. Ruled out: one ring (a flood of ordinary events pushes out the refusals, kept as a test) and an index by request id (memory and work on every call for a question asked rarely; a scan of both rings is enough). Not measured yet; checked against a plain list as oracle.

--- /dev/null
+++ b/explain/recorder.go
@@ -0,0 +1,140 @@
+// Package explain keeps the latest decisions of one node, so that operators
+// can ask why one request was shed, retried, refused or lost.
+package explain
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// Step names what was decided about a request.
+type Step string
+
+// The steps. Those that changed what the caller gets are notable.
+const (
+	Entered   Step = "entered"
+	Admitted  Step = "admitted"
+	Queued    Step = "queued"
+	Picked    Step = "picked"
+	Sent      Step = "sent"
+	Ran       Step = "ran"
+	Answered  Step = "answered"
+	Shed      Step = "shed"
+	Refused   Step = "refused"
+	Retried   Step = "retried"
+	Lost      Step = "lost"
+	Expired   Step = "expired"
+	Cancelled Step = "cancelled"
+	Replayed  Step = "replayed"
+	Suspected Step = "suspected"
+)
+
+var notable = []Step{Shed, Refused, Retried, Lost, Expired, Cancelled, Replayed, Suspected}
+
+// Event is one decision about one request.
+type Event struct {
+	Time      time.Time      `json:"time"`
+	RequestID string         `json:"request_id"`
+	Service   string         `json:"service,omitempty"`
+	Operation string         `json:"operation,omitempty"`
+	Step      Step           `json:"step"`
+	Reason    verdict.Reason `json:"reason,omitempty"`
+	Detail    string         `json:"detail,omitempty"`
+}
+
+// Notable reports whether the event goes into the ring of notable events: its
+// step says so, or it carries a reason.
+func (e Event) Notable() bool {
+	return e.Reason != verdict.None || slices.Contains(notable, e.Step)
+}
+
+// Config bounds the memory of a Recorder.
+type Config struct {
+	// Notable is the number of notable events kept. 4096 hold about a
+	// minute of a node that sheds 70 calls a second.
+	Notable int
+	// Ordinary is the number of ordinary events kept. 8192 hold about ten
+	// seconds at 400 calls a second with two events each.
+	Ordinary int
+	// MaxText is the longest text kept of one field, in bytes: callers
+	// choose the request id, and a detail may quote them.
+	MaxText int
+}
+
+// DefaultConfig returns the defaults explained at Config.
+func DefaultConfig() Config {
+	return Config{Notable: 4096, Ordinary: 8192, MaxText: 256}
+}
+
+// Recorder keeps the latest events in two rings, so that a flood of ordinary
+// events does not push out the few that explain a refusal. It is safe for
+// concurrent use.
+type Recorder struct {
+	maxText int
+
+	mu       sync.Mutex
+	notable  ring
+	ordinary ring
+}
+
+// New returns an empty Recorder. Both rings are allocated at once: the memory
+// is the same on the first day and under a surge.
+func New(cfg Config) *Recorder {
+	return &Recorder{
+		maxText:  cfg.MaxText,
+		notable:  newRing(cfg.Notable),
+		ordinary: newRing(cfg.Ordinary),
+	}
+}
+
+// Note records the event as of now.
+func (r *Recorder) Note(now time.Time, e Event) {
+	e.Time = now
+	r.trim(&e)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e.Notable() {
+		r.notable.add(e)
+		return
+	}
+	r.ordinary.add(e)
+}
+
+// Find returns what is still known about a request, oldest first.
+func (r *Recorder) Find(requestID string) []Event {
+	requestID = r.cut(requestID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []Event
+	found = r.notable.find(requestID, found)
+	found = r.ordinary.find(requestID, found)
+	slices.SortStableFunc(found, func(a, b Event) int { return a.Time.Compare(b.Time) })
+	return found
+}
+
+// Recent returns up to max of the latest notable events, oldest first.
+func (r *Recorder) Recent(max int) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.notable.last(max)
+}
+
+func (r *Recorder) trim(e *Event) {
+	e.RequestID = r.cut(e.RequestID)
+	e.Service = r.cut(e.Service)
+	e.Operation = r.cut(e.Operation)
+	e.Detail = r.cut(e.Detail)
+}
+
+// cut shortens a text. The copy is needed: a slice of a long text would keep
+// all of it in memory for as long as the event stays in the ring.
+func (r *Recorder) cut(s string) string {
+	if len(s) <= r.maxText {
+		return s
+	}
+	return strings.ToValidUTF8(strings.Clone(s[:r.maxText]), "")
+}
