entry, local, backend: the HTTP edges of a node

Callers and the node's own backend server speak plain HTTP; both need the same reading of control fields, the same limits and the same whole answers, so entry holds them once and local uses them. Ruled out: http.Server.ReadTimeout and WriteTimeout (both count from the head of a request; the first also ends its context, which cuts long calls), and net/http's own resends towards the backend server: the client counts the bytes that left on each connection, and says "not run" only for none.

--- /dev/null
+++ b/backend/answer.go
@@ -0,0 +1,65 @@
+package backend
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// refused reports whether the backend server says that it did not run the
+// request. Both signs are wanted: a 503 alone can come from work that failed
+// halfway.
+func refused(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusServiceUnavailable &&
+		verdict.Parse(resp.Header.Get(headers.Verdict)) == verdict.NotRun
+}
+
+// maxRetryAfter bounds what a backend server can ask for.
+const maxRetryAfter = time.Hour
+
+func retryAfter(h http.Header) time.Duration {
+	if d := parseUnits(h.Get(headers.RetryAfterMs), time.Millisecond); d > 0 {
+		return d
+	}
+	return parseUnits(h.Get(headers.RetryAfter), time.Second)
+}
+
+func parseUnits(s string, unit time.Duration) time.Duration {
+	n, err := strconv.ParseInt(s, 10, 64)
+	if err != nil || n < 0 {
+		return 0
+	}
+	if n > int64(maxRetryAfter/unit) {
+		return maxRetryAfter
+	}
+	return time.Duration(n) * unit
+}
+
+// unbounded reports whether only the end of the connection ends the body.
+func unbounded(resp *http.Response) bool {
+	chunked := len(resp.TransferEncoding) > 0
+	return resp.StatusCode == http.StatusSwitchingProtocols || resp.ContentLength < 0 && !chunked
+}
+
+var errTooLarge = errors.New("answer too large")
+
+func readAll(resp *http.Response, limit int64) ([]byte, error) {
+	if resp.ContentLength > limit {
+		return nil, errTooLarge
+	}
+	if resp.ContentLength >= 0 {
+		body := make([]byte, resp.ContentLength)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if int64(len(body)) > limit {
+		return nil, errTooLarge
+	}
+	return body, err
+}
--- /dev/null
+++ b/entry/write.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// failure is the body of an answer that is not the backend server's own.
+type failure struct {
+	Verdict      string         `json:"verdict"`
+	Reason       verdict.Reason `json:"reason"`
+	Detail       string         `json:"detail,omitempty"`
+	RetryAfterMs int64          `json:"retry_after_ms,omitempty"`
+	RequestID    string         `json:"request_id,omitempty"`
+}
+
+// write sends the outcome as one whole answer.
+func write(cfg Config, w http.ResponseWriter, requestID string, out Outcome) {
+	if out.KeyHeld > 0 {
+		setMs(w.Header(), headers.KeyHeldMs, out.KeyHeld)
+	}
+	switch {
+	case out.Reason != verdict.None:
+		writeError(cfg, w, out.Reason.Status(), requestID, outcomeError(out))
+	case !finalStatus(out.Status):
+		e := &verdict.Error{Verdict: out.Verdict, Reason: verdict.Internal, Detail: "the answer has no final status"}
+		writeError(cfg, w, verdict.Internal.Status(), requestID, e)
+	default:
+		writeAnswer(cfg, w, requestID, out)
+	}
+}
+
+func outcomeError(out Outcome) *verdict.Error {
+	return &verdict.Error{Verdict: out.Verdict, Reason: out.Reason, Detail: out.Detail, RetryAfter: out.RetryAfter}
+}
+
+// finalStatus reports whether s can end an exchange; net/http panics on
+// others or would wait for more.
+func finalStatus(s int) bool { return s >= 200 && s <= 999 }
+
+func writeAnswer(cfg Config, w http.ResponseWriter, requestID string, out Outcome) {
+	h := w.Header()
+	headers.Apply(h, out.Header)
+	h.Set(headers.Verdict, out.Verdict.String())
+	h.Set(headers.RequestID, requestID)
+	if out.RetryAfter > 0 {
+		setRetryAfter(h, out.RetryAfter)
+	}
+	send(cfg, w, out.Status, out.Body)
+}
+
+// writeError sends an answer that is not the backend server's own.
+func writeError(cfg Config, w http.ResponseWriter, status int, requestID string, e *verdict.Error) {
+	h := w.Header()
+	h.Set(headers.Verdict, e.Verdict.String())
+	h.Set(headers.Reason, string(e.Reason))
+	if requestID != "" {
+		h.Set(headers.RequestID, requestID)
+	}
+	if e.RetryAfter > 0 {
+		setRetryAfter(h, e.RetryAfter)
+	}
+	writeJSON(cfg, w, status, failure{
+		Verdict:      e.Verdict.String(),
+		Reason:       e.Reason,
+		Detail:       e.Detail,
+		RetryAfterMs: ceilDiv(e.RetryAfter, time.Millisecond),
+		RequestID:    requestID,
+	})
+}
+
+// writeJSON sends v as one whole answer.
+func writeJSON(cfg Config, w http.ResponseWriter, status int, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		panic(http.ErrAbortHandler) // cut off rather than answer half
+	}
+	w.Header().Set("Content-Type", "application/json")
+	send(cfg, w, status, append(body, '\n'))
+}
+
+// send writes the whole answer and pushes it out at once. When that fails
+// halfway the connection is cut: an answer that ends early must not look
+// complete, and the announced length shows it as well.
+func send(cfg Config, w http.ResponseWriter, status int, body []byte) {
+	if !bodyAllowed(status) {
+		body = nil
+	} else {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	// A caller that stops reading would hold the answer for ever.
+	rc := http.NewResponseController(w)
+	rc.SetWriteDeadline(time.Now().Add(cfg.WriteTimeout))
+	w.WriteHeader(status)
+	if len(body) > 0 {
+		if n, err := w.Write(body); err != nil || n < len(body) {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if err := rc.Flush(); err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	rc.SetWriteDeadline(time.Time{})
+}
+
+// Empty sends an answer without a body.
+func Empty(cfg Config, w http.ResponseWriter) { send(cfg, w, http.StatusNoContent, nil) }
+
+func bodyAllowed(status int) bool {
+	return status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// setRetryAfter rounds up: a caller that comes back early is refused again.
+func setRetryAfter(h http.Header, d time.Duration) {
+	h.Set(headers.RetryAfter, strconv.FormatInt(ceilDiv(d, time.Second), 10))
+	setMs(h, headers.RetryAfterMs, d)
+}
+
+func setMs(h http.Header, name string, d time.Duration) {
+	h.Set(name, strconv.FormatInt(ceilDiv(d, time.Millisecond), 10))
+}
+
+func ceilDiv(d, unit time.Duration) int64 { return int64((d + unit - 1) / unit) }
