graph: read the declared services from HCL into a checked graph

Needed: operators declare services, operations and calls as text; every node must come to the same verdict on it and know for each operation what a call may reach.

Ruled out: letting the HCL parser see any text. It recurses for brackets, operators and templates, so a long run of them ends the process by stack overflow, at every node that reads the publication. Tokens are checked first; only those of declarations pass.

--- /dev/null
+++ b/graph/syntax.go
@@ -0,0 +1,117 @@
+package graph
+
+import (
+	"fmt"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+)
+
+const (
+	formRemedy  = `follow the form: service "NAME" { operation "NAME" { idempotent = true, one attribute a line } }`
+	valueRemedy = `write plain values only: true, false, a number, "a string" or a list of strings`
+)
+
+// source is one file or section after its syntax was checked.
+type source struct {
+	file   string
+	text   []byte
+	tokens hclsyntax.Tokens
+	body   *hclsyntax.Body
+}
+
+// readSource checks size, tokens and syntax, in this order.
+func readSource(file string, text []byte, limit int) (source, Problems) {
+	var ps Problems
+	if len(text) > limit {
+		ps.add(file, 1, fmt.Sprintf("keep it below %d bytes; is it the right file?", limit),
+			"the text has %d bytes, the limit is %d", len(text), limit)
+		return source{}, ps
+	}
+	tokens, _ := hclsyntax.LexConfig(text, file, hcl.InitialPos)
+	if ps = checkTokens(file, tokens); len(ps) > 0 {
+		return source{}, ps
+	}
+	body, ps := parseBody(file, text)
+	if len(ps) > 0 {
+		return source{}, ps
+	}
+	return source{file: file, text: text, tokens: tokens, body: body}, nil
+}
+
+// checkTokens lets only the tokens of declarations through. The parser of HCL
+// expressions recurses for each bracket, operator and template: a long run of
+// them overflows the stack, which ends the process and cannot be recovered
+// from. Without operators and templates, and with bounded nesting, nothing is
+// left to recurse on.
+func checkTokens(file string, tokens hclsyntax.Tokens) Problems {
+	var ps Problems
+	depth := 0
+	for _, t := range tokens {
+		if len(ps) > MaxProblems {
+			return ps
+		}
+		line := t.Range.Start.Line
+		switch t.Type {
+		case hclsyntax.TokenOBrace, hclsyntax.TokenOBrack:
+			depth++
+			if depth > maxNesting {
+				ps.add(file, line, formRemedy, "brackets are nested more than %d deep", maxNesting)
+				return ps
+			}
+		case hclsyntax.TokenCBrace, hclsyntax.TokenCBrack:
+			depth--
+		case hclsyntax.TokenNumberLit:
+			if len(t.Bytes) > maxNumberBytes {
+				ps.add(file, line, valueRemedy, "a number of %d characters", len(t.Bytes))
+			}
+		case hclsyntax.TokenIdent, hclsyntax.TokenEqual, hclsyntax.TokenComma,
+			hclsyntax.TokenOQuote, hclsyntax.TokenCQuote, hclsyntax.TokenQuotedLit,
+			hclsyntax.TokenNewline, hclsyntax.TokenComment, hclsyntax.TokenEOF:
+		case hclsyntax.TokenQuotedNewline:
+			ps.add(file, line, `close the string with " on the line where it begins`, "a string does not end on its line")
+		default:
+			ps.add(file, line, valueRemedy, "%s is not part of a graph text", excerpt(t.Bytes))
+		}
+	}
+	return ps
+}
+
+// parseBody runs the parser. A panic in it would end every node that reads the
+// publication, one after the other and again after each restart; the recover
+// makes it a refusal, which is the same at every node because the parser
+// depends on nothing but the text.
+func parseBody(file string, text []byte) (body *hclsyntax.Body, ps Problems) {
+	defer func() {
+		if r := recover(); r != nil {
+			body, ps = nil, nil
+			ps.add(file, 1, formRemedy, "the text cannot be parsed: %v", r)
+		}
+	}()
+	f, diags := hclsyntax.ParseConfig(text, file, hcl.InitialPos)
+	for _, d := range diags {
+		if d.Severity == hcl.DiagError {
+			ps.add(file, diagLine(d), formRemedy, "%s: %s", d.Summary, d.Detail)
+		}
+	}
+	if len(ps) > 0 {
+		return nil, ps
+	}
+	return f.Body.(*hclsyntax.Body), nil
+}
+
+func diagLine(d *hcl.Diagnostic) int {
+	if d.Subject == nil || d.Subject.Start.Line < 1 {
+		return 1
+	}
+	return d.Subject.Start.Line
+}
+
+// excerpt quotes the beginning of what the operator wrote.
+func excerpt[T string | []byte](s T) string {
+	const most = 40
+	if len(s) <= most {
+		return fmt.Sprintf("%q", s)
+	}
+	return fmt.Sprintf("%q...", s[:most])
+}
