--- /dev/null
+++ b/admission/levels.go
@@ -0,0 +1,219 @@
+package admission
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// learned is one node's word about one service.
+type learned struct {
+	node  wire.NodeID
+	level uint16
+	at    time.Time
+}
+
+// service is what is known about one service.
+type service struct {
+	nodes []learned
+	// raised is since when its level has been above zero.
+	raised time.Time
+	// recovery is the mean time for which it stayed so.
+	recovery time.Duration
+}
+
+// Levels holds the levels of other services as learned from replies. It is not
+// safe for concurrent use.
+type Levels struct {
+	cfg      LevelsConfig
+	rng      *rand.Rand
+	services map[string]*service
+	scratch  []uint16
+}
+
+// NewLevels returns Levels that admit everything. The seed spreads the times to
+// come back.
+func NewLevels(cfg LevelsConfig, seed uint64) *Levels {
+	return &Levels{
+		cfg:      cfg,
+		rng:      rand.New(rand.NewPCG(seed, 0)),
+		services: make(map[string]*service),
+	}
+}
+
+// Learn notes the level of a service as told by a node: its own, or one that it
+// passes on.
+func (l *Levels) Learn(now time.Time, name string, node wire.NodeID, level uint16) {
+	s, ok := l.services[name]
+	if !ok {
+		if level == 0 {
+			return
+		}
+		s = &service{}
+		l.services[name] = s
+	}
+	s.learn(now, learned{node: node, level: level, at: now}, l.cfg.Nodes)
+	l.follow(now, s)
+}
+
+// LearnReply notes all levels of one reply. A service that the node named
+// before and does not name now has no level there any more.
+func (l *Levels) LearnReply(now time.Time, node wire.NodeID, levels []call.Level) {
+	for name, s := range l.services {
+		if s.knows(node) && !names(levels, name) {
+			l.Learn(now, name, node, 0)
+		}
+	}
+	for _, lv := range levels {
+		l.Learn(now, lv.Service, node, lv.Priority)
+	}
+}
+
+func names(levels []call.Level, name string) bool {
+	return slices.ContainsFunc(levels, func(lv call.Level) bool { return lv.Service == name })
+}
+
+func (s *service) knows(node wire.NodeID) bool {
+	return slices.ContainsFunc(s.nodes, func(n learned) bool { return n.node == node })
+}
+
+func (s *service) learn(now time.Time, word learned, most int) {
+	for i := range s.nodes {
+		if s.nodes[i].node == word.node {
+			s.nodes[i] = word
+			return
+		}
+	}
+	if len(s.nodes) < most {
+		s.nodes = append(s.nodes, word)
+		return
+	}
+	oldest := 0
+	for i := range s.nodes {
+		if s.nodes[i].at.Before(s.nodes[oldest].at) {
+			oldest = i
+		}
+	}
+	s.nodes[oldest] = word
+}
+
+// current is a node's level, which decays when it is not heard again: if
+// nothing is admitted, no reply can say that the overload is over.
+func (l *Levels) current(now time.Time, n learned) uint16 {
+	stale := now.Sub(n.at) - l.cfg.Fresh
+	if stale <= 0 {
+		return n.level
+	}
+	if stale >= l.cfg.Decay {
+		return 0
+	}
+	left := 1 - float64(stale)/float64(l.cfg.Decay)
+	return uint16(float64(n.level) * left)
+}
+
+// level combines the nodes of a service.
+func (l *Levels) level(now time.Time, s *service) uint16 {
+	l.scratch = l.scratch[:0]
+	for _, n := range s.nodes {
+		if now.Sub(n.at) < l.cfg.Fresh+l.cfg.Decay {
+			l.scratch = append(l.scratch, l.current(now, n))
+		}
+	}
+	if len(l.scratch) == 0 {
+		return 0
+	}
+	slices.Sort(l.scratch)
+	return l.scratch[int(l.cfg.Quantile*float64(len(l.scratch)-1))]
+}
+
+// follow measures how long levels stay above zero.
+func (l *Levels) follow(now time.Time, s *service) uint16 {
+	level := l.level(now, s)
+	switch {
+	case level > 0 && s.raised.IsZero():
+		s.raised = now
+	case level == 0 && !s.raised.IsZero():
+		took := now.Sub(s.raised)
+		s.raised = time.Time{}
+		if s.recovery == 0 {
+			s.recovery = took
+		}
+		s.recovery += (took - s.recovery) / 4
+	}
+	return level
+}
+
+// Level is the present level of a service.
+func (l *Levels) Level(now time.Time, name string) uint16 {
+	s, ok := l.services[name]
+	if !ok {
+		return 0
+	}
+	return l.follow(now, s)
+}
+
+// Admit reports whether a request may be started that will reach the services.
+// If not, it names the one with the highest level and when to come back.
+func (l *Levels) Admit(now time.Time, services []string, priority uint16) (blockedBy string, retryAfter time.Duration, ok bool) {
+	highest := priority
+	for _, name := range services {
+		if level := l.Level(now, name); level > highest {
+			blockedBy, highest = name, level
+		}
+	}
+	if blockedBy == "" {
+		return "", 0, true
+	}
+	return blockedBy, l.retryAfter(now, l.services[blockedBy]), false
+}
+
+// retryAfter is the time that recovery took before, less what has passed of it;
+// beyond that, half as long again as it has already lasted. The jitter keeps
+// refused callers from coming back together.
+func (l *Levels) retryAfter(now time.Time, s *service) time.Duration {
+	lasted := now.Sub(s.raised)
+	left := max(s.recovery-lasted, lasted/2)
+	left = min(max(left, l.cfg.RetryMin), l.cfg.RetryMax)
+	return left/2 + time.Duration(l.rng.Int64N(int64(left)))
+}
+
+// Report lists the levels to pass on, the highest first if there are too many.
+func (l *Levels) Report(now time.Time) []call.Level {
+	var out []call.Level
+	for name, s := range l.services {
+		if level := l.follow(now, s); level > 0 {
+			out = append(out, call.Level{Service: name, Priority: level})
+		}
+	}
+	slices.SortFunc(out, func(a, b call.Level) int {
+		return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Service, b.Service))
+	})
+	return out[:min(len(out), l.cfg.Report)]
+}
+
+// LevelState is one service in the state dump of Levels.
+type LevelState struct {
+	Service  string `json:"service"`
+	Level    uint16 `json:"level"`
+	Nodes    int    `json:"nodes"`
+	Recovery string `json:"mean_recovery"`
+}
+
+// Dump returns the services with a history, by name.
+func (l *Levels) Dump(now time.Time) []LevelState {
+	var out []LevelState
+	for name, s := range l.services {
+		out = append(out, LevelState{
+			Service:  name,
+			Level:    l.level(now, s),
+			Nodes:    len(s.nodes),
+			Recovery: s.recovery.String(),
+		})
+	}
+	slices.SortFunc(out, func(a, b LevelState) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
--- /dev/null
+++ b/limit/config.go
@@ -0,0 +1,87 @@
+package limit
+
+import "time"
+
+// Config of a Limiter. All shares are fractions of one.
+type Config struct {
+	// Initial is the limit before anything was measured: the slots of a
+	// small backend server, so that a cold one is not flooded.
+	Initial int
+	// Min is the least limit. One call in flight is what it takes to notice
+	// that the backend server has recovered.
+	Min int
+	// Max bounds the limit, and so what a wrong measurement can do.
+	Max int
+	// Window is the shortest time over which the load is measured. A window
+	// also spans WindowLatencies mean latencies and WindowCalls calls.
+	Window time.Duration
+	// WindowMax ends a window that sees too few calls, so that a slow
+	// backend server is still judged.
+	WindowMax time.Duration
+	// WindowCalls is the number of calls that make a mean latency usable:
+	// 60 calls with exponential latencies are known to about 13%.
+	WindowCalls int
+	// WindowLatencies is the least length of a window in mean latencies.
+	WindowLatencies float64
+	// Headroom times the square root of the measured concurrency is what
+	// the limit stands above it: enough to find more slots, and about the
+	// size of the measurement's own noise.
+	Headroom float64
+	// StartGrowth is the factor by which the limit grows per window until
+	// the first sign of queueing.
+	StartGrowth float64
+	// CutAbove is the ratio of latency to floor from which the limit is cut
+	// at once instead of being adjusted.
+	CutAbove float64
+	// CutTo is the least share of the limit that one cut leaves.
+	CutTo float64
+	// JudgeBelow is the share of the old limit below which a decrease is
+	// judged by what it did to the latency.
+	JudgeBelow float64
+	// Elasticity is the share of the expected fall in latency from which a
+	// decrease is held to have shortened a queue.
+	Elasticity float64
+	// RecheckAfter is how long the limit may be in use before the floor is
+	// measured again with fewer calls in flight.
+	RecheckAfter time.Duration
+	// LowUse is the share of the limit up to which calls in flight are held
+	// to meet no queue, so that their latency is the floor.
+	LowUse float64
+	// FloorCalls is the number of calls over which a floor is averaged.
+	FloorCalls int
+	// Classes bounds the number of classes with a floor of their own; the
+	// rest share one.
+	Classes int
+	// ShedShare is the share of refused calls that counts as overload.
+	ShedShare float64
+	// HoldMin and HoldMax bound the time for which the limit does not grow
+	// after the backend server refused calls; it doubles with each refusal.
+	HoldMin, HoldMax time.Duration
+}
+
+// DefaultConfig suits backend servers of 5 to 500 slots and calls of 1 ms to
+// 1 s.
+func DefaultConfig() Config {
+	return Config{
+		Initial:         20,
+		Min:             1,
+		Max:             2000,
+		Window:          100 * time.Millisecond,
+		WindowMax:       time.Second,
+		WindowCalls:     60,
+		WindowLatencies: 2,
+		Headroom:        0.7,
+		StartGrowth:     1.5,
+		CutAbove:        1.4,
+		CutTo:           0.7,
+		JudgeBelow:      0.85,
+		Elasticity:      0.5,
+		RecheckAfter:    5 * time.Second,
+		LowUse:          0.7,
+		FloorCalls:      200,
+		Classes:         256,
+		ShedShare:       0.01,
+		HoldMin:         500 * time.Millisecond,
+		HoldMax:         4 * time.Second,
+	}
+}
