settings: flags and environment of cassialoomd, checked at start

Ruled out: leaving the environment to go-flags alone, which passes over an unknown variable, so that a slip of the pen leaves a default in force.

--- /dev/null
+++ b/settings/rules.go
@@ -0,0 +1,112 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Bounds of the settings.
+const (
+	maxName = 64
+	// maxPayload leaves room for the fields of a call in one message.
+	maxPayload = wire.MaxMessageBytes - 512<<10
+	maxSlots   = 100_000
+	// maxDrainGrace keeps the promise that a leaving backend server gets no
+	// new work after a few seconds.
+	maxDrainGrace = 3 * time.Second
+	minKeyHeld    = time.Second
+	maxKeyHeld    = 24 * time.Hour
+	minRetention  = time.Second
+	maxRetention  = 365 * 24 * time.Hour
+	maxStop       = time.Hour
+)
+
+// rule says what is allowed for one setting.
+type rule struct {
+	name  string
+	want  string
+	value func(Settings) any
+	ok    func(Settings) bool
+}
+
+const (
+	wantName     = "1 to 64 of the characters a-z A-Z 0-9 . _ -"
+	wantAddr     = "IP:PORT with an IP number, such as 10.0.0.7:7400"
+	wantPayload  = "a number of bytes from 1 to 3670016"
+	wantSlots    = "a number from 1 to 100000"
+	wantLogURL   = "http://IP:PORT with an IP number"
+	wantLoopback = "IP:PORT with an IP number on loopback, such as 127.0.0.1:7401"
+)
+
+var rules = []rule{
+	{"service", wantName, func(s Settings) any { return s.Service }, func(s Settings) bool { return isName(s.Service) }},
+	{"data-centre", wantName, func(s Settings) any { return s.DataCentre }, func(s Settings) bool { return isName(s.DataCentre) }},
+	{"region", wantName, func(s Settings) any { return s.Region }, func(s Settings) bool { return isName(s.Region) }},
+	{"cluster", wantName, func(s Settings) any { return s.Cluster }, func(s Settings) bool { return isName(s.Cluster) }},
+	{"listen", wantAddr, func(s Settings) any { return s.Listen }, func(s Settings) bool { return isAddr(s.Listen) }},
+	{"local-listen", wantLoopback, func(s Settings) any { return s.LocalListen }, func(s Settings) bool { return isLoopback(s.LocalListen) }},
+	{"peer-listen", wantAddr, func(s Settings) any { return s.PeerListen }, func(s Settings) bool { return isAddr(s.PeerListen) }},
+	{"ops-listen", wantAddr, func(s Settings) any { return s.OpsListen }, func(s Settings) bool { return isAddr(s.OpsListen) }},
+	{"advertise", "an IP number by which other nodes reach this one, not 0.0.0.0 or ::",
+		func(s Settings) any { return s.Advertise }, func(s Settings) bool { return isReachable(s.Advertise) }},
+	{"log-url", wantLogURL, func(s Settings) any { return s.LogURL }, func(s Settings) bool { return isLogURL(s.LogURL) }},
+	{"log-retention", "a duration from 1s to 8760h", func(s Settings) any { return s.LogRetention },
+		func(s Settings) bool { return within(s.LogRetention, minRetention, maxRetention) }},
+	{"seed", wantAddr, func(s Settings) any { return s.Seeds }, func(s Settings) bool { return allAddrs(s.Seeds) }},
+	{"key-held-for", "a duration from 1s to 24h", func(s Settings) any { return s.KeyHeldFor },
+		func(s Settings) bool { return within(s.KeyHeldFor, minKeyHeld, maxKeyHeld) }},
+	{"max-body", wantPayload, func(s Settings) any { return s.MaxBody }, func(s Settings) bool { return within(s.MaxBody, 1, maxPayload) }},
+	{"max-answer", wantPayload, func(s Settings) any { return s.MaxAnswer }, func(s Settings) bool { return within(s.MaxAnswer, 1, maxPayload) }},
+	{"max-limit", wantSlots, func(s Settings) any { return s.MaxLimit }, func(s Settings) bool { return within(s.MaxLimit, 1, maxSlots) }},
+	{"initial-limit", "a number from 1 to the value of --max-limit", func(s Settings) any { return s.InitialLimit },
+		func(s Settings) bool { return within(s.InitialLimit, 1, s.MaxLimit) }},
+	{"queue", wantSlots, func(s Settings) any { return s.Queue }, func(s Settings) bool { return within(s.Queue, 1, maxSlots) }},
+	{"drain-grace", "a duration from 0s to 3s", func(s Settings) any { return s.DrainGrace },
+		func(s Settings) bool { return within(s.DrainGrace, 0, maxDrainGrace) }},
+	{"stop-timeout", "a duration from the value of --drain-grace to 1h", func(s Settings) any { return s.StopTimeout },
+		func(s Settings) bool { return within(s.StopTimeout, s.DrainGrace, maxStop) }},
+	{"log-level", "debug, info, warn or error", func(s Settings) any { return s.LogLevel },
+		func(s Settings) bool { return oneOf(s.LogLevel, "debug", "info", "warn", "error") }},
+	{"policy", "full, fixed or none", func(s Settings) any { return s.Policy },
+		func(s Settings) bool { return oneOf(s.Policy, "full", "fixed", "none") }},
+}
+
+func within[T int | int64 | time.Duration](v, low, high T) bool { return low <= v && v <= high }
+
+func isName(s string) bool {
+	const allowed = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-"
+	return s != "" && len(s) <= maxName && strings.Trim(s, allowed) == ""
+}
+
+func isAddr(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
+
+func allAddrs(list []string) bool {
+	for _, s := range list {
+		if !isAddr(s) {
+			return false
+		}
+	}
+	return true
+}
+
+func isLoopback(s string) bool {
+	ap, err := netip.ParseAddrPort(s)
+	return err == nil && ap.Addr().IsLoopback()
+}
+
+func isReachable(s string) bool {
+	ip, err := netip.ParseAddr(s)
+	return err == nil && !ip.IsUnspecified() && !ip.IsMulticast()
+}
+
+func isLogURL(s string) bool {
+	u, err := url.Parse(s)
+	return err == nil && u.Scheme == "http" && isAddr(u.Host) && u.User == nil && u.RawQuery == ""
+}
