balancer: two random choices by own calls in flight and reported load

Ruled out: least loaded of all (every sender picks the same new one) and a latency average that one outlier moves (logarithms are averaged instead).

--- /dev/null
+++ b/balancer/dump.go
@@ -0,0 +1,77 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Counters count events since the start.
+type Counters struct {
+	Picks       uint64 `json:"picks"`
+	NoCandidate uint64 `json:"no_candidate"`
+	// Remote counts picks in other data centres.
+	Remote    uint64 `json:"remote"`
+	Refused   uint64 `json:"refused"`
+	Ejections uint64 `json:"ejections"`
+	// Leaves and Returns count stragglers; Probes the calls sent to them.
+	Leaves  uint64 `json:"leaves"`
+	Returns uint64 `json:"returns"`
+	Probes  uint64 `json:"probes"`
+}
+
+// MemberDump is one candidate in use.
+type MemberDump struct {
+	ID         wire.NodeID   `json:"id"`
+	DataCentre string        `json:"data_centre"`
+	InFlight   int           `json:"in_flight"`
+	Limit      float64       `json:"limit"`
+	Load       float64       `json:"load"`
+	Share      float64       `json:"share"`
+	Latency    time.Duration `json:"latency_ns"`
+	Samples    int           `json:"samples"`
+	Straggler  bool          `json:"straggler,omitempty"`
+	Ejected    bool          `json:"ejected,omitempty"`
+	Full       bool          `json:"full,omitempty"`
+	Failures   int           `json:"failures,omitempty"`
+}
+
+// Dump is the state of a Picker.
+type Dump struct {
+	// Known is the number of candidates; Members are those in use.
+	Known    int           `json:"known"`
+	Median   time.Duration `json:"median_latency_ns"`
+	Members  []MemberDump  `json:"members"`
+	Counters Counters      `json:"counters"`
+}
+
+// Dump returns the state as of now.
+func (p *Picker) Dump(now time.Time) Dump {
+	d := Dump{Known: p.known, Median: time.Duration(p.median), Counters: p.counters}
+	for _, m := range p.active {
+		d.Members = append(d.Members, p.dumpMember(now, m))
+	}
+	return d
+}
+
+func (p *Picker) dumpMember(now time.Time, m *member) MemberDump {
+	load := m.load(now, &p.cfg, p.limits)
+	c := m.class(now, load)
+	d := MemberDump{
+		ID:         m.ID,
+		DataCentre: m.DataCentre,
+		InFlight:   m.inFlight,
+		Limit:      m.limit,
+		Load:       load,
+		Share:      m.share(now, p.cfg.MinShare, p.median),
+		Samples:    m.samples,
+		Straggler:  m.left,
+		Ejected:    c == ejected,
+		Full:       c == fullLocal || c == fullRemote,
+		Failures:   m.failures,
+	}
+	if m.samples > 0 {
+		d.Latency = time.Duration(m.latency())
+	}
+	return d
+}
--- /dev/null
+++ b/balancer/member.go
@@ -0,0 +1,137 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+const (
+	// latencyWeight of a new sample. Latencies are averaged as logarithms:
+	// one call of a thousand times the usual length moves the average by a
+	// factor of 1.5 only, and a mix of short and long operations does not
+	// make it jump between the two as a median of few samples would.
+	latencyWeight = 1.0 / 16
+	// probeWeight is used while a candidate is left: probes are few.
+	probeWeight = 1.0 / 4
+	// minLatency keeps the logarithm finite.
+	minLatency = time.Microsecond
+)
+
+// member is a candidate in use, or one no longer in use that calls are still
+// in flight to.
+type member struct {
+	Candidate
+	active   bool
+	local    bool
+	inFlight int
+
+	// limit and others are what the node reported: its limit, and its load
+	// without the calls of this Picker.
+	limit      float64
+	others     float64
+	reportedAt time.Time
+	fullUntil  time.Time
+
+	logLatency float64
+	samples    int
+
+	rampFrom time.Time
+	ramp     time.Duration
+
+	left      bool
+	leftSince time.Time
+	probedAt  time.Time
+
+	failures     int
+	ejectedUntil time.Time
+}
+
+func (m *member) latency() float64 { return math.Exp(m.logLatency) }
+
+// measure takes a latency in; atLeast says that the call ended without an
+// answer and would have taken longer.
+func (m *member) measure(d time.Duration, atLeast bool) {
+	sample := math.Log(float64(max(d, minLatency)))
+	if atLeast && sample <= m.logLatency {
+		return
+	}
+	weight := latencyWeight
+	if m.left {
+		weight = probeWeight
+	}
+	if m.samples < int(1/latencyWeight) {
+		weight = max(weight, 1/float64(m.samples+1))
+	}
+	m.logLatency += weight * (sample - m.logLatency)
+	m.samples++
+}
+
+// report takes in the load that the node gave with its answer.
+func (m *member) report(now time.Time, inFlight, limit int) {
+	if limit <= 0 {
+		return
+	}
+	m.limit = float64(limit)
+	m.others = max(0, float64(inFlight-m.inFlight))
+	m.reportedAt = now
+}
+
+// load estimates the calls in flight at the candidate relative to its limit:
+// the own ones exactly, the others as last reported and fading.
+func (m *member) load(now time.Time, cfg *Config, limits limits) float64 {
+	fresh := 1 - float64(now.Sub(m.reportedAt))/float64(cfg.ReportFor)
+	others := m.others * min(max(fresh, 0), 1)
+	return (float64(m.inFlight) + others) / limits.bound(m.limit)
+}
+
+// share is the part of a warm candidate's calls that this one gets: it grows
+// with time, and more slowly while its latency is above the median.
+func (m *member) share(now time.Time, minShare, median float64) float64 {
+	elapsed := now.Sub(m.rampFrom)
+	if elapsed >= m.ramp {
+		return 1
+	}
+	grown := float64(max(elapsed, 0)) / float64(m.ramp)
+	if median > 0 && m.samples > 0 {
+		grown *= min(1, median/m.latency())
+	}
+	return max(minShare, grown)
+}
+
+func (m *member) startRamp(now time.Time, ramp time.Duration) {
+	m.rampFrom = now
+	m.ramp = ramp
+}
+
+// resting reports whether the candidate must not be used after a failure.
+// When that time is over one call at a time goes there until one succeeds, so
+// that not all callers run into the same failure again.
+func (m *member) resting(now time.Time) bool {
+	if m.failures == 0 {
+		return false
+	}
+	return now.Before(m.ejectedUntil) || m.inFlight > 0
+}
+
+// limits makes the reported limits comparable.
+type limits struct {
+	low, high, unknown float64
+}
+
+func (l limits) bound(limit float64) float64 {
+	if limit == 0 {
+		return l.unknown
+	}
+	return min(max(limit, l.low), l.high)
+}
+
+// Candidate is one node that may take calls for the service.
+type Candidate struct {
+	ID         wire.NodeID
+	DataCentre string
+	// Since is when its backend server was seen ready, for the slow start;
+	// zero if it is not known to be new.
+	Since time.Time
+}
