--- /dev/null
+++ b/membership/gossip.go
@@ -0,0 +1,154 @@
+package membership
+
+import "math"
+
+// Sizes in CBOR, measured by a test; the bounds on messages go by them.
+const (
+	changeBytes = 26
+	recordBytes = 52 // without the strings
+)
+
+// rumor is a place in the queue; a newer rumor about the same member makes it
+// void.
+type rumor struct {
+	about *member
+	no    uint32
+	whole bool
+}
+
+// rumors is a queue of news by how often each was sent, least first.
+type rumors struct {
+	sent  [][]rumor
+	count int
+}
+
+func (q *rumors) push(sent int, r rumor) {
+	for len(q.sent) <= sent {
+		q.sent = append(q.sent, nil)
+	}
+	q.sent[sent] = append(q.sent[sent], r)
+	q.count++
+}
+
+// spread queues the row as news.
+func (m *Members) spread(mem *member) {
+	mem.rumor++
+	mem.queued = true
+	r := rumor{about: mem, no: mem.rumor}
+	r.whole = !mem.State.Gone() && mem.Incarnation == mem.Content
+	if mem == m.self || mem.State == Draining || mem.State == Left {
+		m.urgent.push(0, r)
+		return
+	}
+	m.normal.push(0, r)
+}
+
+// retransmits is how often one piece of news is passed on.
+func (m *Members) retransmits() int {
+	digits := math.Ceil(math.Log10(float64(len(m.roster) + 2)))
+	return m.cfg.RetransmitFactor * max(1, int(digits))
+}
+
+// heardAgain counts news that comes back as sent once more: who told us knows
+// it already.
+func (m *Members) heardAgain(mem *member, c Change) {
+	m.counters.Repeated++
+}
+
+func (m *Members) tickGossip() {
+	if m.clock < m.due.gossip {
+		return
+	}
+	m.due.gossip = max(m.due.gossip+m.cfg.GossipInterval, m.clock)
+	if m.urgent.count == 0 && m.normal.count == 0 {
+		return
+	}
+	for _, peer := range m.pickPeers(m.cfg.GossipFanout, nil) {
+		var msg Message
+		m.fill(&msg, m.cfg.GossipBytes)
+		if msg.empty() {
+			return
+		}
+		m.send(peer.ID, peer.PeerAddr, msg)
+	}
+}
+
+func (m *Members) piggyback(msg *Message) { m.fill(msg, m.cfg.PiggybackBytes) }
+
+// fill adds the news that was sent least, up to a size.
+func (m *Members) fill(msg *Message, bytes int) {
+	limit := m.retransmits()
+	bytes = m.urgent.take(msg, bytes, limit)
+	m.normal.take(msg, bytes, limit)
+}
+
+func (q *rumors) take(msg *Message, bytes, limit int) int {
+	if q.count == 0 {
+		return bytes
+	}
+	var again []rumor
+	var from []int
+	for sent := range q.sent {
+		list := q.sent[sent]
+		used := 0
+		for _, r := range list {
+			if r.void() {
+				used++
+				continue
+			}
+			size := r.size()
+			if size > bytes {
+				break
+			}
+			used++
+			bytes -= size
+			r.add(msg)
+			if sent+1 < limit {
+				again = append(again, r)
+				from = append(from, sent+1)
+			} else {
+				r.about.queued = false
+			}
+		}
+		q.drop(sent, used)
+		if used < len(list) {
+			break
+		}
+	}
+	for i, r := range again {
+		q.push(from[i], r)
+	}
+	return bytes
+}
+
+// drop removes the first n rumors and lets go of the memory when all went.
+func (q *rumors) drop(sent, n int) {
+	q.count -= n
+	if n == len(q.sent[sent]) {
+		q.sent[sent] = nil
+		return
+	}
+	q.sent[sent] = q.sent[sent][n:]
+}
+
+func (r rumor) void() bool { return r.no != r.about.rumor || !r.about.queued }
+
+func (r rumor) size() int {
+	if !r.whole {
+		return changeBytes
+	}
+	return recordSize(&r.about.Record)
+}
+
+func recordSize(r *Record) int {
+	return recordBytes + len(r.Service) + len(r.DataCentre) + len(r.Region) +
+		len(r.PeerAddr) + len(r.OpsAddr) + len(r.CallerAddr)
+}
+
+func (r rumor) add(msg *Message) {
+	if r.whole {
+		msg.Records = append(msg.Records, r.about.Record)
+		return
+	}
+	msg.Changes = append(msg.Changes, r.about.change())
+}
--- /dev/null
+++ b/membership/repair.go
@@ -0,0 +1,218 @@
+package membership
+
+import (
+	"encoding/binary"
+
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// bucketCount divides the table by the first byte of the identity: at 3,500
+// members a bucket holds 14, so that one difference costs a listing of 14.
+const (
+	bucketCount = 256
+	digestBytes = 4 * bucketCount
+)
+
+func bucketOf(id wire.NodeID) byte { return id[0] }
+
+func (m *Members) bucketFlip(mem *member) { m.buckets[bucketOf(mem.ID)] ^= mem.digest() }
+
+func (m *Members) digest() []byte {
+	b := make([]byte, 0, digestBytes)
+	for _, h := range m.buckets {
+		b = binary.BigEndian.AppendUint32(b, h)
+	}
+	return b
+}
+
+func (m *Members) tickRepair() {
+	if m.clock < m.due.repair || len(m.roster) == 0 {
+		return
+	}
+	m.due.repair = m.clock + m.jitter(m.cfg.RepairInterval)
+	if m.joining {
+		m.due.repair = m.clock + m.jitter(m.cfg.RepairAgain)
+	}
+	for _, peer := range m.pickPeers(1, nil) {
+		m.counters.Repairs++
+		m.send(peer.ID, peer.PeerAddr, m.opening())
+	}
+}
+
+// opening is the message that starts a repair. It carries the own record:
+// to a peer that does not know this node it is an introduction.
+func (m *Members) opening() Message {
+	return Message{Digest: m.digest(), Records: []Record{m.self.Record}, Repair: true}
+}
+
+func (m *Members) takeRepair(msg *Message, reply *Message) {
+	if len(msg.Digest) > 0 {
+		m.takeDigest(msg.Digest, reply)
+	}
+	if msg.Listing != nil {
+		m.takeListing(msg.Listing, reply)
+	}
+	m.takeWant(msg.Want, reply)
+}
+
+// takeDigest lists the buckets that differ, from a random one on, so that
+// several answers that are cut short cover the table.
+func (m *Members) takeDigest(digest []byte, reply *Message) {
+	if len(digest) != digestBytes {
+		m.counters.Refused++
+		return
+	}
+	var differs, whole [bucketCount]bool
+	for b, mine := range m.buckets {
+		theirs := binary.BigEndian.Uint32(digest[4*b:])
+		differs[b] = theirs != mine
+		whole[b] = theirs == 0
+	}
+	listing := &Listing{}
+	rows := m.byBucket(&differs)
+	entries, records := 0, 0
+	start := m.rng.IntN(bucketCount)
+	for i := range bucketCount {
+		b := (start + i) % bucketCount
+		if !differs[b] {
+			continue
+		}
+		if entries >= m.cfg.RepairEntries || records >= m.cfg.RepairRecords {
+			listing.More = true
+			break
+		}
+		listing.Buckets = append(listing.Buckets, byte(b))
+		for _, mem := range rows[b] {
+			if whole[b] {
+				records++
+				reply.Records = append(reply.Records, mem.Record)
+				continue
+			}
+			entries++
+			listing.Entries = append(listing.Entries, Entry{ID: mem.ID, Incarnation: mem.Incarnation})
+		}
+	}
+	reply.Listing = listing
+	reply.Repair = true
+}
+
+// byBucket groups the live members, this node too, of the chosen buckets.
+func (m *Members) byBucket(chosen *[bucketCount]bool) *[bucketCount][]*member {
+	var rows [bucketCount][]*member
+	for _, mem := range m.roster {
+		if b := bucketOf(mem.ID); chosen[b] {
+			rows[b] = append(rows[b], mem)
+		}
+	}
+	if b := bucketOf(m.self.ID); chosen[b] && !m.self.State.Gone() {
+		rows[b] = append(rows[b], m.self)
+	}
+	return &rows
+}
+
+// takeListing compares the peer's buckets with the own ones: asks for what is
+// newer there and sends what is newer here.
+func (m *Members) takeListing(l *Listing, reply *Message) {
+	if len(l.Buckets) > bucketCount || len(l.Entries) > m.cfg.MaxMembers {
+		m.counters.Refused++
+		return
+	}
+	listed := make(map[wire.NodeID]bool, len(l.Entries))
+	for _, e := range l.Entries {
+		listed[e.ID] = true
+		m.compare(e, reply)
+	}
+	m.offerUnlisted(l, listed, reply)
+	reply.Repair = true
+	m.repaired(l)
+}
+
+func (m *Members) compare(e Entry, reply *Message) {
+	mem := m.table[e.ID]
+	switch {
+	case mem == nil || e.Incarnation > mem.Incarnation:
+		reply.Want = append(reply.Want, e.ID)
+	case mem.State.Gone():
+		reply.Changes = append(reply.Changes, mem.change())
+	case e.Incarnation < mem.Incarnation:
+		reply.Records = append(reply.Records, mem.Record)
+	}
+}
+
+// offerUnlisted sends the members that the peer does not have. A node that is
+// joining, or slept for long, does not vouch for others: it asks after them.
+func (m *Members) offerUnlisted(l *Listing, listed map[wire.NodeID]bool, reply *Message) {
+	var chosen [bucketCount]bool
+	for _, b := range l.Buckets {
+		chosen[b] = true
+	}
+	for _, rows := range m.byBucket(&chosen) {
+		for _, mem := range rows {
+			if listed[mem.ID] || len(reply.Records) >= m.cfg.RepairRecords {
+				continue
+			}
+			if m.joining && mem != m.self {
+				continue
+			}
+			reply.Records = append(reply.Records, mem.Record)
+		}
+	}
+}
+
+// repaired plans the next repair and ends the joining when no bucket was left
+// out.
+func (m *Members) repaired(l *Listing) {
+	if l.More {
+		m.due.repair = m.clock + m.jitter(m.cfg.RepairAgain)
+		return
+	}
+	if !m.joining {
+		return
+	}
+	m.joining = false
+	m.due.repair = m.clock + m.within(m.cfg.RepairInterval)
+}
+
+func (m *Members) takeWant(want []wire.NodeID, reply *Message) {
+	if len(want) > m.cfg.MaxMembers {
+		m.counters.Refused++
+		return
+	}
+	for _, id := range want {
+		mem := m.table[id]
+		if mem == nil || len(reply.Records) >= m.cfg.RepairRecords {
+			continue
+		}
+		if mem.State.Gone() {
+			reply.Changes = append(reply.Changes, mem.change())
+			continue
+		}
+		reply.Records = append(reply.Records, mem.Record)
+		reply.Repair = true
+	}
+}
+
+// tickReconnect tries one dead member in case it was only cut off.
+func (m *Members) tickReconnect() {
+	if m.clock < m.due.reconnect {
+		return
+	}
+	m.due.reconnect = m.clock + m.jitter(m.cfg.ReconnectInterval)
+	if len(m.gone) == 0 {
+		return
+	}
+	const tries = 8
+	for range tries {
+		mem := m.gone[m.rng.IntN(len(m.gone))]
+		if m.worthTrying(mem) {
+			m.counters.Reconnects++
+			m.startProbe(mem)
+			return
+		}
+	}
+}
+
+func (m *Members) worthTrying(mem *member) bool {
+	return mem.State == Dead && !mem.superseded && mem.PeerAddr != "" &&
+		m.clock-mem.until < m.cfg.ReconnectFor
+}
