caller: drop X-Idempotency-Key from a program's own header fields

net/http takes this field, too, as leave to send a request again by itself when a used connection breaks, past the bound on attempts. A node drops it anyway. Ruled out: passing it on in another case as is done for the key; nobody on the other side reads it. The tests pass unchanged.

--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -33,7 +33,11 @@
 // transport resends a request with "Idempotency-Key" by itself when a used
 // connection breaks, and such attempts escape the bounds. It looks for the
 // canonical form alone; to the node the case of a header makes no difference.
-const headerKeyOnWire = "idempotency-key"
+// headerXKey has the same effect and no meaning to a node: it is dropped.
+const (
+	headerKeyOnWire = "idempotency-key"
+	headerXKey      = "X-Idempotency-Key"
+)
 
 // maxDetail bounds how much of a refusal's body goes into the error.
 const maxDetail = 512
@@ -98,6 +102,7 @@
 		h.Header.Set(headerImportance, req.Importance.String())
 	}
 	h.Header.Del(headerKey)
+	h.Header.Del(headerXKey)
 	if req.Key != "" {
 		h.Header[headerKeyOnWire] = []string{req.Key}
 	}
