--- a/retry/retry.go
+++ b/retry/retry.go
@@ -22,9 +22,12 @@
 // stay within their allowance from doubling the load of a service that fails.
 package retry
 
-import "fmt"
+import (
+	"fmt"
+	"time"
+)
 
-// Config of the node's budget.
+// Config of the node's budget and of its memory of requests.
 type Config struct {
 	// Ratio is the number of extra attempts earned by one call. At 0.1 a
 	// service whose every call fails sees at most a tenth more load.
@@ -37,11 +40,20 @@
 	// traffic can make an extra attempt too. At 0.1 a quiet node makes one in
 	// ten seconds, which loads nobody.
 	MinPerSecond float64
+	// MaxRequests bounds the requests remembered for their resends, about 60
+	// bytes each. 16384 are 40 s of entries at 400 a second.
+	MaxRequests int
+	// RequestMemory is how long a request is remembered. A minute is longer
+	// than callers go on resending one request.
+	RequestMemory time.Duration
 }
 
 // DefaultConfig returns the settings that the defaults' reasons are given for.
 func DefaultConfig() Config {
-	return Config{Ratio: 0.1, Burst: 10, MinPerSecond: 0.1}
+	return Config{
+		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1,
+		MaxRequests: 16384, RequestMemory: time.Minute,
+	}
 }
 
 // Check names the first setting that is out of its range.
@@ -55,5 +67,9 @@
 	if c.MinPerSecond < 0 {
 		return fmt.Errorf("retry minimum per second %v: want 0 or more", c.MinPerSecond)
 	}
+	if c.MaxRequests < 1 || c.RequestMemory < 0 {
+		return fmt.Errorf("retry memory of %d requests for %v: want 1 or more and no negative time",
+			c.MaxRequests, c.RequestMemory)
+	}
 	return nil
 }
