--- /dev/null
+++ b/internal/rig/cluster.go
@@ -0,0 +1,233 @@
+package rig
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// The project's programs.
+const (
+	NodeProgram      = "cassialoomd"
+	BackendProgram   = "standin-backend"
+	LogProgram       = "standin-log"
+	OperatorsProgram = "cassialoom"
+)
+
+const readyPoll = 50 * time.Millisecond
+
+// seeds is the number of nodes that each node is told of at its start.
+const seeds = 3
+
+// Options are what all nodes of a cluster share besides the shape.
+type Options struct {
+	// NodeArgs are added to the arguments of every node.
+	NodeArgs []string
+	// Seed of the backend servers' service times.
+	Seed uint64
+}
+
+// Cluster is one user's system as running processes.
+type Cluster struct {
+	Rig       *Rig
+	Shape     Shape
+	LogURL    string
+	Log       *Process
+	Instances []*Instance
+	ports     *ports
+	opts      Options
+}
+
+// StartCluster starts the log and all instances and waits until each node
+// answers. What was started is left to the rig's Close, also after an error.
+func (r *Rig) StartCluster(ctx context.Context, shape Shape, opts Options) (*Cluster, error) {
+	c := &Cluster{Rig: r, Shape: shape, ports: newPorts(), opts: opts}
+	if err := c.startLog(); err != nil {
+		return nil, err
+	}
+	if err := c.layOut(); err != nil {
+		return nil, err
+	}
+	for n, i := range c.Instances {
+		if err := c.startInstance(n, i); err != nil {
+			return nil, err
+		}
+	}
+	if err := c.Await(ctx, "/healthz", c.Instances); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Cluster) startLog() error {
+	addr, err := c.ports.addr()
+	if err != nil {
+		return err
+	}
+	c.LogURL = "http://" + addr
+	c.Log, err = c.Rig.Start("log", LogProgram, "--listen", addr)
+	return err
+}
+
+// layOut names the instances, gives them addresses and spreads each service
+// over the data centres.
+func (c *Cluster) layOut() error {
+	for _, s := range c.Shape.Services {
+		for k := range s.Targets {
+			i := &Instance{
+				Name:       fmt.Sprintf("%s-%d", s.Name, k+1),
+				Service:    s.Name,
+				DataCentre: c.Shape.DataCentres[k%len(c.Shape.DataCentres)],
+			}
+			for _, addr := range []*string{&i.CallerAddr, &i.LocalAddr, &i.PeerAddr, &i.OpsAddr, &i.BackendAddr} {
+				var err error
+				if *addr, err = c.ports.addr(); err != nil {
+					return err
+				}
+			}
+			c.Instances = append(c.Instances, i)
+		}
+	}
+	return nil
+}
+
+func (c *Cluster) startInstance(n int, i *Instance) error {
+	var err error
+	if i.Node, err = c.Rig.Start(i.Name+"-node", NodeProgram, c.nodeArgs(i)...); err != nil {
+		return err
+	}
+	i.Backend, err = c.Rig.Start(i.Name+"-backend", BackendProgram, c.backendArgs(n, i)...)
+	return err
+}
+
+func (c *Cluster) nodeArgs(i *Instance) []string {
+	args := []string{
+		"--service", i.Service,
+		"--data-centre", i.DataCentre,
+		"--region", c.Shape.Region,
+		"--listen", i.CallerAddr,
+		"--local-listen", i.LocalAddr,
+		"--peer-listen", i.PeerAddr,
+		"--ops-listen", i.OpsAddr,
+		"--log-url", c.LogURL,
+	}
+	for _, seed := range c.Instances[:min(seeds, len(c.Instances))] {
+		if seed != i {
+			args = append(args, "--seed", seed.PeerAddr)
+		}
+	}
+	return append(args, c.opts.NodeArgs...)
+}
+
+func (c *Cluster) backendArgs(n int, i *Instance) []string {
+	s := c.service(i.Service)
+	args := []string{
+		"--service", i.Service,
+		"--listen", i.BackendAddr,
+		"--node", i.LocalAddr,
+		"--slots", fmt.Sprint(s.Slots),
+		"--queue", fmt.Sprint(s.Queue),
+		"--seed", fmt.Sprint(c.opts.Seed + uint64(n)),
+	}
+	if s.ColdFor > 0 {
+		args = append(args, "--cold-for", s.ColdFor.String(), "--cold-factor", fmt.Sprint(s.ColdFactor))
+	}
+	for _, text := range s.Times {
+		args = append(args, "--times", text)
+	}
+	for _, text := range s.Calls {
+		args = append(args, "--calls", text)
+	}
+	return args
+}
+
+func (c *Cluster) service(name string) ServiceShape {
+	for _, s := range c.Shape.Services {
+		if s.Name == name {
+			return s
+		}
+	}
+	return ServiceShape{}
+}
+
+// Of returns the instances of a service.
+func (c *Cluster) Of(service string) []*Instance {
+	var list []*Instance
+	for _, i := range c.Instances {
+		if i.Service == service {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// CallerAddrs returns the callers' addresses of all nodes.
+func (c *Cluster) CallerAddrs() []string {
+	var list []string
+	for _, i := range c.Instances {
+		list = append(list, i.CallerAddr)
+	}
+	return list
+}
+
+// Await waits until an operators' page of every node answers with success.
+func (c *Cluster) Await(ctx context.Context, path string, instances []*Instance) error {
+	for _, i := range instances {
+		if err := await(ctx, i, path); err != nil {
+			return fmt.Errorf("%s: %s: %w (log: %s)", i.Name, path, err, i.Node.Log)
+		}
+	}
+	return nil
+}
+
+var errEnded = errors.New("the node's process has ended")
+
+func await(ctx context.Context, i *Instance, path string) error {
+	ticker := time.NewTicker(readyPoll)
+	defer ticker.Stop()
+	for {
+		var page any
+		err := i.Get(ctx, path, &page)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Join(ctx.Err(), err)
+		case <-i.Node.Done():
+			return errEnded
+		case <-ticker.C:
+		}
+	}
+}
+
+// RestartBackend starts the backend server of an instance again after its end.
+func (c *Cluster) RestartBackend(i *Instance) error {
+	p, err := c.Rig.Restart(i.Backend)
+	if err != nil {
+		return err
+	}
+	i.Backend = p
+	return nil
+}
+
+// RestartNode starts the node of an instance again after its end.
+func (c *Cluster) RestartNode(i *Instance) error {
+	p, err := c.Rig.Restart(i.Node)
+	if err != nil {
+		return err
+	}
+	i.Node = p
+	return nil
+}
+
+// Publish publishes the graph text with the operators' command, at the node of
+// the first instance and the log, and returns what the command printed.
+func (c *Cluster) Publish(ctx context.Context, graphFile string) (string, error) {
+	out, err := c.Rig.Output(ctx, OperatorsProgram, "publish", "--log-url", c.LogURL, graphFile)
+	if err != nil {
+		return out, fmt.Errorf("publish: %w: %s", err, out)
+	}
+	return out, nil
+}
--- a/internal/standin/backend/config.go
+++ b/internal/standin/backend/config.go
@@ -65,6 +65,9 @@
 	DrainQuiet time.Duration `long:"drain-quiet" env:"STANDIN_DRAIN_QUIET" description:"time without a request after which a draining process stops"`
 	// DrainLimit bounds the whole drain.
 	DrainLimit time.Duration `long:"drain-limit" env:"STANDIN_DRAIN_LIMIT" description:"longest drain"`
+	// Journal is a file to which every request that begins is appended, so
+	// that what ran is known after a crash as well; empty for none.
+	Journal string `long:"journal" env:"STANDIN_JOURNAL" description:"file to which every request that begins is appended"`
 	// KeepExecutions bounds the memory of the execution log; 200,000 hold
 	// some minutes of a measurement at full load.
 	KeepExecutions int `long:"keep-executions" env:"STANDIN_KEEP_EXECUTIONS" description:"executions kept for /executions"`
--- a/internal/standin/backend/execute.go
+++ b/internal/standin/backend/execute.go
@@ -49,6 +49,7 @@
 		Start:      time.Now(),
 	}
 	s.execs.begin(e)
+	s.journal.write(e)
 	return e
 }
 
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -28,6 +28,8 @@
 	execs *executions
 	node  *nodeClient
 	exit  func(status int)
+	// journal is nil if there is none.
+	journal *journal
 
 	failEvery atomic.Int64
 	cutEvery  atomic.Int64
@@ -48,6 +50,10 @@
 	if err != nil {
 		return nil, err
 	}
+	j, err := openJournal(cfg.Journal)
+	if err != nil {
+		return nil, fmt.Errorf("setting --journal: value %s: %w", cfg.Journal, err)
+	}
 	if cfg.CrashMarker == "" {
 		cfg.CrashMarker = "crash:" + cfg.Service
 	}
@@ -65,11 +71,16 @@
 		execs: newExecutions(cfg.KeepExecutions),
 		node:  newNodeClient(cfg.Node),
 		exit:  exit,
+
+		journal: j,
 	}, nil
 }
 
-// Close frees the connections to the node.
-func (s *Server) Close() { s.node.close() }
+// Close frees the connections to the node and the journal.
+func (s *Server) Close() {
+	s.node.close()
+	s.journal.close()
+}
 
 // Boot names this start of the backend server.
 func (s *Server) Boot() string { return s.boot }
--- a/internal/standin/backend/server_test.go
+++ b/internal/standin/backend/server_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -185,3 +186,22 @@
 		is.True(strings.Contains(err.Error(), "setting --"))
 	}
 }
+
+// A request crashes the process. Everything that had begun, the fatal request
+// too, is in the journal, which the next start continues.
+func TestJournalOutlivesACrash(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "journal")
+	for range 2 {
+		status := 0
+		s := testServer(t, func(c *Config) { c.Journal, c.Times = path, []string{"forecast=0s"} })
+		s.exit = func(code int) { status = code }
+		serve(s, request(t.Context(), "action:a1", "1000"))
+		serve(s, request(t.Context(), "action:a2 crash:plumecast", "1000"))
+		is.Equal(status, CrashStatus)
+	}
+	list, err := ReadJournal(path)
+	is.NoErr(err)
+	is.Equal(len(list), 4)
+	is.Equal(list[3].Action, "a2")
+}
