--- a/graph/graph_test.go
+++ b/graph/graph_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -198,3 +199,22 @@
 		{Service: "d", Kind: Added, New: "1"},
 	})
 }
+
+func TestExamplesFanOutThreeServicesDeep(t *testing.T) {
+	is := is.New(t)
+	for file, entry := range map[string]Ref{
+		"savukartta": {"plumecast", "forecast"},
+		"hallwyl":    {"dossier-svc", "shortlist"},
+	} {
+		text, err := os.ReadFile("../examples/" + file + ".hcl")
+		is.NoErr(err)
+		g, ps := Parse(file, text)
+		is.NoErr(ps.Err())
+		is.Equal(g.Warnings(), nil)
+		is.Equal(len(g.Services()), 4)
+		o, ok := g.Operation(entry.Service, entry.Operation)
+		is.True(ok)
+		is.Equal(o.Height(), 2)
+		is.True(len(o.DependsOn) >= 2)
+	}
+}
