--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -99,9 +99,8 @@
 		if len(exclude) > 0 && slices.Contains(exclude, m.ID) {
 			continue
 		}
-		load := m.load(now, &p.cfg, p.limits)
-		share := m.share(now, p.cfg.MinShare, p.median)
-		p.pools[m.class(now, load)].add(m, share, load)
+		load := m.load(p.limits)
+		p.pools[m.class(now, load)].add(m, m.share, load)
 	}
 }
 
@@ -113,7 +112,7 @@
 		return straggling
 	}
 	c := freeLocal
-	if load >= 1 || now.Before(m.fullUntil) {
+	if m.full(now, load) {
 		c = fullLocal
 	}
 	if !m.local {
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -55,7 +55,7 @@
 }
 
 func (p *Picker) dumpMember(now time.Time, m *member) MemberDump {
-	load := m.load(now, &p.cfg, p.limits)
+	load := m.load(p.limits)
 	c := m.class(now, load)
 	d := MemberDump{
 		ID:         m.ID,
@@ -63,7 +63,7 @@
 		InFlight:   m.inFlight,
 		Limit:      m.limit,
 		Load:       load,
-		Share:      m.share(now, p.cfg.MinShare, p.median),
+		Share:      m.share,
 		Samples:    m.samples,
 		Straggler:  m.left,
 		Ejected:    c == ejected,
--- a/balancer/member.go
+++ b/balancer/member.go
@@ -32,8 +32,14 @@
 	limit      float64
 	others     float64
 	reportedAt time.Time
+	refused    bool
 	fullUntil  time.Time
 
+	// fresh and share are brought up to date at each evaluation: they change
+	// over seconds, and times are dear to compute with at each Pick.
+	fresh float64
+	share float64
+
 	logLatency float64
 	samples    int
 
@@ -76,19 +82,26 @@
 	m.limit = float64(limit)
 	m.others = max(0, float64(inFlight-m.inFlight))
 	m.reportedAt = now
+	m.fresh = 1
 }
 
 // load estimates the calls in flight at the candidate relative to its limit:
 // the own ones exactly, the others as last reported and fading.
-func (m *member) load(now time.Time, cfg *Config, limits limits) float64 {
+func (m *member) load(limits limits) float64 {
+	return (float64(m.inFlight) + m.others*m.fresh) / limits.bound(m.limit)
+}
+
+// age brings up to date what changes with time.
+func (m *member) age(now time.Time, cfg *Config, median float64) {
 	fresh := 1 - float64(now.Sub(m.reportedAt))/float64(cfg.ReportFor)
-	others := m.others * min(max(fresh, 0), 1)
-	return (float64(m.inFlight) + others) / limits.bound(m.limit)
+	m.fresh = min(max(fresh, 0), 1)
+	m.refused = now.Before(m.fullUntil)
+	m.share = m.shareAt(now, cfg.MinShare, median)
 }
 
-// share is the part of a warm candidate's calls that this one gets: it grows
+// shareAt is the part of a warm candidate's calls that this one gets: it grows
 // with time, and more slowly while its latency is above the median.
-func (m *member) share(now time.Time, minShare, median float64) float64 {
+func (m *member) shareAt(now time.Time, minShare, median float64) float64 {
 	elapsed := now.Sub(m.rampFrom)
 	if elapsed >= m.ramp {
 		return 1
@@ -105,6 +118,11 @@
 	m.ramp = ramp
 }
 
+// full reports whether another call would only wait or be refused.
+func (m *member) full(now time.Time, load float64) bool {
+	return load >= 1 || m.refused && now.Before(m.fullUntil)
+}
+
 // resting reports whether the candidate must not be used after a failure.
 // When that time is over one call at a time goes there until one succeeds, so
 // that not all callers run into the same failure again.
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -141,6 +141,7 @@
 		m.measure(r.Latency, false)
 	case Refused:
 		m.failures = 0
+		m.refused = true
 		m.fullUntil = now.Add(p.jitter(p.cfg.RefusedFor))
 		p.counters.Refused++
 	case Failed:
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -1,11 +1,228 @@
 package balancer
 
 import (
+	"math/rand/v2"
+	"slices"
+	"testing"
 	"time"
 
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cassialoom/cassialoom/internal/proptest"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func node(i int) wire.NodeID { return wire.NodeID{byte(i), byte(i >> 8), 1} }
+
+// One of five backend servers becomes 20 times slower. With round robin every
+// fifth caller waits for it; with a Picker it is left after its first slow
+// answers and gets probes only. When it recovers the probes show it and it
+// gets its part again.
+func TestPropStragglerIsLeftAndReturns(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), 5)
+		slow := rapid.IntRange(0, 4).Draw(t, "slow")
+		m.addPickers(rapid.IntRange(1, 3).Draw(t, "senders"))
+		is := is.New(t)
+		is.True(m.run(1000, 2*time.Second)[slow] > 0.1) // before
+		m.servers[slow].service *= 20
+		m.run(1000, time.Second)
+		is.True(m.run(1000, 4*time.Second)[slow] <= 0.03) // left
+		m.servers[slow].service /= 20
+		m.run(1000, 8*time.Second)
+		is.True(m.run(1000, 2*time.Second)[slow] > 0.1) // back
+
+		naive := newModel(1, 5)
+		naive.senders = []chooser{&roundRobin{ids: ids(naive)}}
+		naive.servers[slow].service *= 20
+		is.True(naive.run(1000, 4*time.Second)[slow] > 0.19)
+	})
+}
+
+// A surge makes all backend servers slow, some more than others. Leaving the
+// slow ones would put their load on the rest and leave those next. At most a
+// third is left, whatever the latencies are.
+func TestPropNeverLeavesMoreThanAThird(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 9).Draw(t, "servers"))
+		m.addPickers(1)
+		for _, s := range m.servers {
+			s.service *= time.Duration(rapid.IntRange(1, 50).Draw(t, "slower"))
+		}
+		for range 10 {
+			m.run(300, 300*time.Millisecond)
+			left := 0
+			for _, d := range m.senders[0].(*Picker).Dump(m.now).Members {
+				if d.Straggler {
+					left++
+				}
+			}
+			is.New(t).True(left <= len(m.servers)/3)
+		}
+	})
+}
+
+// A backend server of five was replaced and reports no load. Forty callers that
+// trust reports all send to it until its first answers come back, and its cold
+// cache meets the whole load. With a Picker it gets a small part that grows.
+func TestNewServerIsNotHerdedOn(t *testing.T) {
+	is := is.New(t)
+	const senders, fresh = 40, 4
+	run := func(m *model) float64 {
+		m.servers[fresh].service *= 10 // cold
+		return m.run(2000, 100*time.Millisecond)[fresh]
+	}
+	naive := newModel(1, 5)
+	for range senders {
+		l := &leastLoaded{ids: ids(naive), load: make(map[wire.NodeID]int)}
+		for _, id := range l.ids[:fresh] {
+			l.load[id] = 5
+		}
+		naive.senders = append(naive.senders, l)
+	}
+	is.True(run(naive) > 0.9)
+
+	m := newModel(1, 5)
+	cold := m.candidates()
+	cold[fresh].Since = m.now
+	m.addPickers(senders)
+	for _, s := range m.senders {
+		s.(*Picker).Update(m.now, cold)
+	}
+	is.True(run(m) < 0.05)
+	m.servers[fresh].service /= 10 // warm
+	m.run(2000, 9*time.Second)
+	is.True(m.run(2000, 2*time.Second)[fresh] > 0.15)
+}
+
+// A backend server refuses (or loses) every call at once, so it never has calls
+// in flight and looks the least loaded. Least in flight would send it nearly
+// everything; a Picker lets it rest.
+func TestFastFailureDrawsNoCalls(t *testing.T) {
+	for _, outcome := range []Outcome{Refused, Failed} {
+		m := newModel(1, 5)
+		m.addPickers(1)
+		m.servers[2].service = 50 * time.Microsecond
+		m.servers[2].outcome = outcome
+		m.run(1000, time.Second)
+		is.New(t).True(m.run(1000, 4*time.Second)[2] < 0.02)
+	}
+}
+
+// The callers' own data centre is used while it has room; its overload spills
+// over, its loss moves all calls, and its return takes them back.
+func TestOwnDataCentreFirst(t *testing.T) {
+	is := is.New(t)
+	p := New(DefaultConfig(), node(99), "a", rand.NewPCG(1, 1))
+	all := []Candidate{{ID: node(1), DataCentre: "a"}, {ID: node(2), DataCentre: "a"}, {ID: node(3), DataCentre: "b"}}
+	p.Update(start, all)
+	picked := func(n int) (remote int) {
+		for range n {
+			id, ok := p.Pick(start, nil)
+			is.True(ok)
+			if id == node(3) {
+				remote++
+			}
+		}
+		return remote
+	}
+	is.Equal(picked(64), 0)  // the assumed limit is 32 each
+	is.Equal(picked(10), 10) // both are full
+	for i := range 32 {
+		p.Done(start, node(1+i%2), Result{})
+	}
+	is.Equal(picked(32), 0)
+	p.Update(start, all[2:])
+	is.Equal(picked(10), 10)
+	p.Update(start, all)
+	p.Done(start, node(1), Result{})
+	is.Equal(picked(1), 0)
+}
+
+// A Picker against an oracle that knows which candidates are in use and counts
+// the calls in flight, under any mix of views and outcomes: a choice is always
+// made if one is possible, never an excluded or removed candidate, and the
+// number of candidates in use stays bounded.
+func TestPropPickerAgainstOracle(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		cfg := DefaultConfig()
+		cfg.Subset, cfg.SubsetRemote = 6, 2
+		p := New(cfg, node(99), "a", rand.NewPCG(1, 1))
+		now := start
+		var view []wire.NodeID
+		var inFlight []wire.NodeID
+		id := rapid.Custom(func(t *rapid.T) wire.NodeID { return node(rapid.IntRange(0, 11).Draw(t, "id")) })
+		t.Repeat(map[string]func(*rapid.T){
+			"update": func(t *rapid.T) {
+				view = rapid.SliceOfNDistinct(id, 0, 12, rapid.ID[wire.NodeID]).Draw(t, "view")
+				var cs []Candidate
+				for _, id := range view {
+					since := start.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "since")) * time.Second)
+					cs = append(cs, Candidate{ID: id, DataCentre: string('a' + id[0]%3), Since: since})
+				}
+				p.Update(now, cs)
+			},
+			"pick": func(t *rapid.T) {
+				exclude := rapid.SliceOfN(id, 0, 4).Draw(t, "exclude")
+				got, ok := p.Pick(now, exclude)
+				possible := 0
+				for _, m := range p.Dump(now).Members {
+					if !slices.Contains(exclude, m.ID) {
+						possible++
+					}
+				}
+				is.Equal(ok, possible > 0)
+				if ok {
+					is.True(slices.Contains(view, got) && !slices.Contains(exclude, got))
+					inFlight = append(inFlight, got)
+				}
+			},
+			"done": func(t *rapid.T) {
+				if len(inFlight) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "call")
+				p.Done(now, inFlight[i], Result{
+					Latency:  time.Duration(rapid.Int64Range(-1, 1e10).Draw(t, "latency")),
+					Outcome:  Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")),
+					InFlight: rapid.IntRange(-1, 1e6).Draw(t, "load"),
+					Limit:    rapid.IntRange(-1, 1e6).Draw(t, "limit"),
+				})
+				inFlight = slices.Delete(inFlight, i, i+1)
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(-1000, 5000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(*rapid.T) {
+				d := p.Dump(now)
+				is.Equal(len(d.Members), min(len(view), cfg.Subset))
+				for _, m := range d.Members {
+					is.Equal(m.InFlight, count(inFlight, m.ID))
+					is.True(m.Share >= cfg.MinShare && m.Share <= 1)
+				}
+				is.True(len(p.members) <= len(view)+len(inFlight))
+			},
+		})
+	})
+}
+
+func count(ids []wire.NodeID, id wire.NodeID) (n int) {
+	for _, other := range ids {
+		if other == id {
+			n++
+		}
+	}
+	return n
+}
+
+func ids(m *model) []wire.NodeID {
+	var ids []wire.NodeID
+	for _, s := range m.servers {
+		ids = append(ids, s.id)
+	}
+	return ids
+}
--- a/balancer/straggler.go
+++ b/balancer/straggler.go
@@ -13,6 +13,9 @@
 	p.median = p.medianLatency()
 	p.recover(now)
 	p.leave(now)
+	for _, m := range p.active {
+		m.age(now, &p.cfg, p.median)
+	}
 }
 
 func (p *Picker) medianLatency() float64 {
