--- /dev/null
+++ b/internal/loadmodel/node.go
@@ -0,0 +1,229 @@
+package loadmodel
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/admission"
+	wirecall "github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/limit"
+	"github.com/cassialoom/cassialoom/queue"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// result is the answer to a call.
+type result struct {
+	ok         bool
+	retryAfter time.Duration
+	// used is the slot time of the call and of those that it made.
+	used   time.Duration
+	levels []wirecall.Level
+}
+
+// call is one attempt at one service.
+type call struct {
+	id       uint64
+	op       *Operation
+	hop      int
+	priority uint16
+	deadline time.Time
+	arrived  time.Time
+	node     *node
+	job      *job
+	inFlight int
+	begun    time.Time
+	waited   time.Duration
+	used     time.Duration
+	below    func()
+	over     bool
+	reply    func(result)
+}
+
+// node is one node with its backend server.
+type node struct {
+	model   *model
+	id      wire.NodeID
+	service int
+	policy  *Policy
+	limit   limiter
+	queue   waiting
+	gate    *admission.Gate
+	levels  *admission.Levels
+	backend *backend
+	running int
+	place   place
+	own     uint16
+}
+
+// handle takes a call that arrives from another node.
+func (n *node) handle(c *call) {
+	now := n.model.sim.now
+	c.node = n
+	c.arrived = now
+	if n.policy.Admission {
+		ok := n.gate.Admit(now, c.priority)
+		n.shedBelow()
+		if !ok {
+			n.refuse(c)
+			return
+		}
+	}
+	item := queue.Item[*call]{ID: c.id, Priority: c.priority, Value: c}
+	if n.policy.Cancel {
+		item.Deadline = c.deadline
+	}
+	n.drop(n.queue.Push(now, item))
+	n.pump()
+	if !c.over && c.job == nil && n.policy.Cancel {
+		n.model.sim.after(c.deadline.Sub(now), n.pump)
+	}
+}
+
+// shedBelow empties the queue below the node's own level when that has risen.
+func (n *node) shedBelow() {
+	own := n.gate.Own(n.model.sim.now)
+	if own > n.own {
+		n.drop(n.queue.Shed(own))
+	}
+	n.own = own
+}
+
+func (n *node) drop(items []queue.Item[*call]) {
+	for _, item := range items {
+		if n.policy.Admission {
+			n.gate.Observe(n.model.sim.now, admission.Sample{Event: admission.Shed})
+		}
+		n.refuse(item.Value)
+	}
+}
+
+func (n *node) refuse(c *call) {
+	n.place.shed(n.model.sim.now, c)
+	c.finish(result{})
+}
+
+// pump begins waiting calls while the limit allows.
+func (n *node) pump() {
+	now := n.model.sim.now
+	n.drop(n.queue.Expire(now))
+	for n.running < n.limit.Limit() {
+		item, ok := n.queue.Pop(now)
+		n.drop(n.queue.Expire(now))
+		if !ok {
+			return
+		}
+		n.start(item.Value)
+	}
+}
+
+func (n *node) start(c *call) {
+	now := n.model.sim.now
+	n.place.start(now, c)
+	n.running++
+	c.begun = now
+	c.inFlight = n.limit.Begin(now)
+	if n.policy.Admission {
+		full := n.running >= n.limit.Limit()
+		n.gate.Observe(now, admission.Sample{Event: admission.Served, Wait: now.Sub(c.arrived), Full: full})
+		n.shedBelow()
+	}
+	c.job = &job{run: func() { n.run(c) }}
+	if !n.backend.submit(c.job) {
+		n.model.sim.after(time.Millisecond, func() { n.complete(c, limit.Overload) })
+	}
+}
+
+// run does the call's work: half of it before the call that it makes, half
+// after.
+func (n *node) run(c *call) {
+	work := n.backend.work(c.op.Cost)
+	if c.hop == len(c.op.Path)-1 {
+		n.step(c, work, func() { n.complete(c, limit.Success) })
+		return
+	}
+	n.step(c, work/2, func() {
+		asked := n.model.sim.now
+		n.limit.Waiting(asked, 1)
+		c.below = n.model.ask(n, c.op, c.hop+1, c.priority, c.deadline, func(r result) {
+			now := n.model.sim.now
+			n.limit.Waiting(now, -1)
+			c.below = nil
+			c.used += r.used
+			c.waited = now.Sub(asked)
+			if c.over || c.job.state != jobRunning {
+				return
+			}
+			if !r.ok {
+				n.complete(c, limit.Ignore)
+				return
+			}
+			n.step(c, work/2, func() { n.complete(c, limit.Success) })
+		})
+	})
+}
+
+func (n *node) step(c *call, work time.Duration, then func()) {
+	n.model.sim.after(work, func() {
+		if c.job.state == jobRunning {
+			then()
+		}
+	})
+}
+
+// complete ends a call that was begun.
+func (n *node) complete(c *call, outcome limit.Outcome) {
+	if c.job.state == jobOver {
+		return
+	}
+	now := n.model.sim.now
+	held := n.backend.release(c.job)
+	n.running--
+	n.model.used(held)
+	c.used += held
+	n.limit.End(now, limit.Sample{
+		Latency:    now.Sub(c.begun),
+		Downstream: c.waited,
+		InFlight:   c.inFlight,
+		Outcome:    outcome,
+		Class:      c.op.class(),
+	})
+	c.finish(result{ok: outcome == limit.Success, used: c.used})
+	n.pump()
+}
+
+// cancel gives a call up: it leaves the queue or frees its slot.
+func (n *node) cancel(c *call) {
+	if c.over {
+		return
+	}
+	if c.job == nil {
+		n.queue.Remove(c.id)
+		c.finish(result{})
+		return
+	}
+	if c.below != nil {
+		c.below()
+	}
+	n.complete(c, limit.Ignore)
+}
+
+func (c *call) finish(r result) {
+	if c.over {
+		return
+	}
+	c.over = true
+	r.levels = c.node.report()
+	c.reply(r)
+}
+
+// report lists the levels that a reply carries.
+func (n *node) report() []wirecall.Level {
+	if !n.policy.Admission {
+		return nil
+	}
+	now := n.model.sim.now
+	out := n.levels.Report(now)
+	if own := n.gate.Level(now); own > 0 {
+		out = append(out, wirecall.Level{Service: n.backend.service.Name, Priority: own})
+	}
+	return out
+}
