caller: leave the deadline to the graph unless the caller gives one

The client's own time limit went out as the caller's deadline and would have taken the place of what operators declared for the operation. It now goes out only if the request or the context has one.

Ruled out: no local limit at all; a node that never answers would hold the program for ever. The tests pass unchanged.

--- a/caller/client.go
+++ b/caller/client.go
@@ -72,6 +72,8 @@
 	if req.RequestID == "" {
 		req.RequestID = rand.Text()
 	}
+	_, given := ctx.Deadline()
+	req.announceDeadline = given || req.Deadline > 0
 	if req.Deadline <= 0 {
 		req.Deadline = c.cfg.Deadline
 	}
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -94,7 +94,7 @@
 		h.Header = req.Header.Clone()
 	}
 	h.Header.Set(headerRequestID, req.RequestID)
-	if deadline, ok := ctx.Deadline(); ok {
+	if deadline, ok := ctx.Deadline(); ok && req.announceDeadline {
 		left := max(time.Until(deadline).Milliseconds(), 1)
 		h.Header.Set(headerDeadline, strconv.FormatInt(left, 10))
 	}
--- a/caller/request.go
+++ b/caller/request.go
@@ -19,8 +19,9 @@
 	// leaves it. It cannot raise it.
 	Importance *importance.Importance
 	// Deadline is the time that the whole request may take, resends
-	// included; zero for Config.Deadline. An earlier deadline of the context
-	// counts as well.
+	// included. An earlier deadline of the context counts as well. Without
+	// either the graph's declaration holds for each attempt, and
+	// Config.Deadline for the whole.
 	Deadline time.Duration
 	// RequestID names the request in logs and for `cassialoom explain`;
 	// empty lets the client draw one. All attempts carry the same.
@@ -31,6 +32,9 @@
 	MintKey bool
 	// Key is a key of the caller's own or one from Client.Mint.
 	Key string
+
+	// announceDeadline is set if the caller gave a deadline.
+	announceDeadline bool
 }
 
 // Response is a complete answer of a backend server, whatever its status.
