demo: the whole path with drain, kill and a judge of every verdict

Backend servers make exactly the calls that the graph declares, so an answer can be checked for completeness against it.

Ruled out: judging by the answers alone; "not run" can only be disproved by what ran.

--- /dev/null
+++ b/cmd/demo/main.go
@@ -0,0 +1,71 @@
+// Command demo shows the whole path on one machine: it starts Savukartta's
+// services as separate processes on loopback, each backend server with its
+// node, publishes the graph text, sends real requests of every operation,
+// drains a node, kills a backend server, and prints what every caller saw. It
+// exits with status 0 only if all was as declared, and ends its processes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+)
+
+const (
+	usageStatus = 2
+	// runLimit ends a demo that hangs; one that works takes a fraction.
+	runLimit = 90 * time.Second
+)
+
+type options struct {
+	Bin      string `long:"bin" env:"DEMO_BIN" default:"bin" description:"folder with the programs"`
+	Graph    string `long:"graph" env:"DEMO_GRAPH" default:"examples/savukartta.hcl" description:"graph text of Savukartta"`
+	KeepLogs bool   `long:"keep-logs" env:"DEMO_KEEP_LOGS" description:"keep the logs also after success"`
+}
+
+func main() {
+	var opts options
+	parser := flags.NewParser(&opts, flags.HelpFlag|flags.PassDoubleDash)
+	rest, err := parser.Parse()
+	if flags.WroteHelp(err) {
+		fmt.Println(err)
+		return
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unknown arguments %q", rest)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "demo:", err)
+		os.Exit(usageStatus)
+	}
+	if err := run(opts); err != nil {
+		fmt.Println("\nNOT as declared:")
+		fmt.Println(err)
+		os.Exit(1)
+	}
+	fmt.Println("\nall was as declared")
+}
+
+func run(opts options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	// Not a deadline of ctx: requests would announce it as their own.
+	limit := time.AfterFunc(runLimit, stop)
+	defer limit.Stop()
+	d, err := newDemo(opts)
+	if err != nil {
+		return err
+	}
+	err = errors.Join(d.show(ctx), d.end())
+	if err != nil || opts.KeepLogs {
+		fmt.Println("\nlogs:", d.rig.Dir())
+		return err
+	}
+	return d.rig.RemoveLogs()
+}
--- /dev/null
+++ b/cmd/demo/table.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// printRecords prints one line for each request.
+func printRecords(records []*record) {
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "   caller\toperation\taction\tverdict\treason\tattempts\tms\tanswer")
+	for _, r := range records {
+		fmt.Fprintf(w, "   %s\t%s\t%s\t%s\t%s\t%d\t%.1f\t%s\n", r.caller, r.operation, r.name(),
+			r.verdict, r.reason, r.attempts, float64(r.took.Microseconds())/1000, r.answer())
+	}
+	w.Flush()
+}
+
+func (r *record) name() string {
+	if r.resend {
+		return r.action + " (key known)"
+	}
+	return r.action
+}
+
+func (r *record) answer() string {
+	switch {
+	case r.fault != nil:
+		return "WRONG: " + r.fault.Error()
+	case r.body != "":
+		return "complete"
+	default:
+		return r.detail
+	}
+}
+
+// letter stands for one request in the lines of printTraffic.
+func (r *record) letter() byte {
+	switch {
+	case r.fault != nil:
+		return '!'
+	case r.verdict == verdict.Ran:
+		return 'R'
+	case r.verdict == verdict.NotRun:
+		return 'N'
+	default:
+		return 'M'
+	}
+}
+
+// printTraffic prints a letter for each request, a line for each caller, and a
+// full line for each request that did not run to its answer.
+func printTraffic(records []*record) {
+	fmt.Println("   each request in order: R ran, N not run, M may have run, ! wrong answer")
+	lines := make(map[string][]byte)
+	var odd []*record
+	for _, r := range records {
+		lines[r.caller] = append(lines[r.caller], r.letter())
+		if r.letter() != 'R' {
+			odd = append(odd, r)
+		}
+	}
+	names := make([]string, 0, len(lines))
+	for name := range lines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Printf("   %s  %s\n", name, lines[name])
+	}
+	if len(odd) > 0 {
+		printRecords(odd)
+	}
+}
+
+// printVerdicts prints how many requests of each operation got each verdict.
+func printVerdicts(records []*record) {
+	type row struct{ ran, notRun, mayHaveRun int }
+	rows := make(map[string]*row)
+	var names []string
+	for _, r := range records {
+		name := r.operation.String()
+		if rows[name] == nil {
+			rows[name] = &row{}
+			names = append(names, name)
+		}
+		switch r.verdict {
+		case verdict.Ran:
+			rows[name].ran++
+		case verdict.NotRun:
+			rows[name].notRun++
+		default:
+			rows[name].mayHaveRun++
+		}
+	}
+	slices.Sort(names)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "   operation\tran\tnot run\tmay have run")
+	for _, name := range names {
+		fmt.Fprintf(w, "   %s\t%d\t%d\t%d\n", name, rows[name].ran, rows[name].notRun, rows[name].mayHaveRun)
+	}
+	w.Flush()
+}
+
+func indent(text string) string {
+	var b strings.Builder
+	for line := range strings.Lines(text) {
+		b.WriteString("   " + strings.TrimRight(line, "\n") + "\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/demo/traffic.go
@@ -0,0 +1,155 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cassialoom/cassialoom/caller"
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/standin/backend"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// record is what one caller saw of one request.
+type record struct {
+	step      string
+	caller    string
+	operation graph.Ref
+	action    string
+	resend    bool
+	sent      time.Time
+	took      time.Duration
+	attempts  int
+	verdict   verdict.Verdict
+	reason    verdict.Reason
+	detail    string
+	body      string
+	key       string
+	// fault says what is wrong with the answer, whatever the verdict.
+	fault error
+}
+
+// send sends one request and records it. With a key it is a resend.
+func (d *demo) send(ctx context.Context, step string, c *client, o *graph.Operation, action, key string) *record {
+	body := "action:" + action
+	r := &record{step: step, caller: c.name, operation: o.Ref(), action: action, resend: key != "", sent: time.Now()}
+	req := caller.Request{
+		Service:    o.Service,
+		Operation:  o.Name,
+		Body:       []byte(body),
+		Idempotent: o.Idempotent,
+		MintKey:    !o.Idempotent && key == "",
+		Key:        key,
+	}
+	res, err := c.Do(ctx, req)
+	r.took = time.Since(r.sent)
+	if err != nil {
+		e := verdict.From(err)
+		r.verdict, r.reason, r.detail = e.Verdict, e.Reason, e.Detail
+		return r
+	}
+	r.verdict, r.attempts, r.body, r.key = res.Verdict, res.Attempts, string(res.Body), res.Key
+	r.fault = d.checkAnswer(o, res, []byte(body))
+	return r
+}
+
+// checkAnswer reports whether the answer is the complete one to this request:
+// the same body through the whole chain, and every declared call in it.
+func (d *demo) checkAnswer(o *graph.Operation, res *caller.Response, body []byte) error {
+	if res.Status != 200 {
+		return fmt.Errorf("status %d: %s", res.Status, res.Body)
+	}
+	var a backend.Answer
+	if err := json.Unmarshal(res.Body, &a); err != nil {
+		return fmt.Errorf("answer: %w", err)
+	}
+	if err := a.Verify(o.Service, o.Name, res.RequestID, body); err != nil {
+		return err
+	}
+	return d.checkTree(o, &a)
+}
+
+func (d *demo) checkTree(o *graph.Operation, a *backend.Answer) error {
+	if len(a.Children) != len(o.DependsOn) {
+		return fmt.Errorf("%s holds %d answers, %d calls are declared", o.Ref(), len(a.Children), len(o.DependsOn))
+	}
+	for i, ref := range o.DependsOn {
+		child := &a.Children[i]
+		if child.Service != ref.Service || child.Operation != ref.Operation {
+			return fmt.Errorf("%s holds an answer of %s.%s in place of %s", o.Ref(), child.Service, child.Operation, ref)
+		}
+		next, ok := d.graph.Operation(ref.Service, ref.Operation)
+		if !ok {
+			return fmt.Errorf("%s is not declared", ref)
+		}
+		if err := d.checkTree(next, child); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// traffic is requests of all operations by all callers, until it is ended.
+type traffic struct {
+	stop    context.CancelFunc
+	done    sync.WaitGroup
+	mu      sync.Mutex
+	records []*record
+}
+
+// sendEvery is the pause between two requests of one caller.
+const sendEvery = 80 * time.Millisecond
+
+// startTraffic lets every caller send requests one after the other. Ending it
+// lets requests under way finish.
+func (d *demo) startTraffic(ctx context.Context, step string) *traffic {
+	ctx, stop := context.WithCancel(ctx)
+	t := &traffic{stop: stop}
+	operations := d.operations()
+	for k, c := range d.callers {
+		t.done.Go(func() {
+			for n := 0; sleep(ctx, sendEvery); n++ {
+				o := operations[(n+k)%len(operations)]
+				action := fmt.Sprintf("%s-%d-%d", step, k+1, n+1)
+				t.add(d.send(context.WithoutCancel(ctx), step, c, o, action, ""))
+			}
+		})
+	}
+	return t
+}
+
+func (t *traffic) add(r *record) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.records = append(t.records, r)
+}
+
+// end returns the records of all requests.
+func (t *traffic) end() []*record {
+	t.stop()
+	t.done.Wait()
+	return t.records
+}
+
+func (d *demo) operations() []*graph.Operation {
+	var list []*graph.Operation
+	for _, s := range d.graph.Services() {
+		list = append(list, s.Operations...)
+	}
+	return list
+}
+
+// sleep reports whether it slept to the end.
+func sleep(ctx context.Context, pause time.Duration) bool {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"path/filepath"
 	"time"
 )
 
@@ -26,6 +27,8 @@
 	NodeArgs []string
 	// Seed of the backend servers' service times.
 	Seed uint64
+	// Journals lets every backend server keep one.
+	Journals bool
 }
 
 // Cluster is one user's system as running processes.
@@ -79,6 +82,7 @@
 				Name:       fmt.Sprintf("%s-%d", s.Name, k+1),
 				Service:    s.Name,
 				DataCentre: c.Shape.DataCentres[k%len(c.Shape.DataCentres)],
+				Journal:    filepath.Join(c.Rig.Dir(), fmt.Sprintf("%s-%d.journal", s.Name, k+1)),
 			}
 			for _, addr := range []*string{&i.CallerAddr, &i.LocalAddr, &i.PeerAddr, &i.OpsAddr, &i.BackendAddr} {
 				var err error
@@ -130,6 +134,12 @@
 		"--queue", fmt.Sprint(s.Queue),
 		"--seed", fmt.Sprint(c.opts.Seed + uint64(n)),
 	}
+	if c.opts.Journals {
+		args = append(args, "--journal", i.Journal)
+	}
+	if s.Time > 0 {
+		args = append(args, "--time", s.Time.String())
+	}
 	if s.ColdFor > 0 {
 		args = append(args, "--cold-for", s.ColdFor.String(), "--cold-factor", fmt.Sprint(s.ColdFactor))
 	}
--- a/internal/rig/instance.go
+++ b/internal/rig/instance.go
@@ -23,8 +23,10 @@
 	PeerAddr    string
 	OpsAddr     string
 	BackendAddr string
-	Node        *Process
-	Backend     *Process
+	// Journal is the backend server's, if it keeps one.
+	Journal string
+	Node    *Process
+	Backend *Process
 }
 
 // maxPage bounds what is read of an operators' page or an execution log.
--- /dev/null
+++ b/internal/rig/process_test.go
@@ -0,0 +1,64 @@
+package rig
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// limit is far beyond what a process needs to end; no test depends on it.
+const limit = time.Minute
+
+func testRig(t *testing.T, program string) *Rig {
+	is := is.New(t)
+	path, err := exec.LookPath(program)
+	is.NoErr(err)
+	r, err := New(filepath.Dir(path))
+	is.NoErr(err)
+	t.Cleanup(func() { is.NoErr(r.RemoveLogs()) })
+	return r
+}
+
+// The driver ends: whatever it started ends with it, whether it was asked to
+// stop, was killed before or was started again; and nothing starts later.
+func TestCloseLeavesNothing(t *testing.T) {
+	is := is.New(t)
+	r := testRig(t, "sleep")
+	var procs []*Process
+	for _, name := range []string{"a", "b", "c"} {
+		p, err := r.Start(name, "sleep", "600")
+		is.NoErr(err)
+		procs = append(procs, p)
+	}
+	is.NoErr(procs[0].Kill())
+	is.Equal(procs[0].ExitStatus(), -1)
+	again, err := r.Restart(procs[0])
+	is.NoErr(err)
+	is.True(again.PID() != procs[0].PID())
+	is.Equal(len(r.Running()), 3)
+	is.NoErr(r.Close(limit))
+	is.Equal(len(r.Running()), 0)
+	is.True(!again.Running())
+	_, err = r.Start("d", "sleep", "600")
+	is.Equal(err, errClosed)
+}
+
+// A process ignores the request to stop: it is killed, and the error says so.
+func TestStopKillsAtTheLimit(t *testing.T) {
+	is := is.New(t)
+	r := testRig(t, "sh")
+	fifo := filepath.Join(t.TempDir(), "ready")
+	is.NoErr(syscall.Mkfifo(fifo, 0o600))
+	p, err := r.Start("stubborn", "sh", "-c", "trap '' TERM; echo on >"+fifo+"; exec sleep 600")
+	is.NoErr(err)
+	_, err = os.ReadFile(fifo) // returns once the signal is ignored
+	is.NoErr(err)
+	is.True(p.Stop(time.Millisecond) != nil)
+	is.True(!p.Running())
+	is.NoErr(r.Close(limit))
+}
--- a/internal/rig/shape.go
+++ b/internal/rig/shape.go
@@ -17,6 +17,9 @@
 	// Slots and Queue of each backend server.
 	Slots int
 	Queue int
+	// Time is the mean service time of operations that Times does not name;
+	// zero leaves the stand-in's default.
+	Time time.Duration
 	// Times and Calls as the stand-in backend server takes them.
 	Times []string
 	Calls []string
