--- /dev/null
+++ b/ops/counters.go
@@ -0,0 +1,124 @@
+package ops
+
+import (
+	"expvar"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// Counters of one node. The zero value is ready; all are safe for concurrent
+// use and only grow, but for the gauges.
+type Counters struct {
+	// Requests came from callers; each ends with one of the verdicts.
+	Requests, Ran, NotRun, MayHaveRun expvar.Int
+	// LocalCalls came from the node's own backend server.
+	LocalCalls expvar.Int
+	// Attempts were sent to backend servers; ExtraAttempts are those beyond
+	// the first of a call, ExtraRefused those that a bound forbade.
+	Attempts, ExtraAttempts, ExtraRefused expvar.Int
+	// Runs were handed to the node's own backend server.
+	Runs expvar.Int
+	// BackendBroken counts connections that broke in flight, BackendCrashes
+	// the ends of the process.
+	BackendBroken, BackendCrashes expvar.Int
+	// KeysMinted, and answers given again from memory to a known key.
+	KeysMinted, Replays expvar.Int
+	// Late replies matched no waiting attempt and were dropped.
+	LateReplies expvar.Int
+	// PeerConnects and PeerLosses of connections to other nodes.
+	PeerConnects, PeerLosses expvar.Int
+	// BadMessages from peers could not be decoded or broke a limit.
+	BadMessages expvar.Int
+	// ControlBytesIn and ControlBytesOut are all messages but calls and
+	// their replies.
+	ControlBytesIn, ControlBytesOut expvar.Int
+	// LogReads, LogAppends and LogFailures of the platform's log.
+	LogReads, LogAppends, LogFailures expvar.Int
+	// ConfigChanges put in force.
+	ConfigChanges expvar.Int
+
+	reasons    expvar.Map
+	reasonKeys atomic.Int32
+}
+
+// maxReasons bounds the reasons counted apart: they also come from peers, and
+// a faulty one must not fill the memory with names of its own.
+const maxReasons = 64
+
+// Reason counts why a request was refused or failed.
+func (c *Counters) Reason(r verdict.Reason) {
+	key := string(r)
+	if c.reasons.Get(key) == nil && c.reasonKeys.Add(1) > maxReasons {
+		key = "other"
+	}
+	c.reasons.Add(key, 1)
+}
+
+// Outcome counts the end of a caller's request.
+func (c *Counters) Outcome(v verdict.Verdict, r verdict.Reason) {
+	c.Requests.Add(1)
+	switch v {
+	case verdict.Ran:
+		c.Ran.Add(1)
+	case verdict.NotRun:
+		c.NotRun.Add(1)
+	default:
+		c.MayHaveRun.Add(1)
+	}
+	if r != verdict.None {
+		c.Reason(r)
+	}
+}
+
+type namedVar struct {
+	name  string
+	value expvar.Var
+}
+
+func (c *Counters) list() []namedVar {
+	return []namedVar{
+		{"requests", &c.Requests},
+		{"ran", &c.Ran},
+		{"not_run", &c.NotRun},
+		{"may_have_run", &c.MayHaveRun},
+		{"reasons", &c.reasons},
+		{"local_calls", &c.LocalCalls},
+		{"attempts", &c.Attempts},
+		{"extra_attempts", &c.ExtraAttempts},
+		{"extra_refused", &c.ExtraRefused},
+		{"runs", &c.Runs},
+		{"backend_broken", &c.BackendBroken},
+		{"backend_crashes", &c.BackendCrashes},
+		{"keys_minted", &c.KeysMinted},
+		{"replays", &c.Replays},
+		{"late_replies", &c.LateReplies},
+		{"peer_connects", &c.PeerConnects},
+		{"peer_losses", &c.PeerLosses},
+		{"bad_messages", &c.BadMessages},
+		{"control_bytes_in", &c.ControlBytesIn},
+		{"control_bytes_out", &c.ControlBytesOut},
+		{"log_reads", &c.LogReads},
+		{"log_appends", &c.LogAppends},
+		{"log_failures", &c.LogFailures},
+		{"config_changes", &c.ConfigChanges},
+	}
+}
+
+// String implements expvar.Var: the counters as one JSON object.
+func (c *Counters) String() string {
+	var b strings.Builder
+	b.WriteByte('{')
+	for i, v := range c.list() {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.Quote(v.name))
+		b.WriteByte(':')
+		b.WriteString(v.value.String())
+	}
+	b.WriteByte('}')
+	return b.String()
+}
