entry: net/http's own refusals carry a verdict; failure tests

A head that net/http cannot read was answered without a verdict, and one that came too slowly not at all: the caller had to take a request that reached no handler for one that may have run. A listener adds the verdict while no handler has taken the request. Answers of a draining node close their connection; closing idle ones instead cuts off a request that is just being sent. Tests speak raw TCP: 32 wrong requests, half-sent head and body, callers that hang up, a refusal followed by more requests on the connection (a failed read of a dropped body would cancel all later calls on it), an answer cut off, goroutine leaks.

--- a/entry/config.go
+++ b/entry/config.go
@@ -24,6 +24,10 @@
 	WriteTimeout time.Duration
 	// IdleTimeout is how long a connection without a request is kept.
 	IdleTimeout time.Duration
+	// Draining, if set, tells that the node is leaving: each answer then
+	// closes its connection. Closing the idle connections of a server
+	// instead would cut off a request that is just being sent on one.
+	Draining func() bool
 }
 
 // DefaultConfig returns the limits of a node.
@@ -46,10 +50,13 @@
 // NewServer returns a server with the timeouts of cfg. It sets neither
 // ReadTimeout nor WriteTimeout: both count from the head of the request, and
 // ReadTimeout ends the request's context, so they would cut off calls that
-// take longer. Exchange sets the deadlines of body and answer itself.
+// take longer. Exchange sets the deadlines of body and answer itself. Serve it
+// on a listener from Listener.
 func NewServer(cfg Config, h http.Handler) *http.Server {
 	return &http.Server{
-		Handler:           h,
+		Handler:           markHandled(h),
+		ConnContext:       withConn,
+		ConnState:         awaitRequest,
 		ReadHeaderTimeout: cfg.HeaderTimeout,
 		IdleTimeout:       cfg.IdleTimeout,
 		MaxHeaderBytes:    cfg.maxHeadBytes(),
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,335 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeDoer answers with out and keeps what it was asked.
+type fakeDoer struct {
+	out  Outcome
+	err  error
+	seen chan Incoming
+	// hold, if set, keeps each call until its context ends.
+	hold bool
+}
+
+func (d *fakeDoer) Do(ctx context.Context, in Incoming) Outcome {
+	d.seen <- in
+	if d.hold {
+		<-ctx.Done()
+		close(d.seen)
+	}
+	return d.out
+}
+
+func (d *fakeDoer) Mint(_ context.Context, service, operation string) (string, time.Duration, error) {
+	return "key-of-" + service + "-" + operation, 90 * time.Second, d.err
+}
+
+// start serves d on loopback and returns the address.
+func start(t *testing.T, cfg Config, d *fakeDoer) string {
+	t.Helper()
+	d.seen = make(chan Incoming, 8)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv := NewServer(cfg, New(cfg, d))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		srv.Serve(Listener(ln))
+	}()
+	t.Cleanup(func() {
+		srv.Close()
+		<-done
+	})
+	return ln.Addr().String()
+}
+
+// exchange sends raw bytes and reads one answer; nil if there is none.
+func exchange(t *testing.T, addr, raw string) (*http.Response, string) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, raw); err != nil {
+		t.Fatal(err)
+	}
+	method, _, _ := strings.Cut(raw, " ")
+	resp, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: method})
+	if err != nil {
+		return nil, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp, string(body)
+}
+
+func TestCallIsPassedOnWhole(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{out: Outcome{
+		Verdict: verdict.Ran, Status: 201, Body: []byte("filed"), KeyHeld: 1500 * time.Microsecond,
+		Header: []call.Field{{Name: "X-Own", Value: "1"}, {Name: "Content-Length", Value: "99"}, {Name: "cassialoom-verdict", Value: "not run"}},
+	}}
+	addr := start(t, DefaultConfig(), d)
+	resp, body := exchange(t, addr, "PUT /call/fieldlog/file?a=1&b=%20 HTTP/1.1\r\nHost: x\r\n"+
+		"cassialoom-deadline-ms: 250\r\nCassialoom-Importance: high\r\nCassialoom-Request-Id: r:1\r\n"+
+		"Idempotency-Key: k 1\r\nConnection: X-Hop\r\nX-Hop: 1\r\nX-Kept: a\r\nX-Kept: b\r\n"+
+		"Cassialoom-Other: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+	in := <-d.seen
+	is.Equal(in.Service+"/"+in.Operation, "fieldlog/file")
+	is.Equal(in.RequestID, "r:1")
+	is.Equal(in.Budget, 250*time.Millisecond)
+	is.Equal(*in.Importance, importance.High)
+	is.Equal(in.Key, "k 1")
+	is.Equal(in.Query, "a=1&b=%20")
+	is.Equal(string(in.Body), "abcde")
+	is.Equal(in.Header, []call.Field{{Name: "X-Kept", Value: "a"}, {Name: "X-Kept", Value: "b"}})
+
+	is.Equal(resp.StatusCode, 201)
+	is.Equal(body, "filed")
+	is.Equal(resp.ContentLength, int64(len("filed")))
+	is.Equal(resp.Header["Cassialoom-Verdict"], []string{"ran"})
+	is.Equal(resp.Header.Get("Cassialoom-Request-Id"), "r:1")
+	is.Equal(resp.Header.Get("Cassialoom-Key-Held-Ms"), "2")
+	is.Equal(resp.Header.Get("X-Own"), "1")
+}
+
+func TestAbsentFieldsAreLeftToTheDeclaration(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{out: Outcome{Verdict: verdict.Ran, Status: 204}}
+	addr := start(t, DefaultConfig(), d)
+	resp, _ := exchange(t, addr, "GET /call/s/o HTTP/1.1\r\nHost: x\r\n\r\n")
+	in := <-d.seen
+	is.True(in.Importance == nil && in.Budget == 0 && in.Key == "" && in.Body == nil)
+	is.Equal(len(in.RequestID), 32) // minted
+	is.Equal(resp.Header.Get("Cassialoom-Request-Id"), in.RequestID)
+}
+
+func TestRefusalSaysWhenToComeBack(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{out: Refused(verdict.Refuse(verdict.Shed, "level 3").After(1200 * time.Millisecond))}
+	addr := start(t, DefaultConfig(), d)
+	resp, body := exchange(t, addr, "GET /call/s/o HTTP/1.1\r\nHost: x\r\nCassialoom-Request-Id: r\r\n\r\n")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get("Retry-After"), "2") // never earlier than asked
+	is.Equal(resp.Header.Get("Cassialoom-Retry-After-Ms"), "1200")
+	var f failure
+	is.NoErr(json.Unmarshal([]byte(body), &f))
+	is.Equal(f, failure{Verdict: "not run", Reason: verdict.Shed, Detail: "level 3", RetryAfterMs: 1200, RequestID: "r"})
+}
+
+// What is wrong with a request is told at once, with the verdict "not run",
+// and the node is never asked.
+func TestWrongRequestsNeverReachTheNode(t *testing.T) {
+	cfg := DefaultConfig()
+	cfg.MaxBody = 8
+	cfg.MaxHeader = 2048
+	cfg.HeaderTimeout = 50 * time.Millisecond
+	cfg.BodyTimeout = 50 * time.Millisecond
+	d := &fakeDoer{}
+	addr := start(t, cfg, d)
+	long := strings.Repeat("x", 200)
+	for _, c := range []struct {
+		name   string
+		line   string
+		fields string
+		status int
+		reason verdict.Reason
+	}{
+		{"no such path", "GET /other", "", 404, verdict.BadRequest},
+		{"no operation", "GET /call/s", "", 404, verdict.BadRequest},
+		{"unclean path", "GET /call//s/../o", "", 404, verdict.BadRequest},
+		{"method", "HEAD /call/s/o", "", 405, verdict.BadRequest},
+		{"key by GET", "GET /key/s/o", "", 405, verdict.BadRequest},
+		{"key with a body", "POST /key/s/o", "Content-Length: 1\r\n\r\nx", 400, verdict.BadRequest},
+		{"half-sent body to no path", "POST /other", "Content-Length: 9\r\n\r\nx", 404, verdict.BadRequest},
+		{"service name", "GET /call/" + long + "/o", "", 404, verdict.UnknownService},
+		{"deadline no number", "GET /call/s/o", "Cassialoom-Deadline-Ms: soon", 400, verdict.BadRequest},
+		{"deadline overflow", "GET /call/s/o", "Cassialoom-Deadline-Ms: 99999999999999999999", 400, verdict.BadRequest},
+		{"deadline absurd", "GET /call/s/o", "Cassialoom-Deadline-Ms: 9223372036854775807", 400, verdict.BadRequest},
+		{"deadline passed", "GET /call/s/o", "Cassialoom-Deadline-Ms: 0", 504, verdict.Deadline},
+		{"deadline negative", "GET /call/s/o", "Cassialoom-Deadline-Ms: -5", 504, verdict.Deadline},
+		{"deadline twice", "GET /call/s/o", "Cassialoom-Deadline-Ms: 5\r\nCassialoom-Deadline-Ms: 6", 400, verdict.BadRequest},
+		{"importance", "GET /call/s/o", "Cassialoom-Importance: HIGH", 400, verdict.BadRequest},
+		{"request id", "GET /call/s/o", "Cassialoom-Request-Id: a/b", 400, verdict.BadRequest},
+		{"request id empty", "GET /call/s/o", "Cassialoom-Request-Id:", 400, verdict.BadRequest},
+		{"request id long", "GET /call/s/o", "Cassialoom-Request-Id: " + long, 400, verdict.BadRequest},
+		{"key", "POST /call/s/o", "Idempotency-Key: \xff", 400, verdict.KeyInvalid},
+		{"keys", "POST /call/s/o", "Idempotency-Key: a\r\nIdempotency-Key: a", 400, verdict.BadRequest},
+		{"fields too large", "POST /call/s/o", "X: " + strings.Repeat("x", 2048), 413, verdict.TooLarge},
+		{"head too large", "POST /call/s/o", "X: " + strings.Repeat("x", 9000), 431, verdict.BadRequest},
+		{"malformed field", "POST /call/s/o", "no colon", 400, verdict.BadRequest},
+		{"half-sent head", "POST /call/s/o", "half", 408, verdict.BadRequest},
+		{"two lengths", "POST /call/s/o", "Content-Length: 1\r\nContent-Length: 2", 400, verdict.BadRequest},
+		{"unknown coding", "POST /call/s/o", "Transfer-Encoding: pipes", 501, verdict.BadRequest},
+		{"expectation", "POST /call/s/o", "Expect: more\r\nContent-Length: 1", 417, verdict.BadRequest},
+		{"body too large", "POST /call/s/o", "Content-Length: 9", 413, verdict.TooLarge},
+		{"chunks too large", "POST /call/s/o", "Transfer-Encoding: chunked\r\n\r\n9\r\n123456789\r\n0", 413, verdict.TooLarge},
+		{"malformed chunk", "POST /call/s/o", "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, verdict.BadRequest},
+		{"half-sent body", "POST /call/s/o", "Content-Length: 8\r\n\r\nabc", 400, verdict.BadRequest},
+		{"half-sent body, deadline", "POST /call/s/o", "Cassialoom-Deadline-Ms: 1\r\nContent-Length: 8\r\n\r\nabc", 400, verdict.BadRequest},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			raw := c.line + " HTTP/1.1\r\nHost: x\r\n" + c.fields
+			if c.fields != "half" && !strings.Contains(c.fields, "\r\n\r\n") {
+				raw += "\r\n"
+				if c.fields != "" {
+					raw += "\r\n"
+				}
+			}
+			resp, _ := exchange(t, addr, raw)
+			is.True(resp != nil)
+			is.Equal(resp.StatusCode, c.status)
+			is.Equal(resp.Header.Get(headers.Verdict), "not run")
+			is.Equal(resp.Header.Get(headers.Reason), string(c.reason))
+			is.Equal(len(d.seen), 0)
+		})
+	}
+}
+
+// A caller sends half of its body and hangs up. Its node has nothing to run:
+// the connection's goroutine ends (goleak) and no call is made.
+func TestCallerHangsUpHalfway(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{}
+	addr := start(t, DefaultConfig(), d)
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	_, err = io.WriteString(c, "POST /call/s/o HTTP/1.1\r\nHost: x\r\nContent-Length: 8\r\n\r\nabc")
+	is.NoErr(err)
+	is.NoErr(c.(*net.TCPConn).CloseWrite())
+	answer, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.NoErr(c.Close())
+	is.True(strings.Contains(string(answer), "Cassialoom-Verdict: not run\r\n"))
+	is.Equal(len(d.seen), 0)
+}
+
+// A caller goes away while its call runs: the context of the call ends, so
+// that the work that it caused can be cancelled.
+func TestCallerGoesAway(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{hold: true}
+	addr := start(t, DefaultConfig(), d)
+	c, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	_, err = io.WriteString(c, "POST /call/s/o HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\na")
+	is.NoErr(err)
+	<-d.seen
+	is.NoErr(c.Close())
+	_, open := <-d.seen // closed when the context has ended
+	is.True(!open)
+}
+
+// A request is refused with its body unread, then another comes on the same
+// connection or a new one: a context that ended with the first would cancel
+// every later call on that connection.
+func TestRefusalLeavesLaterRequestsAlone(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{out: Outcome{Verdict: verdict.Ran, Status: 200}}
+	addr := start(t, DefaultConfig(), d)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for i := range 6 {
+		path := [...]string{"/call/s/o", "/other", "/key/s/o"}[i%3]
+		resp, err := client.Post("http://"+addr+path, "text/plain", strings.NewReader("body"))
+		is.NoErr(err)
+		io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		is.Equal(resp.StatusCode, [...]int{200, 404, 400}[i%3])
+	}
+	is.Equal(len(d.seen), 2)
+}
+
+func TestAnswerWhileDrainingClosesItsConnection(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Draining = func() bool { return true }
+	addr := start(t, cfg, &fakeDoer{out: Outcome{Verdict: verdict.Ran, Status: 200}})
+	resp, _ := exchange(t, addr, "GET /call/s/o HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.Equal(resp.StatusCode, 200)
+	is.True(resp.Close)
+}
+
+// The connection fails halfway through an answer. What the caller has got must
+// not look complete: the handler aborts instead of ending the exchange, so
+// that the announced length is never reached.
+func TestAnswerCutOffIsAborted(t *testing.T) {
+	for _, fail := range []string{"write", "flush"} {
+		t.Run(fail, func(t *testing.T) {
+			is := is.New(t)
+			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
+			w := &brokenWriter{header: http.Header{}, fail: fail}
+			write(DefaultConfig(), w, "r", Outcome{Verdict: verdict.Ran, Status: 200, Body: []byte("whole")})
+		})
+	}
+}
+
+type brokenWriter struct {
+	header http.Header
+	fail   string
+}
+
+func (w *brokenWriter) Header() http.Header { return w.header }
+func (w *brokenWriter) WriteHeader(int)     {}
+
+func (w *brokenWriter) Write(p []byte) (int, error) {
+	if w.fail == "write" {
+		return len(p) - 1, io.ErrShortWrite
+	}
+	return len(p), nil
+}
+
+func (w *brokenWriter) FlushError() error { return errors.New("connection reset") }
+
+func TestOutcomeWithoutFinalStatus(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{0, 100, 101, 1000, -1} {
+		addr := start(t, DefaultConfig(), &fakeDoer{out: Outcome{Verdict: verdict.MayHaveRun, Status: status}})
+		resp, _ := exchange(t, addr, "GET /call/s/o HTTP/1.1\r\nHost: x\r\n\r\n")
+		is.Equal(resp.StatusCode, http.StatusBadGateway)
+		is.Equal(resp.Header.Get(headers.Verdict), "may have run")
+	}
+}
+
+func TestMint(t *testing.T) {
+	is := is.New(t)
+	d := &fakeDoer{}
+	addr := start(t, DefaultConfig(), d)
+	resp, body := exchange(t, addr, "POST /key/s/o HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.Equal(resp.StatusCode, 200)
+	is.Equal(body, `{"key":"key-of-s-o","held_ms":90000}`+"\n")
+
+	d.err = fmt.Errorf("mint: %w", verdict.Doubt(verdict.NoBackend, "none"))
+	resp, _ = exchange(t, addr, "POST /key/s/o HTTP/1.1\r\nHost: x\r\n\r\n")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(resp.Header.Get(headers.Verdict), "not run") // a key runs nothing
+}
--- a/entry/write.go
+++ b/entry/write.go
@@ -93,7 +93,11 @@
 	} else {
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	// A caller that stops reading would hold the answer for ever.
+	if cfg.Draining != nil && cfg.Draining() {
+		w.Header().Set("Connection", "close")
+	}
+	// A caller that stops reading would hold the answer for ever. The server
+	// lifts the deadline after the answer.
 	rc := http.NewResponseController(w)
 	rc.SetWriteDeadline(time.Now().Add(cfg.WriteTimeout))
 	w.WriteHeader(status)
@@ -105,7 +109,6 @@
 	if err := rc.Flush(); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	rc.SetWriteDeadline(time.Time{})
 }
 
 // Empty sends an answer without a body.
