--- a/call/message.go
+++ b/call/message.go
@@ -46,8 +46,6 @@
 	Header []Field `cbor:"13,keyasint,omitempty"`
 	Query  string  `cbor:"14,keyasint,omitempty"`
 	Body   []byte  `cbor:"15,keyasint,omitempty"`
-	// Alone asks for the request to run with nothing beside it.
-	Alone bool `cbor:"16,keyasint,omitempty"`
 }
 
 // Reply answers one Request. It is matched by (To, Seq) and From; one that
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,163 @@
+// Package daemon runs a node as a process: it turns settings into a node and
+// its servers, and ends them in the order of a planned stop.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/local"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/ops"
+	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/settings"
+)
+
+// startTimeout bounds opening the listeners; nothing waits for the network.
+const startTimeout = 10 * time.Second
+
+// Run runs the node until SIGTERM or SIGINT, then stops it as planned. The
+// error says what could not start, or what was cut off.
+func Run(s settings.Settings) error {
+	app := fx.New(Module(s))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-app.Wait()
+	ctx, cancel = context.WithTimeout(context.Background(), s.StopTimeout)
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+// Module provides a node and everything around it.
+func Module(s settings.Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Provide(
+			newLogger,
+			newLog,
+			newCounters,
+			listen,
+			nodeConfig,
+			node.New,
+		),
+		fx.Invoke(run),
+	)
+}
+
+func newLogger(s settings.Settings) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(s.LogLevel)
+	if err != nil {
+		return zerolog.Logger{}, fmt.Errorf("log level: %w", err)
+	}
+	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger(), nil
+}
+
+func newLog(s settings.Settings) platform.Log { return platform.NewHTTP(s.LogURL, nil) }
+
+func newCounters() *ops.Counters { return &ops.Counters{} }
+
+// listeners are open before the node exists, so that it can tell others the
+// ports that the system chose.
+type listeners struct {
+	callers, local, peers, ops net.Listener
+}
+
+func listen(s settings.Settings) (*listeners, error) {
+	var l listeners
+	for _, w := range []struct {
+		to   *net.Listener
+		name string
+		addr string
+	}{
+		{&l.callers, "--listen", s.Listen},
+		{&l.local, "--local-listen", s.LocalListen},
+		{&l.peers, "--peer-listen", s.PeerListen},
+		{&l.ops, "--ops-listen", s.OpsListen},
+	} {
+		ln, err := net.Listen("tcp", w.addr)
+		if err != nil {
+			return nil, fmt.Errorf("%s %s: %w", w.name, w.addr, err)
+		}
+		*w.to = ln
+	}
+	return &l, nil
+}
+
+// servers are the node's HTTP servers with their listeners.
+type servers struct {
+	callers, local, peers, ops *http.Server
+	on                         *listeners
+}
+
+func newServers(cfg node.Config, n *node.Node, c *ops.Counters, on *listeners) *servers {
+	opsConfig := ops.DefaultConfig()
+	return &servers{
+		callers: entry.NewServer(cfg.Entry, entry.New(cfg.Entry, n)),
+		local:   entry.NewServer(cfg.Entry, local.New(cfg.Entry, n, n)),
+		peers:   &http.Server{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout},
+		ops:     ops.NewServer(opsConfig, ops.New(n, c)),
+		on:      on,
+	}
+}
+
+func (s *servers) serve(log zerolog.Logger) {
+	for _, w := range []struct {
+		srv *http.Server
+		ln  net.Listener
+	}{
+		{s.callers, s.on.callers},
+		{s.local, s.on.local},
+		{s.peers, s.on.peers},
+		{s.ops, s.on.ops},
+	} {
+		go func() {
+			if err := w.srv.Serve(w.ln); !errors.Is(err, http.ErrServerClosed) {
+				log.Error().Err(err).Str("addr", w.ln.Addr().String()).Msg("server ended")
+			}
+		}()
+	}
+}
+
+func run(lc fx.Lifecycle, s settings.Settings, cfg node.Config, n *node.Node, c *ops.Counters, on *listeners, log zerolog.Logger) {
+	srv := newServers(cfg, n, c, on)
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			n.Start()
+			srv.serve(log)
+			return nil
+		},
+		OnStop: func(ctx context.Context) error { return stop(ctx, n, srv) },
+	})
+}
+
+// stop is the planned stop: the others are told, what is in flight finishes,
+// its answers go out, and only then does anything close.
+func stop(ctx context.Context, n *node.Node, srv *servers) error {
+	n.Drain()
+	err := n.Wait(ctx)
+	if closeErr := srv.callers.Shutdown(ctx); err == nil {
+		err = closeErr
+	}
+	n.Stop()
+	srv.local.Close()
+	srv.peers.Close()
+	srv.ops.Close()
+	return err
+}
--- /dev/null
+++ b/dispatch/dispatcher.go
@@ -0,0 +1,425 @@
+// Package dispatch makes calls to other services: it picks a backend server,
+// sends an attempt to the node beside it, matches the answer, and decides
+// whether another attempt is allowed.
+//
+// What it guarantees:
+//   - "not run" is returned only if every attempt was refused by the one
+//     incarnation that it was sent to, or was never handed to the network.
+//   - A call that is not idempotent and may have run is not attempted again,
+//     unless its key binds it to the incarnation that is asked again.
+//   - An answer goes to the attempt that it names, from the incarnation that
+//     the attempt was sent to, or nowhere.
+//   - Every attempt after the first takes one from the request's ledger and
+//     one from the node's budget.
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cassialoom/cassialoom/admission"
+	"github.com/cassialoom/cassialoom/balancer"
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Link is one connection to one incarnation.
+type Link interface {
+	// Call queues an attempt; an error says that it was not and will not be
+	// handed over. written reports, once Done is closed, whether it may
+	// have been.
+	Call(req call.Request) (written func() bool, err error)
+	// Cancel tells the other end that nobody waits for the attempt.
+	Cancel(c call.Cancel)
+	// Done is closed when the connection has ended.
+	Done() <-chan struct{}
+	// Release ends the use of the link by one attempt.
+	Release()
+}
+
+// Linker finds or makes connections.
+type Linker interface {
+	// Link returns a connection to the incarnation id; an error says that
+	// nothing was handed over.
+	Link(ctx context.Context, id wire.NodeID) (Link, error)
+}
+
+// Members says who serves what.
+type Members interface {
+	// Candidates returns the nodes that take work for a service, and a
+	// number that changes whenever they do.
+	Candidates(service string) ([]balancer.Candidate, uint64)
+	// Known reports whether the incarnation is alive as far as is known.
+	Known(id wire.NodeID) bool
+}
+
+// Config of a Dispatcher.
+type Config struct {
+	Self       wire.NodeID
+	DataCentre string
+	Balancer   balancer.Config
+	Budget     retry.Config
+	Levels     admission.LevelsConfig
+	// Margin is kept back from the deadline at each hop, so that the
+	// callee's own answer to an expired call is back in time.
+	Margin time.Duration
+	// NoAdmission switches the check of learned levels off, for
+	// experiments.
+	NoAdmission bool
+	// HopAttempts, if above zero, gives each hop that many extra attempts
+	// of its own instead of the request's ledger, for experiments.
+	HopAttempts int
+	// RoundRobin replaces the choice of a backend server, for experiments.
+	RoundRobin bool
+	Seed       uint64
+}
+
+// DefaultConfig returns the settings that the daemon starts from.
+func DefaultConfig() Config {
+	return Config{
+		Balancer: balancer.DefaultConfig(),
+		Budget:   retry.DefaultConfig(),
+		Levels:   admission.DefaultLevelsConfig(),
+		Margin:   2 * time.Millisecond,
+	}
+}
+
+// Dispatcher is safe for concurrent use.
+type Dispatcher struct {
+	cfg     Config
+	linker  Linker
+	members Members
+	notes   *explain.Recorder
+	seq     atomic.Uint64
+
+	mu      sync.Mutex
+	waiting map[uint64]*wait
+	pickers map[string]*picker
+	levels  *admission.Levels
+	budget  *retry.Budget
+	random  *rand.Rand
+	counts  Counts
+}
+
+// Counts are totals since the node started.
+type Counts struct {
+	Calls      uint64 `json:"calls"`
+	Attempts   uint64 `json:"attempts"`
+	Retries    uint64 `json:"retries"`
+	Redirects  uint64 `json:"redirects"`
+	OverBudget uint64 `json:"over_budget"`
+	Refused    uint64 `json:"refused_by_levels"`
+	Unmatched  uint64 `json:"unmatched_replies"`
+	Lost       uint64 `json:"lost"`
+}
+
+// wait is one attempt that awaits its answer.
+type wait struct {
+	to    wire.NodeID
+	reply chan call.Reply // room for one: the matcher never blocks
+}
+
+// New returns a Dispatcher.
+func New(cfg Config, l Linker, m Members, notes *explain.Recorder) *Dispatcher {
+	return &Dispatcher{
+		cfg:     cfg,
+		linker:  l,
+		members: m,
+		notes:   notes,
+		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
+		waiting: make(map[uint64]*wait),
+		pickers: make(map[string]*picker),
+		levels:  admission.NewLevels(cfg.Levels, cfg.Seed),
+		budget:  retry.NewBudget(cfg.Budget, time.Now()),
+	}
+}
+
+// Params of one call.
+type Params struct {
+	RequestID  string
+	Operation  *graph.Operation
+	Importance importance.Importance
+	Deadline   time.Time
+	// Ledger holds the extra attempts that are left for the request here.
+	Ledger *retry.Ledger
+	// Key is the caller's idempotency key, Holder the incarnation that it
+	// names, zero when it names none.
+	Key         string
+	Holder      wire.NodeID
+	Fingerprint uint64
+	Depth       uint8
+	// Fanout is the number of calls that the calling operation declares:
+	// the grant is shared among so many.
+	Fanout int
+	// Resend marks a request that the caller has sent before.
+	Resend bool
+	Header []call.Field
+	Query  string
+	Body   []byte
+}
+
+// Call makes one call and returns when its outcome is final.
+func (d *Dispatcher) Call(ctx context.Context, p Params) Outcome {
+	if err := d.admit(p); err != nil {
+		d.note(p, explain.Refused, err.Reason, err.Detail)
+		return Failed(err)
+	}
+	if !p.Holder.IsZero() && !d.members.Known(p.Holder) {
+		err := verdict.Doubt(verdict.KeyHolderGone, "the node %s that the key names is not there", p.Holder.Short())
+		d.note(p, explain.Refused, err.Reason, err.Detail)
+		return Failed(err)
+	}
+	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
+	defer cancel()
+	return d.attempt(ctx, p)
+}
+
+// admit refuses a call before any work is spent on it, if a service that it
+// would reach does not admit it.
+func (d *Dispatcher) admit(p Params) *verdict.Error {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts.Calls++
+	if !p.Resend {
+		d.budget.Call(now)
+	}
+	if d.cfg.NoAdmission {
+		return nil
+	}
+	prio := admission.Priority(p.Importance, p.RequestID)
+	service, after, ok := d.levels.Admit(now, p.Operation.Reach(), prio)
+	if ok {
+		return nil
+	}
+	d.counts.Refused++
+	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", service, prio).After(after)
+}
+
+func (d *Dispatcher) attempt(ctx context.Context, p Params) Outcome {
+	a := newAttempts(p)
+	hop := d.cfg.HopAttempts
+	to := p.Holder
+	for {
+		reply, id := d.once(ctx, p, &a, to)
+		switch a.next(reply, func() bool { return d.spend(ctx, p, &hop) }) {
+		case finish:
+			out := a.conclude(reply)
+			d.noteOutcome(p, out)
+			return out
+		case redirect:
+			d.count(func(c *Counts) { c.Redirects++ })
+			if !d.members.Known(reply.BoundTo) {
+				return d.holderGone(p, &a, reply)
+			}
+			to = reply.BoundTo
+		case again:
+			d.note(p, explain.Retried, reply.Reason, reply.Detail)
+			to = nextTarget(p, &a, reply, id)
+		}
+	}
+}
+
+// nextTarget keeps an attempt that may have run with its key at the one
+// incarnation that remembers the key.
+func nextTarget(p Params, a *attempts, r call.Reply, id wire.NodeID) wire.NodeID {
+	if !p.Holder.IsZero() {
+		return p.Holder
+	}
+	if a.keyed && r.Verdict != verdict.NotRun {
+		return id
+	}
+	return wire.NodeID{}
+}
+
+func (d *Dispatcher) holderGone(p Params, a *attempts, r call.Reply) Outcome {
+	if !a.keyed {
+		return a.conclude(r)
+	}
+	err := verdict.Doubt(verdict.KeyHolderGone, "the node %s that the key is bound to is not there", r.BoundTo.Short())
+	d.note(p, explain.Refused, err.Reason, err.Detail)
+	return Failed(err)
+}
+
+// spend takes one extra attempt from the request and from the node's budget.
+func (d *Dispatcher) spend(ctx context.Context, p Params, hop *int) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if d.cfg.HopAttempts > 0 {
+		*hop--
+		return *hop >= 0
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.budget.Allow(time.Now()) {
+		d.counts.OverBudget++
+		return false
+	}
+	if !p.Ledger.Spend() {
+		return false
+	}
+	d.counts.Retries++
+	return true
+}
+
+// once makes one attempt. Its reply is the callee's, or stands for what is
+// known without one.
+func (d *Dispatcher) once(ctx context.Context, p Params, a *attempts, to wire.NodeID) (call.Reply, wire.NodeID) {
+	picked := to.IsZero()
+	if picked {
+		id, ok := d.pick(p, a.tried)
+		if !ok {
+			return refused(verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", p.Operation.Service)), to
+		}
+		to = id
+	}
+	a.tried = append(a.tried, to)
+	sent := time.Now()
+	reply := d.send(ctx, p, to)
+	if picked {
+		d.picked(p, to, time.Since(sent), reply)
+	}
+	d.learn(reply)
+	return reply, to
+}
+
+// send hands one attempt to the incarnation to and awaits its answer.
+func (d *Dispatcher) send(ctx context.Context, p Params, to wire.NodeID) call.Reply {
+	link, err := d.linker.Link(ctx, to)
+	if err != nil {
+		return refused(d.unreachable(ctx, p, err))
+	}
+	defer link.Release()
+	grant := d.grant(p)
+	req := d.request(p, to, grant.Extra)
+	w := d.expect(req.Seq, to)
+	defer d.forget(req.Seq)
+	written, err := link.Call(req)
+	if err != nil {
+		d.giveBack(p, grant, grant.Extra)
+		return refused(verdict.Refuse(verdict.Lost, "not handed over to %s: %v", to.Short(), err))
+	}
+	reply, answered := d.await(ctx, link, w, req, written)
+	if answered || reply.Verdict == verdict.NotRun {
+		d.giveBack(p, grant, reply.Unused)
+	} else {
+		d.forfeit(p, grant)
+	}
+	return reply
+}
+
+func (d *Dispatcher) unreachable(ctx context.Context, p Params, err error) *verdict.Error {
+	if ctx.Err() != nil {
+		return ended(ctx, verdict.NotRun)
+	}
+	if !p.Holder.IsZero() {
+		return verdict.Doubt(verdict.KeyHolderGone, "the node that the key names does not answer: %v", err)
+	}
+	return verdict.Refuse(verdict.Lost, "not handed over: %v", err)
+}
+
+// await waits for the answer, the end of the connection, or the end of the
+// caller's patience, whichever comes first.
+func (d *Dispatcher) await(ctx context.Context, link Link, w *wait, req call.Request, written func() bool) (call.Reply, bool) {
+	select {
+	case r := <-w.reply:
+		return r, true
+	case <-link.Done():
+	case <-ctx.Done():
+		link.Cancel(call.Cancel{From: req.From, Seq: req.Seq, To: req.To})
+		return refused(ended(ctx, verdict.MayHaveRun)), false
+	}
+	// The answer may have come just before the connection ended.
+	select {
+	case r := <-w.reply:
+		return r, true
+	default:
+	}
+	d.count(func(c *Counts) { c.Lost++ })
+	if !written() {
+		r := refused(verdict.Refuse(verdict.Lost, "connection to %s ended before the hand-over", req.To.Short()))
+		r.Unused = req.Grant
+		return r, false
+	}
+	return refused(verdict.Doubt(verdict.Lost, "connection to %s ended before the answer", req.To.Short())), false
+}
+
+func ended(ctx context.Context, v verdict.Verdict) *verdict.Error {
+	if ctx.Err() == context.DeadlineExceeded {
+		return &verdict.Error{Verdict: v, Reason: verdict.Deadline, Detail: "deadline passed"}
+	}
+	return &verdict.Error{Verdict: v, Reason: verdict.Canceled, Detail: "caller went away"}
+}
+
+func refused(err *verdict.Error) call.Reply {
+	return call.Reply{Verdict: err.Verdict, Reason: err.Reason, Detail: err.Detail, RetryAfter: err.RetryAfter}
+}
+
+func (d *Dispatcher) request(p Params, to wire.NodeID, grant uint32) call.Request {
+	left := time.Until(p.Deadline)
+	margin := min(d.cfg.Margin, left/10)
+	return call.Request{
+		From:        d.cfg.Self,
+		Seq:         d.seq.Add(1),
+		To:          to,
+		RequestID:   p.RequestID,
+		Service:     p.Operation.Service,
+		Operation:   p.Operation.Name,
+		Importance:  p.Importance,
+		Budget:      left - margin,
+		Grant:       grant,
+		Key:         p.Key,
+		Fingerprint: p.Fingerprint,
+		Depth:       p.Depth,
+		Header:      p.Header,
+		Query:       p.Query,
+		Body:        p.Body,
+	}
+}
+
+func (d *Dispatcher) expect(seq uint64, to wire.NodeID) *wait {
+	w := &wait{to: to, reply: make(chan call.Reply, 1)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.counts.Attempts++
+	d.waiting[seq] = w
+	return w
+}
+
+func (d *Dispatcher) forget(seq uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.waiting, seq)
+}
+
+// Reply takes an answer from the network. from is the incarnation at the
+// other end of the connection that it came by. One that matches no waiting
+// attempt is dropped: it is late, repeated, or from another incarnation, and
+// must not reach another caller.
+func (d *Dispatcher) Reply(from wire.NodeID, r call.Reply) {
+	d.mu.Lock()
+	w, ok := d.waiting[r.Seq]
+	if !ok || r.To != d.cfg.Self || w.to != from || r.From != from {
+		d.counts.Unmatched++
+		d.mu.Unlock()
+		return
+	}
+	delete(d.waiting, r.Seq)
+	d.mu.Unlock()
+	w.reply <- r
+}
+
+func (d *Dispatcher) count(f func(*Counts)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f(&d.counts)
+}
--- /dev/null
+++ b/dispatch/dump.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"sort"
+	"time"
+
+	"github.com/cassialoom/cassialoom/admission"
+	"github.com/cassialoom/cassialoom/balancer"
+	"github.com/cassialoom/cassialoom/retry"
+)
+
+// Dump is the state for people.
+type Dump struct {
+	Waiting int                    `json:"waiting"`
+	Counts  Counts                 `json:"counts"`
+	Budget  retry.BudgetState      `json:"retry_budget"`
+	Levels  []admission.LevelState `json:"levels"`
+	Targets []TargetDump           `json:"targets"`
+}
+
+// TargetDump is what is known of one service that this node calls.
+type TargetDump struct {
+	Service string        `json:"service"`
+	Picker  balancer.Dump `json:"picker"`
+}
+
+// Dump returns the state as of now.
+func (d *Dispatcher) Dump(now time.Time) Dump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	dump := Dump{
+		Waiting: len(d.waiting),
+		Counts:  d.counts,
+		Budget:  d.budget.Dump(),
+		Levels:  d.levels.Dump(now),
+	}
+	for name, pk := range d.pickers {
+		dump.Targets = append(dump.Targets, TargetDump{Service: name, Picker: pk.balancer.Dump(now)})
+	}
+	sort.Slice(dump.Targets, func(i, j int) bool { return dump.Targets[i].Service < dump.Targets[j].Service })
+	return dump
+}
+
+// Counts returns the totals since the node started.
+func (d *Dispatcher) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.counts
+}
--- /dev/null
+++ b/dispatch/targets.go
@@ -0,0 +1,201 @@
+package dispatch
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassialoom/cassialoom/balancer"
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// picker chooses among the nodes of one service.
+type picker struct {
+	balancer   *balancer.Picker
+	candidates []balancer.Candidate
+	version    uint64
+	turn       int // for the round robin of experiments
+}
+
+// pick chooses the node for an attempt. A caller's own key goes to the same
+// node each time while the view is the same, since that node has bound it;
+// elsewhere it would be redirected.
+func (d *Dispatcher) pick(p Params, tried []wire.NodeID) (wire.NodeID, bool) {
+	candidates, version := d.members.Candidates(p.Operation.Service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pk := d.picker(p.Operation.Service)
+	if pk.version != version || pk.candidates == nil {
+		pk.version = version
+		pk.candidates = candidates
+		pk.balancer.Update(time.Now(), candidates)
+	}
+	switch {
+	case p.Key != "":
+		return rendezvous(p.Key, candidates, tried)
+	case d.cfg.RoundRobin:
+		return pk.roundRobin()
+	default:
+		return pk.balancer.Pick(time.Now(), tried)
+	}
+}
+
+func (d *Dispatcher) picker(service string) *picker {
+	pk, ok := d.pickers[service]
+	if !ok {
+		src := rand.NewPCG(d.cfg.Seed, xxhash.Sum64String(service))
+		pk = &picker{balancer: balancer.New(d.cfg.Balancer, d.cfg.Self, d.cfg.DataCentre, src)}
+		d.pickers[service] = pk
+	}
+	return pk
+}
+
+func (pk *picker) roundRobin() (wire.NodeID, bool) {
+	if len(pk.candidates) == 0 {
+		return wire.NodeID{}, false
+	}
+	pk.turn++
+	return pk.candidates[pk.turn%len(pk.candidates)].ID, true
+}
+
+// Choose returns a node of the service for something other than a call, such
+// as minting a key.
+func (d *Dispatcher) Choose(service string) (wire.NodeID, bool) {
+	candidates, _ := d.members.Candidates(service)
+	if len(candidates) == 0 {
+		return wire.NodeID{}, false
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return candidates[d.random.IntN(len(candidates))].ID, true
+}
+
+// rendezvous returns the untried candidate with the highest hash of key and
+// identity.
+func rendezvous(key string, candidates []balancer.Candidate, tried []wire.NodeID) (wire.NodeID, bool) {
+	var best wire.NodeID
+	var high uint64
+	found := false
+	for _, c := range candidates {
+		if contains(tried, c.ID) {
+			continue
+		}
+		if h := keyHash(key, c.ID); !found || h > high {
+			best, high, found = c.ID, h, true
+		}
+	}
+	return best, found
+}
+
+func keyHash(key string, id wire.NodeID) uint64 {
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:], xxhash.Sum64String(key))
+	copy(b[8:], id[:])
+	return xxhash.Sum64(b[:])
+}
+
+func contains(ids []wire.NodeID, id wire.NodeID) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// picked tells the picker how an attempt at a node of its choice ended. For a
+// keyed call the node was chosen by hash, so there is no count to take back.
+func (d *Dispatcher) picked(p Params, id wire.NodeID, latency time.Duration, r call.Reply) {
+	if p.Key != "" || d.cfg.RoundRobin {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picker(p.Operation.Service).balancer.Done(time.Now(), id, balancer.Result{
+		Latency:  latency,
+		Outcome:  balance(r),
+		InFlight: int(r.InFlight),
+		Limit:    int(r.Limit),
+	})
+}
+
+func balance(r call.Reply) balancer.Outcome {
+	switch {
+	case r.Reason == verdict.Canceled, r.Reason == verdict.Deadline && r.From.IsZero():
+		return balancer.Abandoned
+	case r.Reason == verdict.Lost, r.Reason == verdict.WrongIncarnation:
+		return balancer.Failed
+	case r.Verdict == verdict.NotRun:
+		return balancer.Refused
+	default:
+		return balancer.Success
+	}
+}
+
+// learn takes the admission levels that came with a reply.
+func (d *Dispatcher) learn(r call.Reply) {
+	if r.From.IsZero() {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.levels.LearnReply(time.Now(), r.From, r.Levels)
+}
+
+// Levels returns the learned levels to pass on with a reply.
+func (d *Dispatcher) Levels(now time.Time) []call.Level {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.levels.Report(now)
+}
+
+// grant takes the share of one attempt out of the request's ledger.
+func (d *Dispatcher) grant(p Params) retry.Grant {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return p.Ledger.Grant(p.Operation.Height(), p.Fanout)
+}
+
+func (d *Dispatcher) giveBack(p Params, g retry.Grant, unused uint32) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.Ledger.Return(g, unused)
+}
+
+func (d *Dispatcher) forfeit(p Params, g retry.Grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	p.Ledger.Forfeit(g)
+}
+
+// CloseLedger ends a ledger and returns what is left in it.
+func (d *Dispatcher) CloseLedger(l *retry.Ledger) uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return l.Close()
+}
+
+func (d *Dispatcher) note(p Params, step explain.Step, reason verdict.Reason, detail string) {
+	d.notes.Note(time.Now(), explain.Event{
+		RequestID: p.RequestID,
+		Service:   p.Operation.Service,
+		Operation: p.Operation.Name,
+		Step:      step,
+		Reason:    reason,
+		Detail:    detail,
+	})
+}
+
+func (d *Dispatcher) noteOutcome(p Params, o Outcome) {
+	if o.Reason == verdict.None {
+		d.note(p, explain.Answered, verdict.None, "")
+		return
+	}
+	d.note(p, explain.Refused, o.Reason, o.Verdict.String()+": "+o.Detail)
+}
--- /dev/null
+++ b/node/entry.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cassialoom/cassialoom/dispatch"
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// refuseRetryAfter is proposed with refusals that end as soon as the node has
+// what it lacks, such as a configuration.
+const refuseRetryAfter = time.Second
+
+// Do implements entry.Doer: a caller's request enters the graph here.
+func (n *Node) Do(ctx context.Context, in entry.Incoming) entry.Outcome {
+	n.entered.Add(1)
+	defer n.entered.Add(-1)
+	out := n.enter(ctx, in)
+	n.counts.Outcome(out.Verdict, out.Reason)
+	return out
+}
+
+func (n *Node) enter(ctx context.Context, in entry.Incoming) entry.Outcome {
+	if n.draining.Load() {
+		return entry.Refused(verdict.Refuse(verdict.Draining, "this node is leaving; use another").After(refuseRetryAfter))
+	}
+	op, err := n.lookup(in.Service, in.Operation)
+	if err != nil {
+		return entry.Refused(err)
+	}
+	holder, err := keyHolder(in.Key)
+	if err != nil {
+		return entry.Refused(err)
+	}
+	ledger := n.allowance(in, op)
+	defer n.dispatch.CloseLedger(ledger)
+	p := n.params(in, op)
+	p.Ledger = ledger
+	p.Holder = holder
+	p.Resend = op.ExtraAttempts > 0 && ledger.Left() == 0
+	return outcome(n.dispatch.Call(ctx, p))
+}
+
+func (n *Node) lookup(service, operation string) (*graph.Operation, *verdict.Error) {
+	g := n.graph.graph()
+	if g == nil {
+		return nil, verdict.Refuse(verdict.NoConfiguration, "this node has no configuration yet").After(refuseRetryAfter)
+	}
+	if _, ok := g.Service(service); !ok {
+		return nil, verdict.Refuse(verdict.UnknownService, "service %q is not declared", service)
+	}
+	op, ok := g.Operation(service, operation)
+	if !ok {
+		return nil, verdict.Refuse(verdict.UnknownOperation, "operation %q of %s is not declared", operation, service)
+	}
+	return op, nil
+}
+
+func keyHolder(key string) (wire.NodeID, *verdict.Error) {
+	if key == "" {
+		return wire.NodeID{}, nil
+	}
+	info, err := once.ParseKey(key)
+	if err != nil {
+		return wire.NodeID{}, verdict.Refuse(verdict.KeyInvalid, "%v", err)
+	}
+	return info.Holder, nil
+}
+
+// allowance is the request's number of extra attempts; none for one that the
+// caller has sent here before.
+func (n *Node) allowance(in entry.Incoming, op *graph.Operation) *retry.Ledger {
+	n.requestMu.Lock()
+	defer n.requestMu.Unlock()
+	return n.requests.Allowance(time.Now(), in.RequestID, uint32(op.ExtraAttempts))
+}
+
+// params are those of a call that has no parent.
+func (n *Node) params(in entry.Incoming, op *graph.Operation) dispatch.Params {
+	budget := op.Deadline
+	if in.Budget > 0 {
+		budget = min(budget, in.Budget)
+	}
+	return dispatch.Params{
+		RequestID:   in.RequestID,
+		Operation:   op,
+		Importance:  lower(op.Importance, in.Importance),
+		Deadline:    in.Received.Add(budget),
+		Key:         in.Key,
+		Fingerprint: poison.Fingerprint(in.Service, in.Operation, in.Query, in.Body),
+		Fanout:      1,
+		Header:      in.Header,
+		Query:       in.Query,
+		Body:        in.Body,
+	}
+}
+
+// lower lets a caller give its request less importance than declared, never
+// more: otherwise every caller would be critical.
+func lower(declared importance.Importance, asked *importance.Importance) importance.Importance {
+	if asked == nil {
+		return declared
+	}
+	return min(declared, *asked)
+}
+
+func outcome(o dispatch.Outcome) entry.Outcome {
+	return entry.Outcome{
+		Verdict:    o.Verdict,
+		Reason:     o.Reason,
+		Detail:     o.Detail,
+		RetryAfter: o.RetryAfter,
+		Status:     o.Status,
+		Header:     o.Header,
+		Body:       o.Body,
+		KeyHeld:    o.KeyHeld,
+	}
+}
+
+// Call implements local.Doer: the backend server makes a call for the running
+// call that token names.
+func (n *Node) Call(ctx context.Context, token string, in entry.Incoming) entry.Outcome {
+	n.counts.LocalCalls.Add(1)
+	r, ok := n.server.find(token)
+	if !ok {
+		return entry.Refused(verdict.Refuse(verdict.BadRequest, "no call with this token is running"))
+	}
+	op, err := n.lookup(in.Service, in.Operation)
+	if err != nil {
+		return entry.Refused(err)
+	}
+	parent := r.task
+	if !parent.Operation.Allows(in.Service, in.Operation) {
+		return entry.Refused(verdict.Refuse(verdict.UndeclaredCall, "%s.%s does not declare a call to %s.%s",
+			parent.Request.Service, parent.Request.Operation, in.Service, in.Operation))
+	}
+	holder, err := keyHolder(in.Key)
+	if err != nil {
+		return entry.Refused(err)
+	}
+	p := n.params(in, op)
+	p.Holder = holder
+	p.RequestID = parent.Request.RequestID
+	p.Importance = lower(parent.Request.Importance, in.Importance)
+	p.Depth = parent.Request.Depth + 1
+	p.Fanout = len(parent.Operation.DependsOn)
+	p.Ledger = r.ledger
+	if parent.Deadline.Before(p.Deadline) {
+		p.Deadline = parent.Deadline
+	}
+	return n.callFor(ctx, r, p)
+}
+
+// callFor makes a call that ends with the run it is made for, or with the
+// backend server's interest in it, whichever is first.
+func (n *Node) callFor(ctx context.Context, r *run, p dispatch.Params) entry.Outcome {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(r.ctx, cancel)()
+	n.server.calling(time.Now(), r, 1)
+	out := n.dispatch.Call(ctx, p)
+	n.server.calling(time.Now(), r, -1)
+	if out.Verdict != verdict.NotRun {
+		n.server.touch(r)
+	}
+	return outcome(out)
+}
--- /dev/null
+++ b/node/graphs.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/graph"
+)
+
+// graphs puts a lock around the spread of the configuration; what is in force
+// is read without it, since every call asks.
+type graphs struct {
+	mu     sync.Mutex
+	spread *config.Spread
+	force  atomic.Pointer[config.State]
+	seen   uint64 // version of the membership that the spread knows
+}
+
+func newGraphs(s *config.Spread) *graphs { return &graphs{spread: s} }
+
+// do calls f under the lock and takes over what is in force afterwards.
+func (g *graphs) do(f func(*config.Spread) config.Actions) config.Actions {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a := f(g.spread)
+	if s := g.spread.State(); s != nil {
+		g.force.Store(s)
+	}
+	return a
+}
+
+// state returns what is in force, nil before anything is known.
+func (g *graphs) state() *config.State { return g.force.Load() }
+
+// asOf returns the offset that the configuration in force is folded to.
+func (g *graphs) asOf() uint64 {
+	s := g.state()
+	if s == nil {
+		return 0
+	}
+	return s.AsOf()
+}
+
+// graph returns the graph in force, nil before any.
+func (g *graphs) graph() *graph.Graph {
+	s := g.state()
+	if s == nil {
+		return nil
+	}
+	return s.Graph()
+}
+
+// operation finds an operation; configured is false while there is no graph.
+func (g *graphs) operation(service, name string) (op *graph.Operation, configured bool) {
+	gr := g.graph()
+	if gr == nil {
+		return nil, false
+	}
+	op, _ = gr.Operation(service, name)
+	return op, true
+}
+
+func (g *graphs) dump() config.Dump {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spread.Dump()
+}
--- /dev/null
+++ b/node/links.go
@@ -0,0 +1,84 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/dispatch"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/transport"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// linker finds the connections for the dispatcher.
+type linker struct{ n *Node }
+
+// Link implements dispatch.Linker.
+func (l linker) Link(ctx context.Context, id wire.NodeID) (dispatch.Link, error) {
+	if id == l.n.id {
+		return ownLink{l.n}, nil
+	}
+	c, err := l.n.connect(ctx, id)
+	if err != nil {
+		return nil, err
+	}
+	return hold(c), nil
+}
+
+// connect returns a connection to a member.
+func (n *Node) connect(ctx context.Context, id wire.NodeID) (*transport.Conn, error) {
+	if c, ok := n.peers.Lookup(id); ok {
+		return c, nil
+	}
+	rec, ok := n.members.lookup(id)
+	if !ok || rec.State.Gone() {
+		return nil, fmt.Errorf("node %s is not there", id.Short())
+	}
+	c, err := n.peers.Connect(ctx, id, rec.PeerAddr)
+	if err != nil {
+		now := time.Now()
+		n.members.with(func(m *membership.Members) { m.Failed(now, id) })
+	}
+	return c, err
+}
+
+// peerLink is a connection in use by one attempt.
+type peerLink struct{ c *transport.Conn }
+
+func hold(c *transport.Conn) peerLink {
+	c.Hold()
+	return peerLink{c}
+}
+
+func (l peerLink) Call(req call.Request) (func() bool, error) {
+	d, err := l.c.Send(wire.KindCall, req)
+	if err != nil {
+		return nil, err
+	}
+	return d.Written, nil
+}
+
+func (l peerLink) Cancel(c call.Cancel) {
+	// Without room for it the callee finds out by the call's own deadline.
+	_, _ = l.c.Send(wire.KindCancel, c)
+}
+
+func (l peerLink) Done() <-chan struct{} { return l.c.Done() }
+
+func (l peerLink) Release() { l.c.Release() }
+
+// ownLink leads to this node's own backend server.
+type ownLink struct{ n *Node }
+
+func (l ownLink) Call(req call.Request) (func() bool, error) {
+	l.n.arrive(req)
+	return func() bool { return true }, nil
+}
+
+func (l ownLink) Cancel(c call.Cancel) { l.n.cancel(c) }
+
+func (l ownLink) Done() <-chan struct{} { return nil }
+
+func (l ownLink) Release() {}
--- /dev/null
+++ b/node/loops.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// How often each duty is asked what is due.
+const (
+	serverTick  = 10 * time.Millisecond
+	bindingTick = 5 * time.Millisecond
+	memberTick  = 200 * time.Millisecond
+	configTick  = 100 * time.Millisecond
+	noticeTick  = 5 * time.Second
+)
+
+// gossipNotices is how many suspects are repeated to one peer at a time.
+const gossipNotices = 64
+
+func (n *Node) tickServer(now time.Time) {
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Tick(now) })
+	n.checkSilence(now)
+}
+
+func (n *Node) tickMembers(now time.Time) {
+	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send { return m.Tick(now) }))
+	n.tickMemberLog(now)
+	peers := n.members.ofService(n.cfg.Service)
+	n.serve(func(_ time.Time, s *serve.Server) serve.Effects {
+		s.SetPeers(peers)
+		return serve.Effects{}
+	})
+}
+
+func (n *Node) tickMemberLog(now time.Time) {
+	n.members.with(func(m *membership.Members) {
+		if from, limit, ok := m.WantLog(now); ok {
+			n.background(func() { n.readMembers(from, limit) })
+		}
+		if data, ok := m.WantAnnounce(now); ok {
+			n.background(func() { n.announce(data) })
+		}
+	})
+}
+
+func (n *Node) readMembers(from uint64, limit int) {
+	ctx, cancel := n.logContext()
+	defer cancel()
+	n.counts.LogReads.Add(1)
+	page, err := n.stream.Read(ctx, membership.Stream, from, limit)
+	if err != nil {
+		n.counts.LogFailures.Add(1)
+		return
+	}
+	now := time.Now()
+	n.members.with(func(m *membership.Members) { m.LogPage(now, page) })
+}
+
+func (n *Node) announce(data []byte) {
+	if n.append(membership.Stream, data) != nil {
+		now := time.Now()
+		n.members.with(func(m *membership.Members) { m.AnnounceFailed(now) })
+	}
+}
+
+func (n *Node) append(stream string, data []byte) error {
+	ctx, cancel := n.logContext()
+	defer cancel()
+	n.counts.LogAppends.Add(1)
+	_, err := n.stream.Append(ctx, stream, data)
+	if err != nil {
+		n.counts.LogFailures.Add(1)
+	}
+	return err
+}
+
+func (n *Node) logContext() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(n.ctx, n.cfg.LogTimeout)
+}
+
+// background runs f beside the loops; Stop waits for it.
+func (n *Node) background(f func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		f()
+	}()
+}
+
+func (n *Node) sendMembership(sends []membership.Send) {
+	for _, s := range sends {
+		n.posts.postTo(letter{to: s.To, addr: s.Addr, kind: wire.KindMembership, msg: s.Msg})
+	}
+}
+
+func (n *Node) tickConfig(now time.Time) {
+	version := n.members.version()
+	peers := n.members.configPeers()
+	n.act(n.graph.do(func(s *config.Spread) config.Actions {
+		if n.graph.seen != version {
+			n.graph.seen = version
+			s.SetMembers(peers)
+		}
+		return s.Tick(now)
+	}))
+}
+
+// act does what the spread of the configuration wants done.
+func (n *Node) act(a config.Actions) {
+	for _, s := range a.Send {
+		n.posts.post(s.To, wire.KindConfig, s.Msg)
+	}
+	for _, data := range a.Append {
+		n.background(func() { _ = n.append(config.Stream, data) }) // repeated by itself if it failed
+	}
+	if a.Read != nil {
+		n.background(func() { n.readConfig(*a.Read) })
+	}
+	if a.Changed {
+		n.counts.ConfigChanges.Add(1)
+		n.log.Info().Uint64("version", n.graph.state().Version()).Msg("configuration in force")
+	}
+}
+
+func (n *Node) readConfig(r config.Read) {
+	ctx, cancel := n.logContext()
+	defer cancel()
+	n.counts.LogReads.Add(1)
+	page, err := n.stream.Read(ctx, config.Stream, r.From, r.Max)
+	now := time.Now()
+	n.act(n.graph.do(func(s *config.Spread) config.Actions {
+		if err != nil {
+			n.counts.LogFailures.Add(1)
+			s.LogFailed(now)
+			return config.Actions{}
+		}
+		return s.LogPage(now, page)
+	}))
+}
+
+// bindStream holds the bindings of callers' own keys for one service.
+func (n *Node) bindStream() string { return "bind." + n.cfg.Service }
+
+func (n *Node) tickBindings(now time.Time) {
+	n.server.mu.Lock()
+	data, write := n.server.serve.WantBindings(now)
+	from, read := n.server.serve.WantPage(now)
+	n.server.mu.Unlock()
+	if write {
+		n.background(func() { n.appendBindings(data) })
+	}
+	if read {
+		n.background(func() { n.readBindings(from) })
+	}
+}
+
+func (n *Node) appendBindings(data []byte) {
+	err := n.append(n.bindStream(), data)
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects {
+		if err != nil {
+			s.BindingsFailed(now)
+		} else {
+			s.BindingsAppended(now)
+		}
+		return serve.Effects{}
+	})
+}
+
+const bindingsPage = 256
+
+func (n *Node) readBindings(from uint64) {
+	ctx, cancel := n.logContext()
+	defer cancel()
+	n.counts.LogReads.Add(1)
+	page, err := n.stream.Read(ctx, n.bindStream(), from, bindingsPage)
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects {
+		if err != nil {
+			n.counts.LogFailures.Add(1)
+			s.PageFailed(now)
+			return serve.Effects{}
+		}
+		return s.Page(now, from, page)
+	})
+}
+
+// spreadNotice tells the other nodes of the service about suspects.
+func (n *Node) spreadNotice(notice poison.Notice) {
+	for _, id := range n.members.ofService(n.cfg.Service) {
+		if id != n.id {
+			n.posts.post(id, wire.KindPoison, notice)
+		}
+	}
+}
+
+func (n *Node) handleNotice(notice poison.Notice) {
+	n.server.mu.Lock()
+	onward := n.server.serve.Hear(time.Now(), notice)
+	n.server.mu.Unlock()
+	for _, next := range onward {
+		n.spreadNotice(next)
+	}
+}
+
+// tickNotices repeats some suspects to one other node of the service, for
+// nodes that missed a notice or started later.
+func (n *Node) tickNotices(now time.Time) {
+	id, ok := n.dispatch.Choose(n.cfg.Service)
+	if !ok || id == n.id {
+		return
+	}
+	n.server.mu.Lock()
+	notices := n.server.serve.Gossip(now, gossipNotices)
+	n.server.mu.Unlock()
+	for _, notice := range notices {
+		n.posts.post(id, wire.KindPoison, notice)
+	}
+}
--- /dev/null
+++ b/node/mint.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cassialoom/cassialoom/transport"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// mintTimeout bounds how long a caller waits for a key.
+const mintTimeout = 2 * time.Second
+
+// mintRequest asks a node of the service for a key: it must name the
+// incarnation that will run the request.
+type mintRequest struct {
+	Seq       uint64 `cbor:"1,keyasint"`
+	Operation string `cbor:"2,keyasint"`
+}
+
+// mintReply answers a mintRequest; Key is empty if there is none.
+type mintReply struct {
+	Seq    uint64         `cbor:"1,keyasint"`
+	Key    string         `cbor:"2,keyasint,omitempty"`
+	Held   time.Duration  `cbor:"3,keyasint,omitempty"`
+	Reason verdict.Reason `cbor:"4,keyasint,omitempty"`
+	Detail string         `cbor:"5,keyasint,omitempty"`
+}
+
+// Mint implements entry.Doer.
+func (n *Node) Mint(ctx context.Context, service, operation string) (string, time.Duration, error) {
+	if _, err := n.lookup(service, operation); err != nil {
+		return "", 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, mintTimeout)
+	defer cancel()
+	id, ok := n.dispatch.Choose(service)
+	if !ok {
+		return "", 0, verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", service).After(refuseRetryAfter)
+	}
+	r, err := n.mintAt(ctx, id, operation)
+	if err != nil {
+		return "", 0, err
+	}
+	if r.Key == "" {
+		return "", 0, verdict.Refuse(r.Reason, "%s", r.Detail).After(refuseRetryAfter)
+	}
+	n.counts.KeysMinted.Add(1)
+	return r.Key, r.Held, nil
+}
+
+func (n *Node) mintAt(ctx context.Context, id wire.NodeID, operation string) (mintReply, error) {
+	if id == n.id {
+		return n.mintHere(mintRequest{Operation: operation}), nil
+	}
+	c, err := n.connect(ctx, id)
+	if err != nil {
+		return mintReply{}, verdict.Refuse(verdict.Lost, "%v", err).After(refuseRetryAfter)
+	}
+	seq, answer := n.server.expectMint()
+	defer n.server.forgetMint(seq)
+	if _, err := c.Send(wire.KindMint, mintRequest{Seq: seq, Operation: operation}); err != nil {
+		return mintReply{}, verdict.Refuse(verdict.Lost, "%v", err).After(refuseRetryAfter)
+	}
+	select {
+	case r := <-answer:
+		return r, nil
+	case <-c.Done():
+		return mintReply{}, verdict.Refuse(verdict.Lost, "connection to %s ended", id.Short()).After(refuseRetryAfter)
+	case <-ctx.Done():
+		return mintReply{}, verdict.Refuse(verdict.Deadline, "no key from %s in time", id.Short()).After(refuseRetryAfter)
+	}
+}
+
+func (n *Node) handleMint(c *transport.Conn, m mintRequest) {
+	// Without room for the answer the asking node's time runs out.
+	_, _ = c.Send(wire.KindMinted, n.mintHere(m))
+}
+
+func (n *Node) mintHere(m mintRequest) mintReply {
+	n.server.mu.Lock()
+	defer n.server.mu.Unlock()
+	key, held, err := n.server.serve.Mint(time.Now(), m.Operation)
+	if err != nil {
+		return mintReply{Seq: m.Seq, Reason: err.Reason, Detail: err.Detail}
+	}
+	return mintReply{Seq: m.Seq, Key: key, Held: held}
+}
+
+func (s *server) expectMint() (uint64, chan mintReply) {
+	s.mintMu.Lock()
+	defer s.mintMu.Unlock()
+	s.mintSeq++
+	answer := make(chan mintReply, 1)
+	s.mints[s.mintSeq] = answer
+	return s.mintSeq, answer
+}
+
+func (s *server) forgetMint(seq uint64) {
+	s.mintMu.Lock()
+	defer s.mintMu.Unlock()
+	delete(s.mints, seq)
+}
+
+// minted hands a key to the request that waits for it. A key from a node that
+// was not asked is dropped with its number, which it cannot know.
+func (s *server) minted(_ wire.NodeID, r mintReply) {
+	s.mintMu.Lock()
+	defer s.mintMu.Unlock()
+	if answer, ok := s.mints[r.Seq]; ok {
+		delete(s.mints, r.Seq)
+		answer <- r
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,209 @@
+// Package node is the process beside a backend server: it joins the duties,
+// which decide, to the sockets and clocks, which do. It holds no policy of its
+// own.
+//
+// Each plain type is called under the one lock that belongs to it, and what it
+// wants done is done after the lock is released. No two of these locks are
+// ever held at once.
+package node
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cassialoom/cassialoom/backend"
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/dispatch"
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/ops"
+	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/transport"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Config of a Node. The slices' own configurations come with the reasons for
+// their defaults.
+type Config struct {
+	Service    string
+	DataCentre string
+	Region     string
+	// PeerAddr, OpsAddr and CallerAddr are where others reach this node.
+	PeerAddr   string
+	OpsAddr    string
+	CallerAddr string
+	// Seeds are peer addresses to try besides those in the log.
+	Seeds []string
+	// DrainGrace is how long a leaving node still takes work from peers
+	// that have not heard of it; the users allow a few seconds.
+	DrainGrace time.Duration
+	// BackendSilence is how long a backend server may go without announcing
+	// itself before it counts as gone. It announces every second.
+	BackendSilence time.Duration
+	// LogTimeout bounds one operation of the log.
+	LogTimeout time.Duration
+
+	Transport  transport.Config
+	Membership membership.Config
+	Spread     config.Config
+	Serve      serve.Config
+	Dispatch   dispatch.Config
+	Backend    backend.Config
+	Entry      entry.Config
+	Explain    explain.Config
+}
+
+// DefaultConfig returns the settings that the daemon starts from.
+func DefaultConfig() Config {
+	return Config{
+		DrainGrace:     time.Second,
+		BackendSilence: 5 * time.Second,
+		LogTimeout:     3 * time.Second,
+		Transport:      transport.DefaultConfig(),
+		Membership:     membership.DefaultConfig(),
+		Spread:         config.DefaultConfig(),
+		Serve:          serve.DefaultConfig(),
+		Dispatch:       dispatch.DefaultConfig(),
+		Backend:        backend.DefaultConfig(),
+		Entry:          entry.DefaultConfig(),
+		Explain:        explain.DefaultConfig(),
+	}
+}
+
+// Node is safe for concurrent use.
+type Node struct {
+	cfg    Config
+	id     wire.NodeID
+	log    zerolog.Logger
+	stream platform.Log
+	counts *ops.Counters
+	notes  *explain.Recorder
+
+	peers    *transport.Transport
+	dispatch *dispatch.Dispatcher
+	backend  *backend.Client
+
+	members *roster
+	graph   *graphs
+	server  *server
+	posts   *postman
+
+	requestMu sync.Mutex
+	requests  *retry.Requests
+
+	stateMu  sync.Mutex
+	instance instance // what the backend server last said of itself
+
+	draining atomic.Bool
+	entered  atomic.Int64 // callers' requests under way
+	stop     context.CancelFunc
+	ctx      context.Context
+	wg       sync.WaitGroup
+}
+
+// New returns a Node with an identity of its own. Start sets it going.
+func New(cfg Config, stream platform.Log, log zerolog.Logger, counts *ops.Counters) (*Node, error) {
+	id := wire.NewNodeID()
+	var secret [once.SecretLen]byte
+	if _, err := crand.Read(secret[:]); err != nil {
+		return nil, fmt.Errorf("draw the secret of the keys: %w", err)
+	}
+	seed := binary.LittleEndian.Uint64(id[:8])
+	now := time.Now()
+
+	cfg.Transport.ID = id
+	cfg.Transport.Addr = cfg.PeerAddr
+	cfg.Serve.Self = id
+	cfg.Serve.Service = cfg.Service
+	cfg.Dispatch.Self = id
+	cfg.Dispatch.DataCentre = cfg.DataCentre
+	cfg.Dispatch.Seed = seed
+
+	n := &Node{
+		cfg:      cfg,
+		id:       id,
+		log:      log.With().Str("node", id.Short()).Str("service", cfg.Service).Logger(),
+		stream:   stream,
+		counts:   counts,
+		notes:    explain.New(cfg.Explain),
+		backend:  backend.New(cfg.Backend),
+		members:  newRoster(membership.New(cfg.Membership, record(cfg, id), seed)),
+		graph:    newGraphs(config.NewSpread(cfg.Spread, id, cfg.DataCentre, seed)),
+		requests: retry.NewRequests(cfg.Dispatch.Budget),
+	}
+	n.ctx, n.stop = context.WithCancel(context.Background())
+	n.server = newServer(serve.New(cfg.Serve, secret, now))
+	n.dispatch = dispatch.New(cfg.Dispatch, linker{n}, n.members, n.notes)
+	n.peers = transport.New(cfg.Transport, (*peerHandler)(n))
+	n.posts = newPostman(n)
+	n.members.seeds(cfg.Seeds)
+	return n, nil
+}
+
+func record(cfg Config, id wire.NodeID) membership.Record {
+	return membership.Record{
+		ID:         id,
+		Service:    cfg.Service,
+		DataCentre: cfg.DataCentre,
+		Region:     cfg.Region,
+		PeerAddr:   cfg.PeerAddr,
+		OpsAddr:    cfg.OpsAddr,
+		CallerAddr: cfg.CallerAddr,
+	}
+}
+
+// ID returns the identity of this incarnation.
+func (n *Node) ID() wire.NodeID { return n.id }
+
+// Peers takes the connections of other nodes.
+func (n *Node) Peers() *transport.Transport { return n.peers }
+
+// Start begins the node's own work; Stop ends it.
+func (n *Node) Start() {
+	n.loop(serverTick, n.tickServer)
+	n.loop(bindingTick, n.tickBindings)
+	n.loop(memberTick, n.tickMembers)
+	n.loop(configTick, n.tickConfig)
+	n.loop(noticeTick, n.tickNotices)
+	n.log.Info().Str("data_centre", n.cfg.DataCentre).Str("peer_addr", n.cfg.PeerAddr).Msg("started")
+}
+
+// loop calls f every so often until the node stops.
+func (n *Node) loop(every time.Duration, f func(now time.Time)) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		ticker := time.NewTicker(every)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-n.ctx.Done():
+				return
+			case <-ticker.C:
+				f(time.Now())
+			}
+		}
+	}()
+}
+
+// Stop ends the node at once; Drain and Wait come before a planned stop.
+func (n *Node) Stop() {
+	n.leave()
+	n.stop()
+	n.peers.Close()
+	n.posts.close()
+	n.wg.Wait()
+	n.backend.Close()
+	n.log.Info().Msg("stopped")
+}
--- /dev/null
+++ b/node/ops.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/dispatch"
+	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/ops"
+	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// State is the dump of the whole process.
+type State struct {
+	Node       wire.NodeID     `json:"node"`
+	Service    string          `json:"service"`
+	DataCentre string          `json:"data_centre"`
+	Draining   bool            `json:"draining"`
+	Entered    int64           `json:"callers_requests_under_way"`
+	Peers      int             `json:"connected_peers"`
+	Backend    BackendState    `json:"backend_server"`
+	Serve      serve.Dump      `json:"serve"`
+	Dispatch   dispatch.Dump   `json:"dispatch"`
+	Config     config.Dump     `json:"config"`
+	Membership membership.Dump `json:"membership"`
+	Explain    explain.Dump    `json:"explain"`
+}
+
+// BackendState is what the backend server last said of itself.
+type BackendState struct {
+	URL   string    `json:"url"`
+	Boot  string    `json:"boot"`
+	Ready bool      `json:"ready"`
+	Heard time.Time `json:"heard"`
+}
+
+// State implements ops.Node.
+func (n *Node) State() any {
+	now := time.Now()
+	inst := n.backendInstance()
+	s := State{
+		Node:       n.id,
+		Service:    n.cfg.Service,
+		DataCentre: n.cfg.DataCentre,
+		Draining:   n.draining.Load(),
+		Entered:    n.entered.Load(),
+		Peers:      len(n.peers.Connected()),
+		Backend:    BackendState{URL: inst.url, Boot: inst.boot, Ready: inst.ready, Heard: inst.heard},
+		Serve:      n.server.dump(now),
+		Dispatch:   n.dispatch.Dump(now),
+		Config:     n.graph.dump(),
+		Explain:    n.notes.Dump(),
+	}
+	n.members.with(func(m *membership.Members) { s.Membership = m.Dump() })
+	return s
+}
+
+// Ready implements ops.Node.
+func (n *Node) Ready() (bool, string) {
+	switch {
+	case n.draining.Load():
+		return false, "draining"
+	case n.graph.graph() == nil:
+		return false, "no configuration yet"
+	case !n.backendInstance().ready:
+		return false, "backend server has not announced itself"
+	default:
+		return true, ""
+	}
+}
+
+// Version implements ops.Node.
+func (n *Node) Version() ops.Version {
+	v := ops.Version{Node: n.id, Service: n.cfg.Service, DataCentre: n.cfg.DataCentre}
+	if s := n.graph.state(); s != nil {
+		v.Version = s.Version()
+		v.AsOf = s.AsOf()
+	}
+	v.AgeMs = n.graph.dump().AgeMillis
+	return v
+}
+
+// Members implements ops.Node.
+func (n *Node) Members() []membership.Record { return n.members.view() }
+
+// Explain implements ops.Node.
+func (n *Node) Explain(requestID string) []explain.Event { return n.notes.Find(requestID) }
+
+// Sync brings the counters that the slices keep themselves up to date.
+func (n *Node) Sync() {
+	c := n.dispatch.Counts()
+	n.counts.Attempts.Set(int64(c.Attempts))
+	n.counts.ExtraAttempts.Set(int64(c.Retries))
+	n.counts.ExtraRefused.Set(int64(c.OverBudget))
+	n.counts.LateReplies.Set(int64(c.Unmatched))
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,133 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/transport"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// peerHandler takes what peers send; it is the node under another name, so
+// that these methods do not stand among the node's own.
+type peerHandler Node
+
+// Up implements transport.Handler.
+func (h *peerHandler) Up(c *transport.Conn) {
+	n := (*Node)(h)
+	n.counts.PeerConnects.Add(1)
+	now := time.Now()
+	if c.Dialed() != "" {
+		n.members.with(func(m *membership.Members) { m.Answered(now, c.Dialed(), c.Peer().ID) })
+		return
+	}
+	// A node that dialled is up, whether or not the log has told of it.
+	if _, known := n.members.lookup(c.Peer().ID); !known {
+		n.members.seeds([]string{c.Peer().Addr})
+	}
+}
+
+// Down implements transport.Handler.
+func (h *peerHandler) Down(c *transport.Conn) {
+	(*Node)(h).counts.PeerLosses.Add(1)
+}
+
+// Busy implements transport.Handler.
+func (h *peerHandler) Busy(id wire.NodeID) bool {
+	return (*Node)(h).server.busy(id)
+}
+
+// Handle implements transport.Handler. A message that cannot be decoded ends
+// the connection: its sender is faulty, and what it sends next cannot be
+// trusted either.
+func (h *peerHandler) Handle(c *transport.Conn, f wire.Frame) {
+	n := (*Node)(h)
+	if err := n.handle(c, f); err != nil {
+		n.counts.BadMessages.Add(1)
+		c.Close()
+	}
+}
+
+func (n *Node) handle(c *transport.Conn, f wire.Frame) error {
+	from := c.Peer().ID
+	switch f.Kind {
+	case wire.KindCall:
+		return decode(f, func(m call.Request) { n.handleCall(from, m) })
+	case wire.KindReply:
+		return decode(f, func(m call.Reply) { n.handleReply(from, m) })
+	case wire.KindCancel:
+		return decode(f, func(m call.Cancel) { n.handleCancel(from, m) })
+	case wire.KindMint:
+		return decode(f, func(m mintRequest) { n.handleMint(c, m) })
+	case wire.KindMinted:
+		return decode(f, func(m mintReply) { n.server.minted(from, m) })
+	}
+	n.counts.ControlBytesIn.Add(int64(len(f.Body)))
+	return n.handleControl(from, f)
+}
+
+func (n *Node) handleControl(from wire.NodeID, f wire.Frame) error {
+	switch f.Kind {
+	case wire.KindMembership:
+		return decode(f, func(m membership.Message) { n.handleMembership(from, m) })
+	case wire.KindConfig:
+		return decode(f, func(m config.Message) { n.handleConfig(from, m) })
+	case wire.KindPoison:
+		return decode(f, func(m poison.Notice) { n.handleNotice(m) })
+	default:
+		// A kind that this release does not know: a newer one may send it.
+		return nil
+	}
+}
+
+// decode opens a message and hands it to f.
+func decode[M any](f wire.Frame, take func(M)) error {
+	var m M
+	if err := wire.Unmarshal(f.Body, &m); err != nil {
+		return err
+	}
+	take(m)
+	return nil
+}
+
+// handleCall takes an attempt. A peer speaks for itself only: with another
+// sender's name it could use up that sender's sequence numbers.
+func (n *Node) handleCall(from wire.NodeID, req call.Request) {
+	if req.From != from {
+		n.counts.BadMessages.Add(1)
+		return
+	}
+	n.arrive(req)
+}
+
+func (n *Node) handleCancel(from wire.NodeID, c call.Cancel) {
+	if c.From != from {
+		n.counts.BadMessages.Add(1)
+		return
+	}
+	n.cancel(c)
+}
+
+func (n *Node) handleReply(from wire.NodeID, r call.Reply) {
+	n.dispatch.Reply(from, r)
+	if r.ConfigVersion > n.graph.asOf() {
+		n.act(n.graph.do(func(s *config.Spread) config.Actions {
+			return s.SawVersion(time.Now(), from, r.ConfigVersion)
+		}))
+	}
+}
+
+func (n *Node) handleMembership(from wire.NodeID, msg membership.Message) {
+	now := time.Now()
+	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send {
+		return m.Receive(now, from, msg)
+	}))
+}
+
+func (n *Node) handleConfig(from wire.NodeID, msg config.Message) {
+	now := time.Now()
+	n.act(n.graph.do(func(s *config.Spread) config.Actions { return s.Receive(now, from, msg) }))
+}
--- /dev/null
+++ b/node/roster.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cassialoom/cassialoom/balancer"
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// roster puts a lock around the membership and keeps what the other duties ask
+// of it often.
+type roster struct {
+	mu       sync.Mutex
+	members  *membership.Members
+	services map[string]*serviceView
+}
+
+// serviceView is one service as the dispatcher sees it.
+type serviceView struct {
+	version    uint64 // of the membership when it was made
+	changes    uint64
+	candidates []balancer.Candidate
+}
+
+func newRoster(m *membership.Members) *roster {
+	return &roster{members: m, services: make(map[string]*serviceView)}
+}
+
+// with calls f under the lock.
+func (r *roster) with(f func(*membership.Members)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(r.members)
+}
+
+// send calls f under the lock and returns what it wants sent.
+func (r *roster) send(f func(*membership.Members) []membership.Send) []membership.Send {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return f(r.members)
+}
+
+func (r *roster) seeds(addrs []string) {
+	r.with(func(m *membership.Members) { m.Seeds(addrs) })
+}
+
+// Candidates implements dispatch.Members.
+func (r *roster) Candidates(service string) ([]balancer.Candidate, uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	v, ok := r.services[service]
+	if ok && v.version == r.members.Version() {
+		return v.candidates, v.changes
+	}
+	next := r.makeView(service, v)
+	r.services[service] = next
+	return next.candidates, next.changes
+}
+
+func (r *roster) makeView(service string, old *serviceView) *serviceView {
+	v := &serviceView{version: r.members.Version(), changes: 1}
+	now := time.Now()
+	for _, rec := range r.members.OfService(service) {
+		v.candidates = append(v.candidates, candidate(rec, old, now))
+	}
+	if old != nil {
+		v.changes = old.changes + 1
+	}
+	return v
+}
+
+// candidate marks a node as new if the service was known without it: its
+// backend server may be cold. When the service itself was not known, nothing
+// can be said.
+func candidate(rec membership.Record, old *serviceView, now time.Time) balancer.Candidate {
+	c := balancer.Candidate{ID: rec.ID, DataCentre: rec.DataCentre}
+	if old == nil || len(old.candidates) == 0 {
+		return c
+	}
+	for _, known := range old.candidates {
+		if known.ID == rec.ID {
+			return known
+		}
+	}
+	c.Since = now
+	return c
+}
+
+// Known implements dispatch.Members.
+func (r *roster) Known(id wire.NodeID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.members.Lookup(id)
+	return ok && !rec.State.Gone()
+}
+
+func (r *roster) lookup(id wire.NodeID) (membership.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members.Lookup(id)
+}
+
+func (r *roster) view() []membership.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members.View()
+}
+
+func (r *roster) version() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members.Version()
+}
+
+// ofService returns the identities of the nodes of a service that take work.
+func (r *roster) ofService(service string) []wire.NodeID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recs := r.members.OfService(service)
+	ids := make([]wire.NodeID, 0, len(recs))
+	for _, rec := range recs {
+		ids = append(ids, rec.ID)
+	}
+	return ids
+}
+
+func (r *roster) configPeers() []config.Peer {
+	view := r.view()
+	peers := make([]config.Peer, 0, len(view))
+	for _, rec := range view {
+		peers = append(peers, config.Peer{ID: rec.ID, DataCentre: rec.DataCentre})
+	}
+	return peers
+}
--- /dev/null
+++ b/node/run.go
@@ -0,0 +1,134 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/backend"
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// serve calls f on the callee's decisions and does what follows.
+func (n *Node) serve(f func(now time.Time, s *serve.Server) serve.Effects) {
+	now := time.Now()
+	e, started := n.server.do(func(s *serve.Server) serve.Effects { return f(now, s) })
+	for _, notice := range e.Notices {
+		n.spreadNotice(notice)
+	}
+	for _, r := range started {
+		n.wg.Add(1)
+		go n.run(r)
+	}
+	for _, r := range e.Replies {
+		n.reply(now, r)
+	}
+}
+
+func (n *Node) arrive(req call.Request) {
+	op, configured := n.graph.operation(req.Service, req.Operation)
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects {
+		return s.Arrive(now, req, op, configured)
+	})
+}
+
+func (n *Node) cancel(c call.Cancel) {
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Cancel(now, c) })
+}
+
+// run hands one task to the backend server and reports what became of it.
+func (n *Node) run(r *run) {
+	defer n.wg.Done()
+	defer r.stop()
+	n.counts.Runs.Add(1)
+	inst := n.backendInstance()
+	req := r.task.Request
+	res := n.backend.Run(r.ctx, inst.url, backend.Run{
+		Token:      r.token,
+		Operation:  req.Operation,
+		RequestID:  req.RequestID,
+		Importance: req.Importance,
+		Budget:     time.Until(r.task.Deadline),
+		Header:     req.Header,
+		Query:      req.Query,
+		Body:       req.Body,
+	})
+	touched := n.server.ended(r)
+	result := n.result(r, res, touched)
+	if res.Broken {
+		n.counts.BackendBroken.Add(1)
+	}
+	if res.Crashed {
+		n.backendCrashed(inst.boot)
+	}
+	n.noteRun(req, result)
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
+}
+
+func (n *Node) result(r *run, res backend.Result, touched bool) serve.Result {
+	result := serve.Result{
+		Verdict:    res.Verdict,
+		Reason:     res.Reason,
+		Detail:     res.Detail,
+		RetryAfter: res.RetryAfter,
+		Status:     res.Status,
+		Header:     res.Header,
+		Body:       res.Body,
+		Latency:    res.Latency,
+		Crashed:    res.Crashed,
+		Unused:     n.dispatch.CloseLedger(r.ledger),
+	}
+	// A backend server that declines after it made calls of its own has left
+	// traces elsewhere: the request as a whole may have run.
+	if result.Verdict == verdict.NotRun && touched {
+		result.Verdict = verdict.MayHaveRun
+	}
+	return result
+}
+
+func (n *Node) noteRun(req call.Request, r serve.Result) {
+	step := explain.Ran
+	if r.Reason != verdict.None {
+		step = explain.Lost
+	}
+	n.notes.Note(time.Now(), explain.Event{
+		RequestID: req.RequestID,
+		Service:   req.Service,
+		Operation: req.Operation,
+		Step:      step,
+		Reason:    r.Reason,
+		Detail:    r.Detail,
+	})
+}
+
+// reply sends an answer to the node that asked.
+func (n *Node) reply(now time.Time, r call.Reply) {
+	if r.Verdict == verdict.NotRun {
+		n.notes.Note(now, explain.Event{Step: explain.Refused, Service: n.cfg.Service, Reason: r.Reason, Detail: r.Detail})
+	}
+	r.ConfigVersion = n.graph.asOf()
+	r.Levels = n.levels(now)
+	if r.To == n.id {
+		n.dispatch.Reply(n.id, r)
+		return
+	}
+	c, ok := n.peers.Lookup(r.To)
+	if !ok {
+		return // the caller's node has seen the connection end, and concluded
+	}
+	if _, err := c.Send(wire.KindReply, r); err != nil {
+		// An answer that cannot be sent must not leave its caller waiting:
+		// the end of the connection tells it at once.
+		c.Close()
+	}
+}
+
+func (n *Node) levels(now time.Time) []call.Level {
+	levels := n.dispatch.Levels(now)
+	if own := n.server.level(now); own > 0 {
+		levels = append(levels, call.Level{Service: n.cfg.Service, Priority: own})
+	}
+	return levels
+}
--- /dev/null
+++ b/node/server.go
@@ -0,0 +1,140 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"sync"
+	"time"
+
+	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// server puts a lock around the callee's decisions and keeps, under the same
+// lock, how to stop what runs: a stop that is decided after a start always
+// finds it.
+type server struct {
+	mu      sync.Mutex
+	serve   *serve.Server
+	runs    map[uint64]*run
+	byToken map[string]*run
+
+	mintMu  sync.Mutex
+	mints   map[uint64]chan mintReply
+	mintSeq uint64
+}
+
+// run is one task at the backend server.
+type run struct {
+	task  *serve.Task
+	token string
+	ctx   context.Context
+	stop  context.CancelFunc
+	// ledger holds the extra attempts of the request's calls from here.
+	ledger *retry.Ledger
+	// touched is set when a call made for the task may have run: the task
+	// itself can then no longer claim "not run".
+	touched bool
+}
+
+func newServer(s *serve.Server) *server {
+	return &server{
+		serve:   s,
+		runs:    make(map[uint64]*run),
+		byToken: make(map[string]*run),
+		mints:   make(map[uint64]chan mintReply),
+	}
+}
+
+// do calls f under the lock. What it starts and stops is registered there;
+// the rest is for the caller to act on.
+func (s *server) do(f func(*serve.Server) serve.Effects) (serve.Effects, []*run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := f(s.serve)
+	for _, id := range e.Stop {
+		if r, ok := s.runs[id]; ok {
+			r.stop()
+		}
+	}
+	started := make([]*run, 0, len(e.Start))
+	for _, t := range e.Start {
+		started = append(started, s.register(t))
+	}
+	return e, started
+}
+
+func (s *server) register(t *serve.Task) *run {
+	ctx, stop := context.WithDeadline(context.Background(), t.Deadline)
+	r := &run{task: t, token: newToken(), ctx: ctx, stop: stop, ledger: retry.New(t.Request.Grant)}
+	s.runs[t.ID] = r
+	s.byToken[r.token] = r
+	return r
+}
+
+const tokenBytes = 16
+
+// newToken names a running call to the backend server. It cannot be guessed:
+// with another call's token a backend server could spend that call's grants.
+func newToken() string {
+	var b [tokenBytes]byte
+	rand.Read(b[:]) // never fails (crypto/rand, Go 1.24)
+	return hex.EncodeToString(b[:])
+}
+
+// ended takes a run out; its token is not known any more.
+func (s *server) ended(r *run) (touched bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.runs, r.task.ID)
+	delete(s.byToken, r.token)
+	return r.touched
+}
+
+// find returns the run that a token names.
+func (s *server) find(token string) (*run, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.byToken[token]
+	return r, ok
+}
+
+// calling notes the begin or end of a call that a run makes.
+func (s *server) calling(now time.Time, r *run, change int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serve.Calling(now, r.task.ID, change)
+}
+
+func (s *server) touch(r *run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r.touched = true
+}
+
+// busy reports whether the peer waits for an answer from here.
+func (s *server) busy(id wire.NodeID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Owes(id)
+}
+
+func (s *server) level(now time.Time) uint16 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Level(now)
+}
+
+func (s *server) idle() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Idle()
+}
+
+func (s *server) dump(now time.Time) serve.Dump {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Dump(now)
+}
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/serve"
+)
+
+// ErrStopTimeout is returned when requests were still in flight at the end of
+// the time allowed for a planned stop.
+var ErrStopTimeout = errors.New("requests still in flight at the end of the stop timeout")
+
+// Drain starts the planned stop and returns at once. The other nodes are told
+// immediately; work that peers send before they have heard is taken for
+// DrainGrace, then refused, so that no new work starts after that.
+func (n *Node) Drain() {
+	if n.draining.Swap(true) {
+		return
+	}
+	n.log.Info().Msg("draining")
+	now := time.Now()
+	connected := n.peers.Connected()
+	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send {
+		return m.Drain(now, connected...)
+	}))
+	n.background(func() {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-time.After(n.cfg.DrainGrace):
+		}
+		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Drain(now) })
+		n.log.Info().Msg("drained: no new work is taken")
+	})
+}
+
+const waitPoll = 20 * time.Millisecond
+
+// Wait returns when the drain's grace has passed and nothing is in flight, or
+// with the context's end.
+func (n *Node) Wait(ctx context.Context) error {
+	grace := time.NewTimer(n.cfg.DrainGrace + waitPoll)
+	defer grace.Stop()
+	select {
+	case <-grace.C:
+	case <-ctx.Done():
+		return ErrStopTimeout
+	}
+	ticker := time.NewTicker(waitPoll)
+	defer ticker.Stop()
+	for !n.idle() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ErrStopTimeout
+		}
+	}
+	return nil
+}
+
+func (n *Node) idle() bool { return n.entered.Load() == 0 && n.server.idle() }
+
+// leave tells the connected peers that this process ends.
+func (n *Node) leave() {
+	now := time.Now()
+	connected := n.peers.Connected()
+	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send {
+		return m.Leave(now, connected...)
+	}))
+	time.Sleep(waitPoll) // the connections' writers need a moment
+}
--- /dev/null
+++ b/serve/dump.go
@@ -0,0 +1,63 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/admission"
+	"github.com/cassialoom/cassialoom/limit"
+	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/queue"
+)
+
+// Counts are totals since the node started.
+type Counts struct {
+	Arrived    uint64 `json:"arrived"`
+	Started    uint64 `json:"started"`
+	Shed       uint64 `json:"shed"`
+	Expired    uint64 `json:"expired"`
+	Canceled   uint64 `json:"canceled"`
+	Duplicates uint64 `json:"duplicates"`
+	Poison     uint64 `json:"poison"`
+	Crashes    uint64 `json:"crashes"`
+	Joined     uint64 `json:"joined"`
+	Replayed   uint64 `json:"replayed"`
+}
+
+// Dump is the state for people.
+type Dump struct {
+	Ready    bool                `json:"backend_ready"`
+	Crashed  bool                `json:"backend_crashed"`
+	Draining bool                `json:"draining"`
+	Running  int                 `json:"running"`
+	Parked   int                 `json:"waiting_for_binding"`
+	Alone    bool                `json:"running_alone"`
+	Counts   Counts              `json:"counts"`
+	Limit    limit.State         `json:"limit"`
+	Queue    queue.State         `json:"queue"`
+	Gate     admission.GateState `json:"admission"`
+	Poison   poison.Dump         `json:"poison"`
+	Senders  once.SendersState   `json:"senders"`
+	Keys     once.KeysState      `json:"keys"`
+	Bindings once.BinderState    `json:"bindings"`
+}
+
+// Dump returns the state as of now.
+func (s *Server) Dump(now time.Time) Dump {
+	return Dump{
+		Ready:    s.ready,
+		Crashed:  s.crashed,
+		Draining: s.drain,
+		Running:  len(s.running),
+		Parked:   len(s.parked),
+		Alone:    s.lone != nil,
+		Counts:   s.counts,
+		Limit:    s.limit.Dump(),
+		Queue:    s.queue.Dump(now),
+		Gate:     s.gate.Dump(),
+		Poison:   s.guard.Dump(now),
+		Senders:  s.senders.Dump(),
+		Keys:     s.keys.Dump(),
+		Bindings: s.binder.Dump(),
+	}
+}
--- /dev/null
+++ b/serve/reply.go
@@ -0,0 +1,107 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/admission"
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// finish answers all that wait for a task that was handed over.
+func (s *Server) finish(now time.Time, t *Task, r Result, e *Effects) {
+	joined := s.finishKey(now, t, r)
+	s.forget(t)
+	a := answer{result: r, held: t.held}
+	for _, w := range joined {
+		e.reply(s.answerTo(w, a))
+	}
+	own := s.answerTo(t.waiter, a)
+	own.Unused = r.Unused
+	e.reply(own)
+}
+
+// finishUnstarted answers all that wait for a task that was not handed over
+// and now never will be: the attempts' sequence numbers are used up, and the
+// key, if any, is free again.
+func (s *Server) finishUnstarted(t *Task, err *verdict.Error, e *Effects) {
+	for _, w := range s.abandonKey(t) {
+		e.reply(s.refusalTo(w, 0, err))
+	}
+	s.forget(t)
+	e.reply(s.refusal(t.Request, err))
+}
+
+func (s *Server) shed(now time.Time, t *Task, e *Effects) {
+	s.counts.Shed++
+	s.observe(now, admission.Shed)
+	s.finishUnstarted(t, s.shedError(now), e)
+}
+
+// redirect refuses an attempt here and names the node that may run it.
+func (s *Server) redirect(t *Task, err *verdict.Error, to wire.NodeID, e *Effects) {
+	reply := s.refusal(t.Request, err)
+	reply.BoundTo = to
+	e.reply(reply)
+}
+
+func (s *Server) forget(t *Task) {
+	delete(s.tasks, t.ID)
+	delete(s.byCall, t.waiter)
+}
+
+func (s *Server) answerTo(w waiter, a answer) call.Reply {
+	reply := s.replyTo(w)
+	reply.Verdict = a.result.Verdict
+	reply.Reason = a.result.Reason
+	reply.Detail = a.result.Detail
+	reply.RetryAfter = a.result.RetryAfter
+	reply.Status = a.result.Status
+	reply.Header = a.result.Header
+	reply.Body = a.result.Body
+	reply.KeyHeld = a.held
+	return reply
+}
+
+func (s *Server) refusal(req call.Request, err *verdict.Error) call.Reply {
+	return s.refusalTo(waiter{from: req.From, seq: req.Seq}, req.Grant, err)
+}
+
+func (s *Server) refusalTo(w waiter, unused uint32, err *verdict.Error) call.Reply {
+	reply := s.replyTo(w)
+	reply.Verdict = err.Verdict
+	reply.Reason = err.Reason
+	reply.Detail = err.Detail
+	reply.RetryAfter = err.RetryAfter
+	reply.Unused = unused
+	return reply
+}
+
+func (s *Server) replyTo(w waiter) call.Reply {
+	return call.Reply{
+		From:     s.cfg.Self,
+		To:       w.from,
+		Seq:      w.seq,
+		InFlight: uint32(len(s.running)),
+		Limit:    uint32(min(s.concurrency(), maxConcurrency)),
+	}
+}
+
+// Owes reports whether an attempt of the node waits for its answer here.
+func (s *Server) Owes(id wire.NodeID) bool {
+	for w := range s.byCall {
+		if w.from == id {
+			return true
+		}
+	}
+	return len(s.parked) > 0
+}
+
+// Level is what callers' nodes are told to hold back below; zero admits all.
+func (s *Server) Level(now time.Time) uint16 {
+	if s.cfg.Policy != PolicyFull {
+		return 0
+	}
+	return s.gate.Level(now)
+}
--- /dev/null
+++ b/serve/server.go
@@ -0,0 +1,268 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassialoom/cassialoom/admission"
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/limit"
+	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/queue"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Server is the callee's side of one node.
+type Server struct {
+	cfg     Config
+	senders *once.Senders
+	mint    *once.Mint
+	keys    *once.Keys[answer, waiter]
+	binder  *once.Binder
+	limit   *limit.Limiter
+	queue   *queue.Queue[*Task]
+	gate    *admission.Gate
+	guard   *poison.Guard
+
+	tasks   map[uint64]*Task   // waiting or running
+	running map[uint64]*Task   // handed to the backend server
+	byCall  map[waiter]uint64  // attempt to task, for cancellation
+	parked  map[string][]*Task // by key, until it is bound
+	lone    *Task              // runs, or waits to run, with nothing beside it
+	peers   []wire.NodeID      // ready nodes of the service, with this one
+	nextID  uint64
+	ready   bool // the backend server takes requests
+	crashed bool // it crashed and has not announced itself since
+	drain   bool
+	counts  Counts
+}
+
+// New returns the Server of an incarnation that started at start. Its backend
+// server has not announced itself yet. secret is drawn at random for it.
+func New(cfg Config, secret [once.SecretLen]byte, start time.Time) *Server {
+	return &Server{
+		cfg:     cfg,
+		senders: once.NewSenders(cfg.Once),
+		mint:    once.NewMint(cfg.Once, cfg.Self, secret, start),
+		keys:    once.NewKeys[answer, waiter](cfg.Once, start, answerSize),
+		binder:  once.NewBinder(cfg.Once, cfg.Self, start),
+		limit:   limit.New(cfg.Limit),
+		queue:   queue.New[*Task](cfg.Queue),
+		gate:    admission.NewGate(cfg.Gate),
+		guard:   poison.New(cfg.Poison, cfg.Self),
+		tasks:   make(map[uint64]*Task),
+		running: make(map[uint64]*Task),
+		byCall:  make(map[waiter]uint64),
+		parked:  make(map[string][]*Task),
+	}
+}
+
+// SetPeers names the nodes of the service that take work, this one included.
+func (s *Server) SetPeers(peers []wire.NodeID) { s.peers = peers }
+
+// SetReady says whether the backend server takes requests.
+func (s *Server) SetReady(now time.Time, ready bool) Effects {
+	var e Effects
+	s.ready = ready
+	if ready {
+		s.crashed = false
+		s.pump(now, &e)
+		return e
+	}
+	s.refuseWaiting(now, verdict.NoBackend, &e)
+	return e
+}
+
+// Drain refuses new work from now on. What runs goes on; what waits is
+// refused, so that another node takes it at once.
+func (s *Server) Drain(now time.Time) Effects {
+	var e Effects
+	s.drain = true
+	s.refuseWaiting(now, verdict.Draining, &e)
+	return e
+}
+
+// Idle reports whether nothing waits or runs.
+func (s *Server) Idle() bool { return len(s.tasks) == 0 && len(s.parked) == 0 }
+
+// Arrive takes one attempt. op is nil when the configuration does not know
+// the operation; configured is false while there is no configuration.
+func (s *Server) Arrive(now time.Time, req call.Request, op *graph.Operation, configured bool) Effects {
+	var e Effects
+	s.counts.Arrived++
+	if req.To != s.cfg.Self {
+		e.reply(s.refusal(req, verdict.Refuse(verdict.WrongIncarnation, "this is %s", s.cfg.Self.Short())))
+		return e
+	}
+	// A copy of an attempt, however late: the first one has its own answer,
+	// which may have been "not run". Saying nothing is the only answer that
+	// cannot contradict it.
+	if !s.senders.Accept(req.From, req.Seq) {
+		s.counts.Duplicates++
+		return e
+	}
+	if err := s.precheck(req, op, configured); err != nil {
+		e.reply(s.refusal(req, err))
+		return e
+	}
+	t := s.task(now, req, op)
+	if req.Key == "" {
+		s.admit(now, t, &e)
+	} else {
+		s.takeKeyed(now, t, &e)
+	}
+	return e
+}
+
+func (s *Server) precheck(req call.Request, op *graph.Operation, configured bool) *verdict.Error {
+	switch {
+	case !configured:
+		return verdict.Refuse(verdict.NoConfiguration, "node has no configuration yet").After(s.cfg.RefuseRetryAfter)
+	case req.Service != s.cfg.Service:
+		return verdict.Refuse(verdict.UnknownService, "%s is not served here", req.Service)
+	case op == nil:
+		return verdict.Refuse(verdict.UnknownOperation, "%s.%s is not declared", req.Service, req.Operation)
+	case req.Budget <= 0:
+		return verdict.Refuse(verdict.Deadline, "no time left at arrival")
+	}
+	return nil
+}
+
+func (s *Server) task(now time.Time, req call.Request, op *graph.Operation) *Task {
+	s.nextID++
+	return &Task{
+		ID:        s.nextID,
+		Request:   req,
+		Operation: op,
+		Deadline:  now.Add(req.Budget),
+		waiter:    waiter{from: req.From, seq: req.Seq},
+		priority:  admission.Priority(req.Importance, req.RequestID),
+		class:     uint32(xxhash.Sum64String(req.Operation)),
+	}
+}
+
+// admit lets a task wait for its turn, or refuses it.
+func (s *Server) admit(now time.Time, t *Task, e *Effects) {
+	if err := s.refuseNow(now, t); err != nil {
+		s.finishUnstarted(t, err, e)
+		return
+	}
+	if s.quarantined(now, t, e) {
+		return
+	}
+	s.tasks[t.ID] = t
+	s.byCall[t.waiter] = t.ID
+	item := queue.Item[*Task]{ID: t.ID, Deadline: t.Deadline, Value: t}
+	if s.cfg.Policy == PolicyFull {
+		item.Priority = t.priority
+		item.Need = s.limit.Expect(t.class)
+	}
+	for _, dropped := range s.queue.Push(now, item) {
+		s.shed(now, dropped.Value, e)
+	}
+	s.pump(now, e)
+}
+
+func (s *Server) refuseNow(now time.Time, t *Task) *verdict.Error {
+	switch {
+	case s.drain:
+		return verdict.Refuse(verdict.Draining, "backend server is leaving").After(s.cfg.RefuseRetryAfter)
+	case !s.ready:
+		return verdict.Refuse(verdict.NoBackend, "backend server has not announced itself").After(s.cfg.RefuseRetryAfter)
+	case s.cfg.Policy != PolicyFull:
+		return nil
+	case s.guard.Check(now, t.Request.Fingerprint) == poison.Refuse:
+		s.counts.Poison++
+		return s.guard.Refusal(now, t.Request.Fingerprint)
+	case !s.gate.Admit(now, t.priority):
+		s.counts.Shed++
+		return s.shedError(now)
+	}
+	return nil
+}
+
+func (s *Server) shedError(now time.Time) *verdict.Error {
+	return verdict.Refuse(verdict.Shed, "%s sheds below priority %d", s.cfg.Service, s.gate.Level(now)).After(s.cfg.ShedRetryAfter)
+}
+
+// Cancel ends one attempt that nobody waits for. Work that has not started
+// leaves the queue at once: it would take a slot from a request that somebody
+// waits for, which is how overload outlives its trigger.
+func (s *Server) Cancel(now time.Time, c call.Cancel) Effects {
+	var e Effects
+	if c.To != s.cfg.Self {
+		return e
+	}
+	// A cancel that overtook its call: the call must not run afterwards.
+	s.senders.Accept(c.From, c.Seq)
+	w := waiter{from: c.From, seq: c.Seq}
+	id, ok := s.byCall[w]
+	if !ok {
+		s.cancelParked(w, &e)
+		return e
+	}
+	s.counts.Canceled++
+	s.leave(now, s.tasks[id], &e)
+	return e
+}
+
+// leave ends a task whose own caller has gone, unless others joined it.
+func (s *Server) leave(now time.Time, t *Task, e *Effects) {
+	if t.Request.Key != "" && s.keys.Joined(t.Request.Key) > 0 {
+		return
+	}
+	if _, running := s.running[t.ID]; running {
+		e.Stop = append(e.Stop, t.ID)
+		return
+	}
+	if s.lone == t {
+		s.lone = nil
+	}
+	s.queue.Remove(t.ID)
+	s.finishUnstarted(t, verdict.Refuse(verdict.Canceled, "canceled before it started"), e)
+	s.pump(now, e)
+}
+
+// Tick drops expired work and what waits below the level; to be called every
+// few milliseconds.
+func (s *Server) Tick(now time.Time) Effects {
+	var e Effects
+	if s.cfg.Policy == PolicyFull {
+		for _, item := range s.queue.Shed(s.gate.Own(now)) {
+			s.shed(now, item.Value, &e)
+		}
+	}
+	s.expire(now, &e)
+	s.tickKeys(now, &e)
+	s.pump(now, &e)
+	return e
+}
+
+func (s *Server) expire(now time.Time, e *Effects) {
+	for _, item := range s.queue.Expire(now) {
+		s.counts.Expired++
+		s.observe(now, admission.Shed)
+		s.finishUnstarted(item.Value, verdict.Refuse(verdict.Deadline, "expired while waiting"), e)
+	}
+	if s.lone != nil && s.running[s.lone.ID] == nil && !now.Before(s.lone.Deadline) {
+		s.counts.Expired++
+		s.refuseLone(verdict.Deadline, e)
+	}
+}
+
+func (s *Server) refuseWaiting(now time.Time, reason verdict.Reason, e *Effects) {
+	s.expire(now, e)
+	for {
+		item, ok := s.queue.Pop(now)
+		if !ok {
+			break
+		}
+		err := verdict.Refuse(reason, "refused while waiting").After(s.cfg.RefuseRetryAfter)
+		s.finishUnstarted(item.Value, err, e)
+	}
+	s.refuseLone(reason, e)
+}
--- /dev/null
+++ b/serve/task.go
@@ -0,0 +1,77 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// waiter is one attempt that gets a task's answer. A task has its own and, when
+// callers sent the same key again while it was running, those that joined it.
+type waiter struct {
+	from wire.NodeID
+	seq  uint64
+}
+
+// Task is one request that this node has taken: it waits for its turn or runs
+// at the backend server.
+type Task struct {
+	ID        uint64
+	Request   call.Request
+	Operation *graph.Operation
+	Deadline  time.Time
+
+	waiter   waiter
+	priority uint16
+	class    uint32
+	// held is how long a resend with the same key stays safe.
+	held time.Duration
+	// alone says that nothing else may run beside it.
+	alone bool
+	// inFlight is the number of tasks that ran when this one began.
+	inFlight int
+	// calls is the number of calls of its own that it waits for, since
+	// waitSince; downstream is the time that it has waited for them.
+	calls      int
+	waitSince  time.Time
+	downstream time.Duration
+}
+
+// Result is what became of a task that was handed to the backend server.
+type Result struct {
+	Verdict verdict.Verdict
+	Reason  verdict.Reason
+	Detail  string
+	// RetryAfter is what the backend server proposed.
+	RetryAfter time.Duration
+	// Status, Header and Body are the backend server's answer; Status is
+	// zero when there was none.
+	Status int
+	Header []call.Field
+	Body   []byte
+	// Latency is from the hand-over to the answer.
+	Latency time.Duration
+	// Crashed says that the backend server's process ended while the task
+	// ran there.
+	Crashed bool
+	// Unused is what is left of the request's grant of extra attempts.
+	Unused uint32
+}
+
+// Effects are what the shell has to do after an event, in this order.
+type Effects struct {
+	// Notices go to all nodes of this node's service.
+	Notices []poison.Notice
+	// Stop lists running tasks that nobody waits for any more.
+	Stop []uint64
+	// Start lists tasks to hand to the backend server now.
+	Start []*Task
+	// Replies are to be sent to their To.
+	Replies []call.Reply
+}
+
+func (e *Effects) reply(r call.Reply) { e.Replies = append(e.Replies, r) }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -39,6 +39,7 @@
 // use.
 type Conn struct {
 	peer   Hello
+	dialed string
 	ws     *websocket.Conn
 	out    chan outgoing
 	done   chan struct{}
@@ -63,6 +64,9 @@
 // Peer returns what the other end said of itself.
 func (c *Conn) Peer() Hello { return c.peer }
 
+// Dialed returns the address that this end dialled, empty if the peer did.
+func (c *Conn) Dialed() string { return c.dialed }
+
 // Done is closed when the connection has ended; no message is written and
 // none handed to the Handler after that.
 func (c *Conn) Done() <-chan struct{} { return c.done }
@@ -81,13 +85,19 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(data) > wire.MaxMessageBytes {
-		return nil, fmt.Errorf("message of %d bytes: at most %d", len(data), wire.MaxMessageBytes)
-	}
 	return c.enqueue(data)
 }
 
+// SendEncoded queues a frame made by wire.Encode.
+func (c *Conn) SendEncoded(data []byte) error {
+	_, err := c.enqueue(data)
+	return err
+}
+
 func (c *Conn) enqueue(data []byte) (*Delivery, error) {
+	if len(data) > wire.MaxMessageBytes {
+		return nil, fmt.Errorf("message of %d bytes: at most %d", len(data), wire.MaxMessageBytes)
+	}
 	select {
 	case <-c.done:
 		return nil, ErrClosed
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -26,6 +26,9 @@
 	Up(c *Conn)
 	// Down is called once when a connection has ended.
 	Down(c *Conn)
+	// Busy reports whether the peer waits for something: its connection is
+	// not closed as idle.
+	Busy(id wire.NodeID) bool
 }
 
 // Transport keeps the connections of one node.
@@ -147,7 +150,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", addr, err)
 	}
-	return t.open(ctx, ws, func() {})
+	return t.open(ctx, ws, addr, func() {})
 }
 
 // ServeHTTP takes a connection from a peer.
@@ -165,7 +168,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.DialTimeout)
 	defer cancel()
 	// open reports its own failures to the peer by closing the connection.
-	_, _ = t.open(ctx, ws, t.releaseInbound)
+	_, _ = t.open(ctx, ws, "", t.releaseInbound)
 }
 
 func (t *Transport) admitInbound() bool {
@@ -186,7 +189,7 @@
 
 // open exchanges the hellos and starts the connection's goroutines. ended is
 // called once when the connection has ended or was never opened.
-func (t *Transport) open(ctx context.Context, ws *websocket.Conn, ended func()) (*Conn, error) {
+func (t *Transport) open(ctx context.Context, ws *websocket.Conn, dialed string, ended func()) (*Conn, error) {
 	ws.SetReadLimit(wire.MaxMessageBytes)
 	peer, err := t.greet(ctx, ws)
 	if err != nil {
@@ -195,6 +198,7 @@
 		return nil, err
 	}
 	c := newConn(&t.cfg, ws, peer)
+	c.dialed = dialed
 	if !t.register(c) {
 		c.Close()
 		ended()
@@ -314,11 +318,21 @@
 }
 
 func (t *Transport) closeIdle(now time.Time) {
+	for _, c := range t.idle(now) {
+		if !t.handler.Busy(c.peer.ID) {
+			c.Close()
+		}
+	}
+}
+
+func (t *Transport) idle(now time.Time) []*Conn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var idle []*Conn
 	for c := range t.all {
 		if c.idle(now) {
-			c.Close()
+			idle = append(idle, c)
 		}
 	}
+	return idle
 }
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -29,6 +29,7 @@
 
 func (r *recorder) Handle(_ *Conn, f wire.Frame) { r.frames <- f }
 func (r *recorder) Up(*Conn)                     {}
+func (r *recorder) Busy(wire.NodeID) bool        { return false }
 func (r *recorder) Down(c *Conn)                 { r.down <- c.Peer().ID }
 
 type peer struct {
