balancer: leave stragglers after three slow answers, return after three probes

Probes are one in 50. Ruled out: a greater weight for new samples (one outlier would leave a healthy candidate) and a bound on wrong reported limits (two choices and the rest after a refusal already bound what a wrong limit draws), so it is gone.

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -99,7 +99,7 @@
 		if len(exclude) > 0 && slices.Contains(exclude, m.ID) {
 			continue
 		}
-		load := m.load(p.limits)
+		load := m.load(p.usualLimit)
 		p.pools[m.class(now, load)].add(m, m.share, load)
 	}
 }
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -27,8 +27,15 @@
 	// must exceed to be left as a straggler. Below 3 the usual spread of a
 	// healthy service is mistaken for one.
 	LeaveFactor float64
-	// ReturnFactor is the same for its return; the gap between the two keeps
-	// a candidate from changing to and fro.
+	// SlowRun latencies in a row above SlowRunFactor times the median are
+	// enough as well: a caller with few calls would need many seconds for
+	// its average to move.
+	SlowRun       int
+	SlowRunFactor float64
+	// FastRun probes in a row below ReturnFactor times the median let a
+	// straggler return; the gap between the factors keeps a candidate from
+	// changing to and fro.
+	FastRun      int
 	ReturnFactor float64
 	// LeaveGap is the least difference to the median, so that fast services
 	// are not judged by noise of the network.
@@ -42,7 +49,7 @@
 	EvaluateEvery time.Duration
 	// ProbeEvery and ProbePicks bound the probes of stragglers: at most one
 	// in each interval and one in so many picks. A probe is a real request:
-	// 1 in 64 costs 1.6% even if every probe comes too late.
+	// 1 in 50 costs 2% even if every probe comes too late.
 	ProbeEvery time.Duration
 	ProbePicks int
 	// MaxLeft ends the time as a straggler even without probes, for services
@@ -64,9 +71,6 @@
 	ReportFor time.Duration
 	// DefaultLimit is assumed while no candidate has reported a limit.
 	DefaultLimit int
-	// LimitSpread bounds a reported limit to so many times the median of
-	// those reported: a wrong one must not draw all calls.
-	LimitSpread float64
 }
 
 // DefaultConfig returns the defaults explained at Config.
@@ -78,19 +82,21 @@
 		ReturnRamp:    2 * time.Second,
 		MinShare:      0.05,
 		LeaveFactor:   3,
+		SlowRun:       3,
+		SlowRunFactor: 6,
+		FastRun:       3,
 		ReturnFactor:  1.7,
 		LeaveGap:      5 * time.Millisecond,
 		LeaveShare:    1.0 / 3,
 		MinSamples:    8,
 		EvaluateEvery: 100 * time.Millisecond,
 		ProbeEvery:    200 * time.Millisecond,
-		ProbePicks:    64,
+		ProbePicks:    50,
 		MaxLeft:       30 * time.Second,
 		EjectBase:     500 * time.Millisecond,
 		EjectMax:      10 * time.Second,
 		RefusedFor:    100 * time.Millisecond,
 		ReportFor:     time.Second,
 		DefaultLimit:  32,
-		LimitSpread:   4,
 	}
 }
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -55,7 +55,7 @@
 }
 
 func (p *Picker) dumpMember(now time.Time, m *member) MemberDump {
-	load := m.load(p.limits)
+	load := m.load(p.usualLimit)
 	c := m.class(now, load)
 	d := MemberDump{
 		ID:         m.ID,
--- a/balancer/member.go
+++ b/balancer/member.go
@@ -13,8 +13,6 @@
 	// factor of 1.5 only, and a mix of short and long operations does not
 	// make it jump between the two as a median of few samples would.
 	latencyWeight = 1.0 / 16
-	// probeWeight is used while a candidate is left: probes are few.
-	probeWeight = 1.0 / 4
 	// minLatency keeps the logarithm finite.
 	minLatency = time.Microsecond
 )
@@ -42,6 +40,10 @@
 
 	logLatency float64
 	samples    int
+	// slowRun and fastRun count the latest latencies in a row above the bar
+	// for leaving and below the one for returning.
+	slowRun int
+	fastRun int
 
 	rampFrom time.Time
 	ramp     time.Duration
@@ -63,13 +65,7 @@
 	if atLeast && sample <= m.logLatency {
 		return
 	}
-	weight := latencyWeight
-	if m.left {
-		weight = probeWeight
-	}
-	if m.samples < int(1/latencyWeight) {
-		weight = max(weight, 1/float64(m.samples+1))
-	}
+	weight := max(latencyWeight, 1/float64(m.samples+1))
 	m.logLatency += weight * (sample - m.logLatency)
 	m.samples++
 }
@@ -87,8 +83,12 @@
 
 // load estimates the calls in flight at the candidate relative to its limit:
 // the own ones exactly, the others as last reported and fading.
-func (m *member) load(limits limits) float64 {
-	return (float64(m.inFlight) + m.others*m.fresh) / limits.bound(m.limit)
+func (m *member) load(usualLimit float64) float64 {
+	limit := m.limit
+	if limit == 0 {
+		limit = usualLimit
+	}
+	return (float64(m.inFlight) + m.others*m.fresh) / limit
 }
 
 // age brings up to date what changes with time.
@@ -133,18 +133,6 @@
 	return now.Before(m.ejectedUntil) || m.inFlight > 0
 }
 
-// limits makes the reported limits comparable.
-type limits struct {
-	low, high, unknown float64
-}
-
-func (l limits) bound(limit float64) float64 {
-	if limit == 0 {
-		return l.unknown
-	}
-	return min(max(limit, l.low), l.high)
-}
-
 // Candidate is one node that may take calls for the service.
 type Candidate struct {
 	ID         wire.NodeID
--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -51,6 +51,8 @@
 	servers []*server
 	senders []chooser
 	running jobs
+	done    int
+	latency time.Duration // of all that are done
 }
 
 func newModel(seed uint64, servers int) *model {
@@ -126,6 +128,8 @@
 		j := heap.Pop(&m.running).(*job)
 		m.now = j.ends
 		j.at.running--
+		m.latency += m.now.Sub(j.arrived)
+		m.done++
 		m.start(j.at)
 		load := j.at.running + len(j.at.queue)
 		j.from.Done(m.now, j.at.id, Result{Latency: m.now.Sub(j.arrived), Outcome: j.at.outcome, InFlight: load, Limit: j.at.slots})
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -51,7 +51,7 @@
 	known  int
 
 	median      float64
-	limits      limits
+	usualLimit  float64
 	evaluatedAt time.Time
 	leftNow     int
 	sinceProbe  int
@@ -138,7 +138,7 @@
 	switch r.Outcome {
 	case Success:
 		m.failures = 0
-		m.measure(r.Latency, false)
+		p.measure(m, r.Latency, false)
 	case Refused:
 		m.failures = 0
 		m.refused = true
@@ -147,7 +147,7 @@
 	case Failed:
 		p.eject(now, m)
 	case Abandoned:
-		m.measure(r.Latency, true)
+		p.measure(m, r.Latency, true)
 	}
 	if !m.active && m.inFlight == 0 {
 		delete(p.members, id)
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -17,7 +17,7 @@
 
 func node(i int) wire.NodeID { return wire.NodeID{byte(i), byte(i >> 8), 1} }
 
-// One of five backend servers becomes 20 times slower. With round robin every
+// One of five backend servers becomes 20 (or 4) times slower. With round robin every
 // fifth caller waits for it; with a Picker it is left after its first slow
 // answers and gets probes only. When it recovers the probes show it and it
 // gets its part again.
@@ -25,13 +25,14 @@
 	proptest.Check(t, func(t *rapid.T) {
 		m := newModel(rapid.Uint64().Draw(t, "seed"), 5)
 		slow := rapid.IntRange(0, 4).Draw(t, "slow")
-		m.addPickers(rapid.IntRange(1, 3).Draw(t, "senders"))
+		m.addPickers(rapid.IntRange(1, 20).Draw(t, "senders"))
 		is := is.New(t)
 		is.True(m.run(1000, 2*time.Second)[slow] > 0.1) // before
-		m.servers[slow].service *= 20
-		m.run(1000, time.Second)
+		factor := rapid.SampledFrom([]time.Duration{4, 20}).Draw(t, "factor")
+		m.servers[slow].service *= factor
+		m.run(1000, 30*time.Second/factor)
 		is.True(m.run(1000, 4*time.Second)[slow] <= 0.03) // left
-		m.servers[slow].service /= 20
+		m.servers[slow].service /= factor
 		m.run(1000, 8*time.Second)
 		is.True(m.run(1000, 2*time.Second)[slow] > 0.1) // back
 
@@ -55,12 +56,18 @@
 		for range 10 {
 			m.run(300, 300*time.Millisecond)
 			left := 0
+			var others []wire.NodeID
 			for _, d := range m.senders[0].(*Picker).Dump(m.now).Members {
 				if d.Straggler {
 					left++
+				} else {
+					others = append(others, d.ID)
 				}
 			}
-			is.New(t).True(left <= len(m.servers)/3)
+			_, ok := m.senders[0].Pick(m.now, others)
+			is := is.New(t)
+			is.True(left <= len(m.servers)/3)
+			is.Equal(ok, left > 0) // better than nothing
 		}
 	})
 }
@@ -100,18 +107,66 @@
 
 // A backend server refuses (or loses) every call at once, so it never has calls
 // in flight and looks the least loaded. Least in flight would send it nearly
-// everything; a Picker lets it rest.
+// everything; a Picker lets it rest. One that never answers is left as well,
+// though all that is known of it is how long its callers waited.
 func TestFastFailureDrawsNoCalls(t *testing.T) {
-	for _, outcome := range []Outcome{Refused, Failed} {
+	for _, outcome := range []Outcome{Refused, Failed, Abandoned} {
 		m := newModel(1, 5)
 		m.addPickers(1)
 		m.servers[2].service = 50 * time.Microsecond
+		if outcome == Abandoned {
+			m.servers[2].service = time.Second
+		}
 		m.servers[2].outcome = outcome
 		m.run(1000, time.Second)
 		is.New(t).True(m.run(1000, 4*time.Second)[2] < 0.02)
 	}
 }
 
+// Twenty callers load a service near its capacity, of which one backend server
+// has a fifth of the slots of the others. Each caller has few calls in flight
+// and would overrun the small one if it looked at those alone; the load that
+// comes back with the answers shows what the others do.
+func TestSmallServerGetsItsPart(t *testing.T) {
+	m := newModel(1, 5)
+	m.servers[0].slots = 4
+	m.addPickers(20)
+	is := is.New(t)
+	is.True(m.run(4000, 3*time.Second)[0] < 0.08) // 4 of 84 slots
+	m.done, m.latency = 0, 0
+	m.run(8000, 3*time.Second)                                     // of 8400
+	is.True(m.latency/time.Duration(m.done) < 13*time.Millisecond) // 10 of service
+}
+
+// Ten calls in flight are lost together with their backend server. That is one
+// failure, so the rest is short; after it one call tries the candidate, not all
+// that wait, and its answer brings the others back.
+func TestLostTogetherThenTriedOnce(t *testing.T) {
+	is := is.New(t)
+	p := New(DefaultConfig(), node(99), "a", rand.NewPCG(1, 1))
+	p.Update(start, []Candidate{{ID: node(1)}, {ID: node(2)}})
+	others := []wire.NodeID{node(2)}
+	for range 10 {
+		p.Pick(start, others)
+	}
+	for range 10 {
+		p.Done(start, node(1), Result{Outcome: Failed})
+	}
+	picked := func(now time.Time) (n int) {
+		for range 20 {
+			if id, _ := p.Pick(now, nil); id == node(1) {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(picked(start.Add(200*time.Millisecond)), 0)
+	later := start.Add(800 * time.Millisecond)
+	is.Equal(picked(later), 1)
+	p.Done(later, node(1), Result{Outcome: Success, Latency: time.Millisecond})
+	is.True(picked(later) > 5)
+}
+
 // The callers' own data centre is used while it has room; its overload spills
 // over, its loss moves all calls, and its return takes them back.
 func TestOwnDataCentreFirst(t *testing.T) {
@@ -140,6 +195,10 @@
 	p.Update(start, all)
 	p.Done(start, node(1), Result{})
 	is.Equal(picked(1), 0)
+	p = New(DefaultConfig(), node(99), "a", rand.NewPCG(1, 1))
+	all[0].Since = start
+	p.Update(start, []Candidate{all[0], all[2]})
+	is.True(picked(20) > 15) // the only one here is cold
 }
 
 // A Picker against an oracle that knows which candidates are in use and counts
@@ -151,6 +210,7 @@
 		is := is.New(t)
 		cfg := DefaultConfig()
 		cfg.Subset, cfg.SubsetRemote = 6, 2
+		cfg.MinSamples, cfg.LeaveGap = 2, 0
 		p := New(cfg, node(99), "a", rand.NewPCG(1, 1))
 		now := start
 		var view []wire.NodeID
@@ -187,7 +247,7 @@
 				}
 				i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "call")
 				p.Done(now, inFlight[i], Result{
-					Latency:  time.Duration(rapid.Int64Range(-1, 1e10).Draw(t, "latency")),
+					Latency:  rapid.SampledFrom([]time.Duration{-1, time.Millisecond, 2 * time.Millisecond, time.Minute}).Draw(t, "latency"),
 					Outcome:  Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")),
 					InFlight: rapid.IntRange(-1, 1e6).Draw(t, "load"),
 					Limit:    rapid.IntRange(-1, 1e6).Draw(t, "limit"),
--- a/balancer/straggler.go
+++ b/balancer/straggler.go
@@ -9,7 +9,7 @@
 // usual limit is.
 func (p *Picker) evaluate(now time.Time) {
 	p.evaluatedAt = now
-	p.limits = p.comparableLimits()
+	p.usualLimit = p.medianLimit()
 	p.median = p.medianLatency()
 	p.recover(now)
 	p.leave(now)
@@ -24,12 +24,12 @@
 	})
 }
 
-func (p *Picker) comparableLimits() limits {
+func (p *Picker) medianLimit() float64 {
 	usual := p.medianOf(func(m *member) (float64, bool) { return m.limit, m.limit > 0 })
 	if usual == 0 {
-		usual = float64(p.cfg.DefaultLimit)
+		return float64(p.cfg.DefaultLimit)
 	}
-	return limits{low: 1, high: usual * p.cfg.LimitSpread, unknown: usual}
+	return usual
 }
 
 // medianOf returns the lower median of what value gives for the candidates,
@@ -56,7 +56,7 @@
 		if !m.left {
 			continue
 		}
-		if m.latency() > p.bar(p.cfg.ReturnFactor) && now.Sub(m.leftSince) < p.cfg.MaxLeft {
+		if m.fastRun < p.cfg.FastRun && now.Sub(m.leftSince) < p.cfg.MaxLeft {
 			p.leftNow++
 			continue
 		}
@@ -71,6 +71,7 @@
 func (p *Picker) takeBack(now time.Time, m *member) {
 	m.left = false
 	m.samples = 0
+	m.slowRun = 0
 	m.startRamp(now, p.cfg.ReturnRamp)
 	p.counters.Returns++
 }
@@ -91,10 +92,11 @@
 func (p *Picker) leave(now time.Time) {
 	for p.leftNow < p.mayLeave() {
 		m := p.slowest(now)
-		if m == nil || m.latency() <= p.bar(p.cfg.LeaveFactor) {
+		if m == nil {
 			return
 		}
 		m.left = true
+		m.fastRun = 0
 		m.leftSince = now
 		m.probedAt = now
 		p.leftNow++
@@ -105,7 +107,7 @@
 func (p *Picker) slowest(now time.Time) *member {
 	var worst *member
 	for _, m := range p.active {
-		if m.left || m.samples < p.cfg.MinSamples || now.Sub(m.rampFrom) < m.ramp {
+		if m.left || now.Sub(m.rampFrom) < m.ramp || !p.straggles(m) {
 			continue
 		}
 		if worst == nil || m.logLatency > worst.logLatency {
@@ -115,11 +117,37 @@
 	return worst
 }
 
+func (p *Picker) straggles(m *member) bool {
+	if m.slowRun >= p.cfg.SlowRun {
+		return true
+	}
+	return m.samples >= p.cfg.MinSamples && m.latency() > p.bar(p.cfg.LeaveFactor)
+}
+
 // mayLeave bounds the stragglers left at one time: never all of a service.
 func (p *Picker) mayLeave() int {
 	return int(float64(len(p.active)) * p.cfg.LeaveShare)
 }
 
+// measure takes a latency in; atLeast says that the call ended without an
+// answer and would have taken longer.
+func (p *Picker) measure(m *member, d time.Duration, atLeast bool) {
+	m.measure(d, atLeast)
+	latency := float64(d)
+	switch {
+	case p.median == 0:
+	case latency > p.bar(p.cfg.SlowRunFactor):
+		m.slowRun++
+		m.fastRun = 0
+	case atLeast:
+	case latency <= p.bar(p.cfg.ReturnFactor):
+		m.fastRun++
+		m.slowRun = 0
+	default:
+		m.slowRun, m.fastRun = 0, 0
+	}
+}
+
 // bar is the latency above which a candidate is a straggler.
 func (p *Picker) bar(factor float64) float64 {
 	return max(p.median*factor, p.median+float64(p.cfg.LeaveGap))
