graph: name the section of a problem for others; say a long text is long

Needed: the operators' command shows a problem of a section at its line in the operator's file, so it must know how a section is named. A file is read only up to the limit, so its size is not known beyond it.

Ruled out: reading a file of any size to report its size.

Conclusion: SectionFile is exported; the message names the limit alone.

--- a/graph/assemble.go
+++ b/graph/assemble.go
@@ -78,7 +78,7 @@
 	files := make([]string, 0, len(sections))
 	decoded := make(map[Section]serviceDecl, len(sections))
 	for _, s := range sections {
-		files = append(files, sectionFile(s.Service))
+		files = append(files, SectionFile(s.Service))
 		decl, ok := a.decoded[s]
 		if !ok {
 			var problems Problems
@@ -97,7 +97,7 @@
 }
 
 func decodeSection(s Section) (serviceDecl, Problems) {
-	file := sectionFile(s.Service)
+	file := SectionFile(s.Service)
 	src, ps := readSource(file, []byte(s.Text), MaxSectionBytes)
 	if len(ps) > 0 {
 		return serviceDecl{}, ps
@@ -126,7 +126,8 @@
 	}
 }
 
-func sectionFile(service string) string { return "section " + service }
+// SectionFile is the File of a problem that lies in the section of a service.
+func SectionFile(service string) string { return "section " + service }
 
 func textBytes(sections []Section) int {
 	n := 0
--- a/graph/syntax.go
+++ b/graph/syntax.go
@@ -24,8 +24,7 @@
 func readSource(file string, text []byte, limit int) (source, Problems) {
 	var ps Problems
 	if len(text) > limit {
-		ps.add(file, 1, fmt.Sprintf("keep it below %d bytes; is it the right file?", limit),
-			"the text has %d bytes, the limit is %d", len(text), limit)
+		ps.add(file, 1, "shorten it; is it the right file?", "the text is longer than %d bytes", limit)
 		return source{}, ps
 	}
 	tokens, _ := hclsyntax.LexConfig(text, file, hcl.InitialPos)
