--- /dev/null
+++ b/config/oracle_test.go
@@ -0,0 +1,112 @@
+package config
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/platform"
+)
+
+// testAssemble stands for the graph's rules: a text is "bad", or "needs X"
+// of another section, or fine. No sections at all are refused.
+func testAssemble(sections []graph.Section) (*graph.Graph, graph.Problems) {
+	exists := map[string]bool{}
+	for _, s := range sections {
+		exists[s.Service] = true
+	}
+	ok := len(sections) > 0
+	for _, s := range sections {
+		if needed, found := strings.CutPrefix(s.Text, "needs "); found {
+			ok = ok && exists[needed]
+		}
+		ok = ok && s.Text != "bad"
+	}
+	if !ok {
+		return nil, graph.Problems{{Cause: "refused"}}
+	}
+	return &graph.Graph{}, nil
+}
+
+type oracleSection struct {
+	text    string
+	version uint64
+}
+
+// oracle folds the whole untrimmed history into maps and judges by the rules as
+// they are documented.
+type oracle struct {
+	sections map[string]oracleSection
+	verdicts map[string]uint64 // version of each publication's first copy
+	floor    uint64
+	// prefixes are the sections as of each offset.
+	prefixes []map[string]oracleSection
+}
+
+func newOracle() *oracle {
+	return &oracle{
+		sections: map[string]oracleSection{},
+		verdicts: map[string]uint64{},
+		prefixes: []map[string]oracleSection{{}},
+	}
+}
+
+func (o *oracle) foldAll(history []platform.Record) {
+	for _, r := range history[len(o.prefixes)-1:] {
+		if rec, err := decodeRecord(r.Data); err == nil && rec.Publication != nil {
+			o.fold(r.Offset, rec.Publication)
+		}
+		o.prefixes = append(o.prefixes, maps.Clone(o.sections))
+	}
+}
+
+func (o *oracle) fold(offset uint64, p *Publication) {
+	if first, known := o.verdicts[p.ID]; known && first+memory > offset && !p.Whole {
+		return
+	}
+	next := maps.Clone(o.sections)
+	accepted := offset >= p.ReadTo && offset-p.ReadTo <= memory && p.ReadTo >= o.floor
+	if p.Whole {
+		clear(next)
+		accepted = offset == p.ReadTo
+	}
+	var sections []graph.Section
+	for _, c := range p.Sections {
+		accepted = accepted && (p.Whole || next[c.Service].version == c.Base)
+		next[c.Service] = oracleSection{c.Text, offset + 1}
+		if c.Delete {
+			delete(next, c.Service)
+		}
+	}
+	for service, s := range next {
+		sections = append(sections, graph.Section{Service: service, Text: s.text})
+	}
+	if accepted {
+		_, problems := testAssemble(sections)
+		accepted = len(problems) == 0
+	}
+	if accepted {
+		o.sections = next
+	}
+	if accepted && p.Whole {
+		o.floor = offset + 1
+		clear(o.verdicts) // a writer who has read the replacement starts anew
+	}
+	o.verdicts[p.ID] = offset + 1
+}
+
+// position finds the first offset at or after from as of which the sections
+// are the accepted ones.
+func (o *oracle) position(from uint64, sections []Section) (uint64, error) {
+	have := make(map[string]oracleSection, len(sections))
+	for _, s := range sections {
+		have[s.Service] = oracleSection{s.Text, s.Version}
+	}
+	for i := from; i < uint64(len(o.prefixes)); i++ {
+		if maps.Equal(o.prefixes[i], have) {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("%v in force, not an accepted state as of %d or later", have, from)
+}
