operator: check, diff, publish, status, dump and explain for operators

Needed: a command from which an operator learns what a text would change, at which version it was accepted or who won the race, where it is in force and how many nodes could not be asked, and why a request was refused.

Ruled out: taking services out that a file does not have. A file of one service would remove all others, so a removal has to be named. Ruled out too: calling a lost answer a failure.

Conclusion: the logic is in package operator and tested against the nodes' own operators' interface and the log's fake; the command parses and calls.

--- /dev/null
+++ b/cmd/cassialoom/options.go
@@ -0,0 +1,190 @@
+package main
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/operator"
+)
+
+const longDescription = `cassialoom checks and publishes the text that declares your services, and asks the ` +
+	`nodes what they run and why they decided as they did.
+
+First steps:
+  cassialoom check graph.hcl                       is the text right?
+  cassialoom --log-url URL diff graph.hcl          what would change?
+  cassialoom --log-url URL publish graph.hcl       put it in force
+  cassialoom --node IP:PORT status                 is it in force everywhere?
+  cassialoom --node IP:PORT explain REQUEST-ID     why was this request refused?
+
+Exit codes: 0 done, 1 refused (problems in the text, a lost race, nothing found), ` +
+	`2 wrong usage, 3 not carried out or outcome not known.`
+
+type options struct {
+	LogURL  string        `long:"log-url" env:"CASSIALOOM_LOG_URL" value-name:"URL" description:"platform's log service, http://IP:PORT; for diff and publish, and for status if given"`
+	Nodes   []string      `long:"node" env:"CASSIALOOM_NODE" env-delim:"," value-name:"IP:PORT" description:"operators' address of any one node, for status and explain; it leads to all others (repeatable; commas in the variable)"`
+	Timeout time.Duration `long:"timeout" env:"CASSIALOOM_TIMEOUT" value-name:"DURATION" default:"30s" description:"longest time for the whole command"`
+
+	Check   checkCommand   `command:"check" description:"check a graph text: file, line, cause and remedy of each problem"`
+	Diff    diffCommand    `command:"diff" description:"show what publishing a graph text would change"`
+	Publish publishCommand `command:"publish" description:"publish the services of a graph text that changed"`
+	Status  statusCommand  `command:"status" description:"show which version is in force where"`
+	Dump    dumpCommand    `command:"dump" description:"print the state of one node as JSON"`
+	Explain explainCommand `command:"explain" description:"ask every node what it decided about a request"`
+}
+
+type fileArgument struct {
+	File string `positional-arg-name:"FILE" description:"graph text in HCL"`
+}
+
+type checkCommand struct {
+	Args fileArgument `positional-args:"yes" required:"yes"`
+}
+
+type diffCommand struct {
+	Delete []string     `long:"delete" value-name:"SERVICE" description:"take this service out (repeatable); one that is only missing in the file is kept"`
+	Args   fileArgument `positional-args:"yes" required:"yes"`
+}
+
+type publishCommand struct {
+	Operator string       `long:"operator" env:"CASSIALOOM_OPERATOR" value-name:"NAME" description:"your name, shown to others (default: the user's name)"`
+	Delete   []string     `long:"delete" value-name:"SERVICE" description:"take this service out (repeatable); one that is only missing in the file is kept"`
+	ID       string       `long:"id" value-name:"ID" description:"id of an earlier publication whose outcome is not known; it cannot count twice"`
+	Whole    bool         `long:"whole" description:"replace everything in force by the file, whatever it is: the way out when the log has lost what is in force"`
+	Args     fileArgument `positional-args:"yes" required:"yes"`
+}
+
+type statusCommand struct{}
+
+type dumpCommand struct {
+	Args struct {
+		Addr string `positional-arg-name:"ADDR" description:"operators' address of the node, IP:PORT"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type explainCommand struct {
+	Args struct {
+		ID string `positional-arg-name:"REQUEST-ID" description:"value of the request's Cassialoom-Request-Id"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+// command is a subcommand with its arguments.
+type command interface {
+	run(ctx context.Context, o *operator.Operator) error
+}
+
+func (c checkCommand) run(_ context.Context, o *operator.Operator) error {
+	text, err := readText(c.Args.File)
+	if err != nil {
+		return err
+	}
+	return o.Check(text)
+}
+
+func (c diffCommand) run(ctx context.Context, o *operator.Operator) error {
+	text, err := readText(c.Args.File)
+	if err != nil {
+		return err
+	}
+	return o.Diff(ctx, text, c.Delete)
+}
+
+func (c publishCommand) run(ctx context.Context, o *operator.Operator) error {
+	text, err := readText(c.Args.File)
+	if err != nil {
+		return err
+	}
+	return o.Publish(ctx, operator.Publication{
+		Text:     text,
+		Operator: cmp.Or(c.Operator, os.Getenv("USER"), "unknown"),
+		Delete:   c.Delete,
+		ID:       c.ID,
+		Whole:    c.Whole,
+	})
+}
+
+func (statusCommand) run(ctx context.Context, o *operator.Operator) error { return o.Status(ctx) }
+
+func (c dumpCommand) run(ctx context.Context, o *operator.Operator) error {
+	return o.Dump(ctx, c.Args.Addr)
+}
+
+func (c explainCommand) run(ctx context.Context, o *operator.Operator) error {
+	return o.Explain(ctx, c.Args.ID)
+}
+
+func (o *options) command(name string) command {
+	return map[string]command{
+		"check":   o.Check,
+		"diff":    o.Diff,
+		"publish": o.Publish,
+		"status":  o.Status,
+		"dump":    o.Dump,
+		"explain": o.Explain,
+	}[name]
+}
+
+func parse(ctx context.Context, o *options, args []string, stdout, stderr io.Writer) int {
+	p := flags.NewParser(o, flags.HelpFlag|flags.PassDoubleDash)
+	p.Name = "cassialoom"
+	p.LongDescription = longDescription
+	rest, err := p.ParseArgs(args)
+	if flags.WroteHelp(err) {
+		fmt.Fprintln(stdout, err)
+		return operator.ExitOK
+	}
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "cassialoom: %v; see --help\n", explainError(err))
+		return operator.ExitUsage
+	}
+	err = o.execute(ctx, p.Active.Name, stdout)
+	if err != nil {
+		fmt.Fprintf(stderr, "cassialoom %s: %v\n", p.Active.Name, err)
+	}
+	return operator.ExitCode(err)
+}
+
+// explainError adds what is allowed to an error of the parser, which names the
+// flag and the value; --timeout is the only flag that is more than text.
+func explainError(err error) error {
+	var e *flags.Error
+	if errors.As(err, &e) && e.Type == flags.ErrMarshal {
+		return fmt.Errorf("%w: want a duration such as 30s", err)
+	}
+	return err
+}
+
+func (o *options) execute(ctx context.Context, name string, stdout io.Writer) error {
+	settings := operator.Settings{LogURL: o.LogURL, Nodes: o.Nodes, Timeout: o.Timeout}
+	if err := settings.Check(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Timeout)
+	defer cancel()
+	return o.command(name).run(ctx, operator.FromSettings(settings, stdout))
+}
+
+// readText reads no more of a file than what is certain to be refused.
+func readText(name string) (operator.Text, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return operator.Text{}, fmt.Errorf("%w: %w", operator.ErrUsage, err)
+	}
+	defer f.Close()
+	data, err := io.ReadAll(io.LimitReader(f, graph.MaxTextBytes+1))
+	if err != nil {
+		return operator.Text{}, fmt.Errorf("%w: %w", operator.ErrUsage, err)
+	}
+	return operator.Text{Name: name, Data: data}, nil
+}
--- /dev/null
+++ b/operator/explain.go
@@ -0,0 +1,115 @@
+package operator
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"slices"
+	"text/tabwriter"
+
+	"github.com/cassialoom/cassialoom/explain"
+)
+
+// timeFormat has microseconds: the steps of a call are often closer than one
+// millisecond.
+const timeFormat = "15:04:05.000000"
+
+// decision is an event with the node that noted it.
+type decision struct {
+	explain.Event
+	member member
+}
+
+// Explain asks every node what it decided about a request and prints the
+// decisions in the order of time. Each time is that of its node's own clock:
+// only those of one node are certain to be in order.
+func (o *Operator) Explain(ctx context.Context, requestID string) error {
+	members, err := o.members(ctx)
+	if err != nil {
+		return err
+	}
+	answers := askAll[[]explain.Event](ctx, o, members, pathExplain+url.PathEscape(requestID))
+	decisions := merge(answers)
+	o.decisionTable(decisions)
+	failed := notAsked(o, answers)
+	if failed > 0 {
+		o.printf("%d of %d nodes could not be asked: what they decided is missing here\n", failed, len(members))
+	}
+	if len(decisions) > 0 {
+		return nil
+	}
+	if failed == len(members) {
+		return errors.New("no member could be asked")
+	}
+	return refused("none of the %d nodes that answered remembers request %q; each keeps only its latest decisions", len(members)-failed, requestID)
+}
+
+func merge(answers []answer[[]explain.Event]) []decision {
+	var all []decision
+	for _, a := range answers {
+		if a.err != nil {
+			continue
+		}
+		for _, e := range a.value {
+			all = append(all, decision{Event: e, member: a.member})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b decision) int {
+		return cmp.Or(a.Time.Compare(b.Time), bytes.Compare(a.member.ID[:], b.member.ID[:]))
+	})
+	return all
+}
+
+func (o *Operator) decisionTable(decisions []decision) {
+	if len(decisions) == 0 {
+		return
+	}
+	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "TIME (UTC)\tNODE\tAT\tABOUT\tSTEP\tREASON\tDETAIL")
+	for _, d := range decisions {
+		fmt.Fprintf(w, "%s\t%s\t%s/%s\t%s\t%s\t%s\t%s\n",
+			d.Time.UTC().Format(timeFormat), d.member.ID.Short(), d.member.DataCentre, d.member.Service,
+			about(d.Event), d.Step, cmp.Or(string(d.Reason), "-"), printable(d.Detail))
+	}
+	w.Flush()
+}
+
+func about(e explain.Event) string {
+	switch {
+	case e.Service == "":
+		return "-"
+	case e.Operation == "":
+		return e.Service
+	default:
+		return e.Service + "." + e.Operation
+	}
+}
+
+// printable quotes a text with control characters: parts of it come from
+// callers and must not steer the operator's terminal.
+func printable(s string) string {
+	for _, r := range s {
+		if r < ' ' || r == 0x7f || (r >= 0x80 && r < 0xa0) {
+			return fmt.Sprintf("%q", s)
+		}
+	}
+	return s
+}
+
+// Dump prints the state of the node at an operators' address.
+func (o *Operator) Dump(ctx context.Context, addr string) error {
+	body, err := o.get(ctx, addr, pathState)
+	if err != nil {
+		return err
+	}
+	var pretty bytes.Buffer
+	if err := json.Indent(&pretty, bytes.TrimSpace(body), "", "  "); err != nil {
+		return fmt.Errorf("ask %s: the state is not JSON: %w", addr, err)
+	}
+	o.printf("%s\n", pretty.Bytes())
+	return nil
+}
--- /dev/null
+++ b/operator/fleet.go
@@ -0,0 +1,170 @@
+package operator
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Paths of the nodes' operators' interface.
+const (
+	pathMembers = "/members"
+	pathVersion = "/version"
+	pathState   = "/state"
+	pathExplain = "/explain/"
+)
+
+const maxErrorBytes = 200 // of an error answer that are shown
+
+// member is a membership record as /members gives it: the state has its name.
+type member struct {
+	membership.Record
+	State string `json:"state"`
+}
+
+// answer is what one member said.
+type answer[T any] struct {
+	member member
+	value  T
+	err    error
+}
+
+// get asks one node for a path and returns the body.
+func (o *Operator) get(ctx context.Context, addr, path string) ([]byte, error) {
+	if err := checkAddr(addr); err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.cfg.AskTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", addr, err)
+	}
+	resp, err := o.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: %w", addr, err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, o.cfg.MaxAnswerBytes+1))
+	if err != nil {
+		return nil, fmt.Errorf("ask %s: read answer: %w", addr, err)
+	}
+	if int64(len(body)) > o.cfg.MaxAnswerBytes {
+		return nil, fmt.Errorf("ask %s: the answer has more than %d bytes", addr, o.cfg.MaxAnswerBytes)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("ask %s: status %d: %.*s", addr, resp.StatusCode, maxErrorBytes, bytes.TrimSpace(body))
+	}
+	return body, nil
+}
+
+// ask asks one node and decodes its answer.
+func ask[T any](ctx context.Context, o *Operator, addr, path string) (T, error) {
+	var v T
+	body, err := o.get(ctx, addr, path)
+	if err != nil {
+		return v, err
+	}
+	if err := json.Unmarshal(body, &v); err != nil {
+		return v, fmt.Errorf("ask %s: answer to %s: %w", addr, path, err)
+	}
+	return v, nil
+}
+
+// askAll asks all members at once, within the bound, and keeps their order.
+// That some do not answer is part of the report, not an error.
+func askAll[T any](ctx context.Context, o *Operator, members []member, path string) []answer[T] {
+	answers := make([]answer[T], len(members))
+	var g errgroup.Group
+	g.SetLimit(o.cfg.Concurrency)
+	for i, m := range members {
+		g.Go(func() error {
+			v, err := ask[T](ctx, o, m.OpsAddr, path)
+			answers[i] = answer[T]{member: m, value: v, err: err}
+			return nil
+		})
+	}
+	g.Wait() // the functions return no error
+	return answers
+}
+
+// members asks the given nodes who is there and unites their answers: nodes on
+// two sides of a cut know different members. Of two records of one member the
+// one with the higher incarnation is newer.
+func (o *Operator) members(ctx context.Context) ([]member, error) {
+	if len(o.nodes) == 0 {
+		return nil, usage("--node is not set: give the operators' address of any node")
+	}
+	byID := make(map[wire.NodeID]member)
+	var errs []error
+	for _, a := range o.askSeeds(ctx) {
+		if a.err != nil {
+			errs = append(errs, a.err)
+			continue
+		}
+		for _, m := range a.value {
+			if known, ok := byID[m.ID]; !ok || known.Incarnation < m.Incarnation {
+				byID[m.ID] = m
+			}
+		}
+	}
+	if len(errs) == len(o.nodes) {
+		return nil, fmt.Errorf("no node answered: %w", errors.Join(errs...))
+	}
+	for _, err := range errs {
+		o.printf("warning: %v\n", err)
+	}
+	return sortedMembers(byID), nil
+}
+
+func (o *Operator) askSeeds(ctx context.Context) []answer[[]member] {
+	seeds := make([]member, len(o.nodes))
+	for i, addr := range o.nodes {
+		seeds[i].OpsAddr = addr
+	}
+	return askAll[[]member](ctx, o, seeds, pathMembers)
+}
+
+func sortedMembers(byID map[wire.NodeID]member) []member {
+	members := make([]member, 0, len(byID))
+	for _, m := range byID {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b member) int {
+		return cmp.Or(
+			cmp.Compare(a.DataCentre, b.DataCentre),
+			cmp.Compare(a.Service, b.Service),
+			bytes.Compare(a.ID[:], b.ID[:]),
+		)
+	})
+	return members
+}
+
+// notAsked lists the members that gave no answer.
+func notAsked[T any](o *Operator, answers []answer[T]) int {
+	n := 0
+	for _, a := range answers {
+		if a.err == nil {
+			continue
+		}
+		n++
+		if n <= o.cfg.MaxListed {
+			o.printf("could not ask %s (%s, %s, %s): %v\n", a.member.ID.Short(), a.member.Service, a.member.DataCentre, a.member.State, a.err)
+		}
+	}
+	if n > o.cfg.MaxListed {
+		o.printf("could not ask %d more nodes\n", n-o.cfg.MaxListed)
+	}
+	return n
+}
--- /dev/null
+++ b/operator/fleet_test.go
@@ -0,0 +1,200 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/ops"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// fakeNode stands behind the operators' interface that the daemon serves, so
+// that its paths and its JSON are the real ones.
+type fakeNode struct {
+	record  membership.Record
+	version uint64
+	members *[]membership.Record
+	events  []explain.Event
+}
+
+func (n *fakeNode) Ready() (bool, string)        { return true, "" }
+func (n *fakeNode) State() any                   { return map[string]int{"queued": 3} }
+func (n *fakeNode) Members() []membership.Record { return *n.members }
+func (n *fakeNode) Drain()                       {}
+func (n *fakeNode) Version() ops.Version {
+	return ops.Version{Node: n.record.ID, Service: n.record.Service, DataCentre: n.record.DataCentre, Version: n.version, AgeMs: 1500}
+}
+
+func (n *fakeNode) Explain(id string) []explain.Event {
+	var found []explain.Event
+	for _, e := range n.events {
+		if e.RequestID == id {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// fleet is a few nodes that know each other.
+type fleet struct {
+	t       *testing.T
+	members []membership.Record
+}
+
+func (f *fleet) add(service, dataCentre string, version uint64, events ...explain.Event) string {
+	n := &fakeNode{version: version, members: &f.members, events: events}
+	n.record = membership.Record{ID: wire.NodeID{byte(len(f.members) + 1)}, Service: service, DataCentre: dataCentre}
+	return f.serve(n.record, ops.New(n, &ops.Counters{}))
+}
+
+func (f *fleet) serve(r membership.Record, h http.Handler) string {
+	srv := httptest.NewServer(h)
+	f.t.Cleanup(srv.Close)
+	r.OpsAddr = strings.TrimPrefix(srv.URL, "http://")
+	f.members = append(f.members, r)
+	return r.OpsAddr
+}
+
+// addBroken adds members that cannot be asked: one that closes the connection,
+// one that answers nonsense and one that is not there.
+func (f *fleet) addBroken() {
+	abort := func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+	f.serve(membership.Record{ID: wire.NodeID{0xa1}, Service: "fieldlog"}, http.HandlerFunc(abort))
+	nonsense := func(w http.ResponseWriter, _ *http.Request) { w.Write([]byte("<html>")) }
+	f.serve(membership.Record{ID: wire.NodeID{0xa2}, Service: "fieldlog"}, http.HandlerFunc(nonsense))
+	gone := httptest.NewServer(nil)
+	gone.Close()
+	f.members = append(f.members, membership.Record{ID: wire.NodeID{0xa3}, Service: "fieldlog", State: membership.Suspect,
+		OpsAddr: strings.TrimPrefix(gone.URL, "http://")})
+}
+
+// A frozen node keeps its port open and never answers. Without a bound on each
+// answer the command would hang on the one node that the operator looks for.
+func TestFrozenNodeIsReported(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{t: t}
+	frozen := func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	addr := f.serve(membership.Record{}, http.HandlerFunc(frozen))
+	s := newSession(nil, addr)
+	s.cfg.AskTimeout = 20 * time.Millisecond
+	err := s.Dump(context.Background(), addr)
+	is.Equal(ExitCode(err), ExitFailed)
+	is.True(errors.Is(err, context.DeadlineExceeded))
+}
+
+func TestStatusCountsVersionsAndSilentNodes(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{t: t}
+	addr := f.add("plumecast", "joensuu-hall", 7)
+	f.add("plumecast", "kuopio-hall", 7)
+	f.add("stationlog", "kuopio-hall", 5)
+	f.add("stationlog", "mikkeli-hall", 0)
+	f.addBroken()
+	s := newSession(nil, addr)
+	is.NoErr(s.Status(context.Background()))
+	is.True(s.said("version 7, newest at any node that answered, is in force at 2 of 7 nodes\n"))
+	is.True(s.said("7        2      1.5s         joensuu-hall: 1, kuopio-hall: 1\n"))
+	is.True(s.said("5        1 "))
+	is.True(s.said("none     1 "))
+	is.True(s.said("3 of 7 nodes could not be asked"))
+	is.True(s.said("could not ask a3000000 (fieldlog, , suspect)"))
+}
+
+// The log has accepted a newer version than any node runs. An operator who
+// only hears of the nodes would take the old one for the newest.
+func TestStatusComparesWithTheLog(t *testing.T) {
+	is := is.New(t)
+	log := newLog()
+	is.NoErr(newSession(log).publish(stationlog, nil))
+	is.NoErr(newSession(log).publish(stationlog+"# more\n", nil))
+	f := &fleet{t: t}
+	s := newSession(log, f.add("stationlog", "kuopio-hall", 1))
+	is.NoErr(s.Status(context.Background()))
+	is.True(s.said("version 2, accepted in the log, is in force at 0 of 1 nodes\n"))
+}
+
+// Two nodes on both sides of a cut know different members. A command that
+// asked only one of them would leave half of the nodes out of the report and
+// call it complete.
+func TestMembersOfSeveralNodesAreUnited(t *testing.T) {
+	is := is.New(t)
+	east, west := &fleet{t: t}, &fleet{t: t}
+	a := east.add("plumecast", "joensuu-hall", 7)
+	west.members = append(west.members, east.members[0])
+	west.members[0].State = membership.Suspect
+	b := west.add("plumecast", "kuopio-hall", 7)
+	east.members[0].Incarnation = 1 // newer than what the other side knows
+	s := newSession(nil, a, b)
+	members, err := s.members(context.Background())
+	is.NoErr(err)
+	is.Equal(len(members), 2)
+	is.Equal(members[0].State, "alive")
+}
+
+func TestNoNodeAnswers(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{t: t}
+	f.addBroken()
+	err := newSession(nil, f.members[2].OpsAddr).Status(context.Background())
+	is.Equal(ExitCode(err), ExitFailed)
+	is.Equal(ExitCode(newSession(nil).Status(context.Background())), ExitUsage)
+	is.Equal(ExitCode(newSession(nil, "localhost:1").Status(context.Background())), ExitUsage)
+}
+
+func TestExplainMergesAllNodes(t *testing.T) {
+	is := is.New(t)
+	at := time.Date(2026, 7, 1, 12, 0, 0, 0, time.UTC)
+	event := func(ms int, id string, step explain.Step, reason verdict.Reason, detail string) explain.Event {
+		return explain.Event{Time: at.Add(time.Duration(ms) * time.Millisecond), RequestID: id, Service: "stationlog", Operation: "history", Step: step, Reason: reason, Detail: detail}
+	}
+	f := &fleet{t: t}
+	addr := f.add("plumecast", "joensuu-hall", 7, event(0, "r:1", explain.Sent, "", ""), event(9, "r:1", explain.Retried, verdict.Shed, "\x1b[2J"), event(9, "r:2", explain.Sent, "", ""))
+	f.add("stationlog", "kuopio-hall", 7, event(5, "r:1", explain.Shed, verdict.Shed, "level 700"))
+	f.addBroken()
+	s := newSession(nil, addr)
+	is.NoErr(s.Explain(context.Background(), "r:1"))
+	lines := strings.Split(s.out.String(), "\n")
+	is.Equal(strings.Fields(lines[1]), strings.Fields("12:00:00.000000 01000000 joensuu-hall/plumecast stationlog.history sent -"))
+	is.Equal(strings.Fields(lines[2]), strings.Fields("12:00:00.005000 02000000 kuopio-hall/stationlog stationlog.history shed shed level 700"))
+	is.True(strings.HasSuffix(lines[3], `retried  shed    "\x1b[2J"`)) // not for the terminal
+	is.True(s.said("3 of 5 nodes could not be asked"))
+
+	err := s.Explain(context.Background(), "r:3")
+	is.Equal(ExitCode(err), ExitRefused)
+	is.True(strings.Contains(err.Error(), "none of the 2 nodes that answered"))
+}
+
+func TestDump(t *testing.T) {
+	is := is.New(t)
+	f := &fleet{t: t}
+	s := newSession(nil)
+	is.NoErr(s.Dump(context.Background(), f.add("plumecast", "joensuu-hall", 7)))
+	is.Equal(s.out.String(), "{\n  \"queued\": 3\n}\n")
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	is := is.New(t)
+	good := Settings{LogURL: "http://127.0.0.1:9/log", Nodes: []string{"127.0.0.1:7403", "[::1]:7403"}, Timeout: time.Second}
+	is.NoErr(good.Check())
+	for setting, change := range map[string]func(*Settings){
+		"--log-url": func(s *Settings) { s.LogURL = "log.example:80" },
+		"--node":    func(s *Settings) { s.Nodes = []string{"127.0.0.1"} },
+		"--timeout": func(s *Settings) { s.Timeout = 0 },
+	} {
+		bad := good
+		change(&bad)
+		err := bad.Check()
+		is.Equal(ExitCode(err), ExitUsage)
+		is.True(strings.Contains(err.Error(), setting))
+	}
+}
--- /dev/null
+++ b/operator/settings.go
@@ -0,0 +1,68 @@
+package operator
+
+import (
+	"io"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/cassialoom/cassialoom/platform"
+)
+
+const (
+	minTimeout = 100 * time.Millisecond
+	maxTimeout = time.Hour
+)
+
+// Settings of the command, as they come from flags and the environment.
+type Settings struct {
+	LogURL  string
+	Nodes   []string
+	Timeout time.Duration
+}
+
+// Check returns an error that names the first setting that is wrong, its value
+// and what is allowed.
+func (s Settings) Check() error {
+	if s.LogURL != "" && !isLogURL(s.LogURL) {
+		return usage("setting --log-url: %q: want http://IP:PORT with an IP number", s.LogURL)
+	}
+	for _, addr := range s.Nodes {
+		if !isAddr(addr) {
+			return usage("setting --node: %q: want IP:PORT with an IP number, such as 10.0.0.7:7403", addr)
+		}
+	}
+	if s.Timeout < minTimeout || s.Timeout > maxTimeout {
+		return usage("setting --timeout: %q: want a duration from %v to %v", s.Timeout, minTimeout, maxTimeout)
+	}
+	return nil
+}
+
+// FromSettings returns an Operator for checked settings.
+func FromSettings(s Settings, out io.Writer) *Operator {
+	var log platform.Log
+	if s.LogURL != "" {
+		log = platform.NewHTTP(s.LogURL, nil)
+	}
+	return New(DefaultConfig(), out, log, s.Nodes)
+}
+
+func isAddr(addr string) bool {
+	ap, err := netip.ParseAddrPort(addr)
+	return err == nil && ap.Port() > 0
+}
+
+func isLogURL(text string) bool {
+	u, err := url.Parse(text)
+	if err != nil || u.Scheme != "http" || !isAddr(u.Host) {
+		return false
+	}
+	return u.User == nil && u.RawQuery == "" && u.Fragment == ""
+}
+
+func checkAddr(addr string) error {
+	if !isAddr(addr) {
+		return usage("node %q: want IP:PORT with an IP number, such as 10.0.0.7:7403", addr)
+	}
+	return nil
+}
