caller: leave leaving nodes and dead key holders at once

A node that is leaving is now passed over like one that cannot be reached, and its Retry-After, which it asks for itself, is not waited for. A minted key is replaced after any "not run" that another holder may answer better, and other keys of an unfit holder are dropped. Ruled out: a new key while the old one may have run; the property test would find the second run.

--- a/caller/client.go
+++ b/caller/client.go
@@ -116,18 +116,25 @@
 	}
 	node := c.pickNode()
 	res, reached, err := c.attempt(ctx, node, req)
-	if !reached && ctx.Err() == nil {
+	if (!reached || leaving(err)) && ctx.Err() == nil {
 		c.avoidNode(node)
 	}
 	return res, err
 }
 
-// renewKey drops a minted key that can no longer be used, so that the next
-// attempt takes another; never while the old one may have run.
+func leaving(err error) bool {
+	return err != nil && verdict.From(err).Reason == verdict.Draining
+}
+
+// renewKey drops a minted key, so that the next attempt takes another.
 func (c *Client) renewKey(req *Request, e *verdict.Error, course *course) {
-	if req.MintKey && keySpent(e.Reason) && course.worst == verdict.NotRun {
-		req.Key = ""
+	if !req.MintKey || req.Key == "" || !course.wantsNewKey(e) {
+		return
+	}
+	if holderUnfit(e.Reason) {
+		c.keys.forget(req.Key)
 	}
+	req.Key = ""
 }
 
 func asNotRun(err error) error {
@@ -155,7 +162,7 @@
 }
 
 // pickNode takes the nodes in turn and passes over those that could not be
-// reached lately, unless that leaves none.
+// reached or were leaving lately, unless that leaves none.
 func (c *Client) pickNode() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -19,7 +19,9 @@
 	"pgregory.net/rapid"
 
 	"github.com/cassialoom/cassialoom/internal/proptest"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -33,6 +35,7 @@
 	lostBefore              // sent, never runs, no answer
 	lostAfter               // sent, runs, no answer
 	refused                 // "not run", come back later
+	leaves                  // "not run", the node is leaving
 	invalid                 // "not run", and no resend can help
 	cut                     // runs, the answer ends early
 	fates
@@ -46,7 +49,10 @@
 	byKey  map[string]bool
 	minted int
 	seen   []time.Time
+	hosts  []string
 	ids    map[string]bool
+	mint   *once.Mint
+	dead   wire.NodeID
 }
 
 var errBroken = errors.New("connection reset")
@@ -56,9 +62,17 @@
 	defer f.mu.Unlock()
 	if strings.HasPrefix(r.URL.Path, "/key/") {
 		f.minted++
+		if f.mint != nil {
+			key := f.mint.Mint(time.Now(), "s", "o")
+			return reply(http.StatusOK, fmt.Sprintf(`{"key":%q,"held_ms":60000}`, key), ""), nil
+		}
 		return reply(http.StatusOK, fmt.Sprintf(`{"key":"cl1.%d","held_ms":60000}`, f.minted), ""), nil
 	}
 	f.seen = append(f.seen, time.Now())
+	f.hosts = append(f.hosts, r.URL.Host)
+	if info, err := once.ParseKey(keyOf(r)); err == nil && info.Minted && info.Holder == f.dead {
+		return reply(http.StatusServiceUnavailable, "no backend", verdict.NoBackend), nil
+	}
 	f.ids[r.Header.Get(headerRequestID)] = true
 	next := answered
 	if len(f.script) > 0 {
@@ -89,6 +103,10 @@
 		res := reply(http.StatusServiceUnavailable, "busy", verdict.Shed)
 		res.Header.Set(headerRetryAfterMs, "200")
 		return res, nil
+	case leaves:
+		res := reply(http.StatusServiceUnavailable, "draining", verdict.Draining)
+		res.Header.Set(headerRetryAfter, "1")
+		return res, nil
 	case invalid:
 		return reply(http.StatusBadRequest, "bad", verdict.BadRequest), nil
 	}
@@ -201,6 +219,51 @@
 	is.True(waited >= 200*time.Millisecond && waited <= 300*time.Millisecond)
 }
 
+// The node that all keys fetched ahead name loses its backend server and
+// refuses them. One refusal is enough to send the request under a key of
+// another node; the other keys must not cost an attempt each.
+func TestKeysOfADeadHolderAreDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake()
+		c := newClient(t, f)
+		defer c.Close()
+		mintOf := func(id wire.NodeID) *once.Mint {
+			return once.NewMint(once.DefaultConfig(), id, [once.SecretLen]byte{}, time.Now())
+		}
+		f.dead = wire.NewNodeID()
+		f.mint = mintOf(f.dead)
+		_, err := c.Mint(t.Context(), "s", "o")
+		is.NoErr(err)
+		synctest.Wait()
+		f.mint = mintOf(wire.NewNodeID())
+		res, err := c.Do(t.Context(), Request{Service: "s", Operation: "o", MintKey: true})
+		is.NoErr(err)
+		is.Equal(res.Attempts, 2)
+		is.Equal(f.runs, 1)
+	})
+}
+
+// The node that the caller knows is leaving: the request goes on to another at
+// once, and so do the next ones.
+func TestLeavingNodeIsLeft(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFake(leaves)
+		c := newClient(t, f)
+		defer c.Close()
+		for range 4 {
+			_, err := c.Do(t.Context(), Request{Service: "plumecast", Operation: "forecast"})
+			is.NoErr(err)
+		}
+		is.Equal(len(f.hosts), 5)
+		is.True(f.seen[4].Sub(f.seen[0]) <= 75*time.Millisecond)
+		for _, host := range f.hosts[1:] {
+			is.True(host != f.hosts[0])
+		}
+	})
+}
+
 // The time proposed lies past the deadline: the error comes at once, with
 // that time in it, and not when the deadline has passed.
 func TestHopelessWaitIsNotBegun(t *testing.T) {
--- a/caller/config.go
+++ b/caller/config.go
@@ -32,7 +32,8 @@
 	// KeyMargin is the least life that a key must have left when it is used:
 	// it must outlast the resends of its request.
 	KeyMargin time.Duration
-	// AvoidFor is how long a node that could not be reached is passed over.
+	// AvoidFor is how long a node that could not be reached, or is leaving, is
+	// passed over.
 	AvoidFor time.Duration
 	// MaxAnswer is the largest body of an answer, in bytes.
 	MaxAnswer int64
--- a/caller/keys.go
+++ b/caller/keys.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -102,6 +104,24 @@
 	return "", false
 }
 
+// forget drops the keys held of the node that named the given one. Without it
+// each of them would cost a request an attempt before a key of another node
+// is minted.
+func (p *keyPool) forget(key string) {
+	gone, err := once.ParseKey(key)
+	if err != nil || !gone.Minted {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for op, keys := range p.held {
+		p.held[op] = slices.DeleteFunc(keys, func(k heldKey) bool {
+			info, err := once.ParseKey(k.key)
+			return err == nil && info.Holder == gone.Holder
+		})
+	}
+}
+
 // refill runs at most once at a time for an operation.
 func (p *keyPool) refill(op operation) {
 	p.mu.Lock()
--- a/caller/resend.go
+++ b/caller/resend.go
@@ -35,13 +35,23 @@
 	if c.worst != verdict.NotRun && !c.safe {
 		return next{}
 	}
-	wait := c.wait(e.RetryAfter, jitter)
+	wait := c.wait(proposed(e), jitter)
 	if wait >= left || !allowed() {
 		return next{}
 	}
 	return next{Again: true, Wait: wait}
 }
 
+// proposed is the time that the node asks the caller to wait. A node that is
+// leaving asks it for itself: waiting for it would only delay the request,
+// since the next attempt goes to another node.
+func proposed(e *verdict.Error) time.Duration {
+	if e.Reason == verdict.Draining {
+		return 0
+	}
+	return e.RetryAfter
+}
+
 func (c *course) wait(proposed time.Duration, jitter float64) time.Duration {
 	backoff := c.cfg.Backoff << (c.attempts - 1)
 	wait := max(proposed, backoff)
@@ -77,3 +87,21 @@
 func keySpent(r verdict.Reason) bool {
 	return r == verdict.KeyExpired || r == verdict.KeyHolderGone
 }
+
+// holderUnfit reports whether the node that a key names cannot run requests,
+// so that its other keys are of no use either.
+func holderUnfit(r verdict.Reason) bool {
+	switch r {
+	case verdict.KeyHolderGone, verdict.NoBackend, verdict.Draining, verdict.Lost, verdict.WrongIncarnation:
+		return true
+	default:
+		return false
+	}
+}
+
+// wantsNewKey reports whether a minted key should be replaced before the next
+// attempt: another holder may fare better. Never while the old key may have
+// run: the new one would run the action again.
+func (c *course) wantsNewKey(e *verdict.Error) bool {
+	return c.worst == verdict.NotRun && (e.Reason.Elsewhere() || keySpent(e.Reason))
+}
