standin: name the boot when leaving

The node refuses a departure without the boot that it concerns: a late one must not take away the process that came after. Ruled out: leaving without a word, which the node hears of only when the announcements stop.

--- a/internal/standin/backend/announce.go
+++ b/internal/standin/backend/announce.go
@@ -27,6 +27,11 @@
 	Boot  string `json:"boot"`
 }
 
+// Departure tells the node that this backend server stops.
+type Departure struct {
+	Boot string `json:"boot"`
+}
+
 // announceTimeout is below the interval, so that one lost announcement does
 // not delay the next.
 const announceTimeout = 900 * time.Millisecond
@@ -65,7 +70,11 @@
 
 // leave tells the node that this backend server stops.
 func (s *Server) leave(ctx context.Context) error {
-	return s.tellNode(ctx, "/backend/leave", nil)
+	raw, err := json.Marshal(Departure{Boot: s.boot})
+	if err != nil {
+		return err
+	}
+	return s.tellNode(ctx, "/backend/leave", raw)
 }
 
 func (s *Server) tellNode(ctx context.Context, path string, raw []byte) error {
