backend: tests of the verdict, with raw TCP

The client's business is what may be said of a request whose answer is missing, cut off or unusable. A raw server shows what net/http hides: which requests arrived, how often, and when a connection went. 300 requests against connections that close right after their answer: none read twice, none called "not run" that was read. A crash (the listening socket goes too) is told from a broken connection and from silence. The look whether the server still listens takes 100 ms at most: a server too busy to accept must not hold up the answer to its caller.

--- /dev/null
+++ b/backend/backend_test.go
@@ -0,0 +1,354 @@
+package backend
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// rawServer reads whole requests off TCP and lets the test do the rest. An
+// http.Server would hide when bytes and connections come and go.
+type rawServer struct {
+	url string
+	ln  net.Listener
+
+	mu    sync.Mutex
+	seen  map[string]int // request ids
+	conns []net.Conn
+	wait  sync.WaitGroup
+}
+
+// serve calls answer for each request; the connection ends when it says so.
+func serve(t *testing.T, answer func(s *rawServer, c net.Conn, r *http.Request) (end bool)) *rawServer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{url: "http://" + ln.Addr().String(), ln: ln, seen: make(map[string]int)}
+	s.wait.Go(func() { s.accept(answer) })
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *rawServer) stop() {
+	s.ln.Close()
+	s.mu.Lock()
+	for _, c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wait.Wait()
+}
+
+func (s *rawServer) accept(answer func(*rawServer, net.Conn, *http.Request) bool) {
+	for {
+		c, err := s.ln.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns = append(s.conns, c)
+		s.mu.Unlock()
+		s.wait.Go(func() { s.read(c, answer) })
+	}
+}
+
+func (s *rawServer) read(c net.Conn, answer func(*rawServer, net.Conn, *http.Request) bool) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.seen[r.Header.Get("Cassialoom-Request-Id")]++
+		s.mu.Unlock()
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		if answer(s, c, r) {
+			return
+		}
+	}
+}
+
+func (s *rawServer) times(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seen[id]
+}
+
+const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+func run(id string) Run {
+	return Run{Token: "t", Operation: "op", RequestID: id, Importance: importance.High, Budget: time.Minute}
+}
+
+func newClient(t *testing.T) *Client {
+	c := New(DefaultConfig())
+	t.Cleanup(c.Close)
+	return c
+}
+
+func TestRequestOnTheWire(t *testing.T) {
+	is := is.New(t)
+	got := make(chan *http.Request, 1)
+	s := serve(t, func(_ *rawServer, c net.Conn, r *http.Request) bool {
+		got <- r
+		io.WriteString(c, "HTTP/1.1 201 Created\r\nContent-Length: 2\r\nX-A: 1\r\nCassialoom-Verdict: not run\r\nConnection: X-B\r\nX-B: 1\r\n\r\nok")
+		return false
+	})
+	r := run("r1")
+	r.Query, r.Body = "a=1&b=%20", []byte("body")
+	r.Header = []call.Field{{Name: "x-a", Value: "1"}, {Name: "Host", Value: "evil"}, {Name: "Cassialoom-Call", Value: "forged"}}
+	res := newClient(t).Run(context.Background(), s.url, r)
+
+	req := <-got
+	is.Equal(req.Method+" "+req.RequestURI, "POST /op?a=1&b=%20")
+	is.Equal(req.ContentLength, int64(4))
+	is.Equal(req.Host, strings.TrimPrefix(s.url, "http://"))
+	is.Equal(req.Header, http.Header{
+		"Cassialoom-Call":        {"t"},
+		"Cassialoom-Request-Id":  {"r1"},
+		"Cassialoom-Importance":  {"high"},
+		"Cassialoom-Deadline-Ms": {"60000"},
+		"X-A":                    {"1"},
+		"Content-Length":         {"4"},
+	})
+	is.Equal(res.Verdict, verdict.Ran)
+	is.Equal(res.Reason, verdict.None)
+	is.Equal(res.Status, 201)
+	is.Equal(string(res.Body), "ok")
+	is.Equal(res.Header, []call.Field{{Name: "X-A", Value: "1"}})
+}
+
+// The backend server takes a request on a kept connection and closes it without
+// an answer, as one does that crashes or that stops. net/http takes this for an
+// idle connection that was closed and may send the request again by itself: a
+// letter goes out twice. It must be sent once, with the verdict "may have run".
+func TestNeverSentTwice(t *testing.T) {
+	for name, change := range map[string]func(*Run){
+		"no body":    func(*Run) {},
+		"body":       func(r *Run) { r.Body = []byte("body") },
+		"large body": func(r *Run) { r.Body = make([]byte, 1<<20) },
+		"own key": func(r *Run) {
+			r.Header = []call.Field{{Name: "Idempotency-Key", Value: "k"}, {Name: "X-Idempotency-Key", Value: "k"}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(_ *rawServer, c net.Conn, r *http.Request) bool {
+				if r.Header.Get("Cassialoom-Request-Id") == "second" {
+					return true
+				}
+				io.WriteString(c, whole)
+				return false
+			})
+			client := newClient(t)
+			is.Equal(client.Run(context.Background(), s.url, run("first")).Verdict, verdict.Ran)
+			r := run("second")
+			change(&r)
+			res := client.Run(context.Background(), s.url, r)
+			is.Equal(s.times("second"), 1)
+			is.Equal(res.Verdict, verdict.MayHaveRun)
+			is.Equal(res.Reason, verdict.Lost)
+			is.True(res.Broken)
+			is.True(!res.Crashed) // it still listens
+		})
+	}
+}
+
+// The backend server closes each connection right after its answer, just as the
+// next request is sent on it. Whatever wins: a request that was read is never
+// called "not run", and none is read twice.
+func TestClosedWhileSending(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ *rawServer, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, whole)
+		return true
+	})
+	client := newClient(t)
+	for i := range 300 {
+		r := run("r" + string(rune('A'+i%26)) + strings.Repeat("x", i/26))
+		if i%2 == 0 {
+			r.Body = []byte("body")
+		}
+		res := client.Run(context.Background(), s.url, r)
+		switch res.Verdict {
+		case verdict.Ran:
+			is.Equal(s.times(r.RequestID), 1)
+		case verdict.NotRun:
+			is.Equal(s.times(r.RequestID), 0)
+		default:
+			is.True(s.times(r.RequestID) <= 1)
+		}
+	}
+}
+
+// Whatever a backend server answers, a request that it took is "ran" from the
+// head of an answer on, and what is not surely whole is not passed on.
+func TestVerdictOfAnswers(t *testing.T) {
+	const chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, answer string
+		verdict      verdict.Verdict
+		reason       verdict.Reason
+		status       int
+	}{
+		{"whole", whole, verdict.Ran, verdict.None, 200},
+		{"its own failure", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", verdict.Ran, verdict.None, 500},
+		{"no content", "HTTP/1.1 204 No Content\r\n\r\n", verdict.Ran, verdict.None, 204},
+		{"redirect", "HTTP/1.1 307 Go\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n", verdict.Ran, verdict.None, 307},
+		{"hint before", "HTTP/1.1 103 Early Hints\r\n\r\n" + whole, verdict.Ran, verdict.None, 200},
+		{"chunks", chunked + "2\r\nok\r\n0\r\n\r\n", verdict.Ran, verdict.None, 200},
+		{"refused", "HTTP/1.1 503 No\r\nCassialoom-Verdict: not run\r\nRetry-After: 2\r\nContent-Length: 0\r\n\r\n", verdict.NotRun, verdict.Shed, 0},
+		{"503 alone", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", verdict.Ran, verdict.None, 503},
+		{"not run alone", "HTTP/1.1 200 OK\r\nCassialoom-Verdict: not run\r\nContent-Length: 0\r\n\r\n", verdict.Ran, verdict.None, 200},
+		{"cut length", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", verdict.Ran, verdict.Incomplete, 0},
+		{"cut chunk", chunked + "5\r\nok", verdict.Ran, verdict.Incomplete, 0},
+		{"no last chunk", chunked + "2\r\nok\r\n", verdict.Ran, verdict.Incomplete, 0},
+		{"malformed chunk", chunked + "zz\r\n", verdict.Ran, verdict.Incomplete, 0},
+		{"close-delimited", "HTTP/1.0 200 OK\r\n\r\nok", verdict.Ran, verdict.Incomplete, 0},
+		{"protocol switch", "HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n", verdict.Ran, verdict.Incomplete, 0},
+		{"too large", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n123456789", verdict.Ran, verdict.TooLarge, 0},
+		{"chunks too large", chunked + "9\r\n123456789\r\n0\r\n\r\n", verdict.Ran, verdict.TooLarge, 0},
+		{"fields too large", "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 999) + "\r\nContent-Length: 0\r\n\r\n", verdict.Ran, verdict.TooLarge, 0},
+		{"cut head", "HTTP/1.1 200 OK\r\nContent-", verdict.MayHaveRun, verdict.Lost, 0},
+		{"no HTTP", "hello\r\n\r\n", verdict.MayHaveRun, verdict.Lost, 0},
+		{"nothing", "", verdict.MayHaveRun, verdict.Lost, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := serve(t, func(_ *rawServer, conn net.Conn, _ *http.Request) bool {
+				io.WriteString(conn, c.answer)
+				return true
+			})
+			cfg := DefaultConfig()
+			cfg.MaxAnswer, cfg.MaxHeader = 8, 800
+			client := New(cfg)
+			defer client.Close()
+			res := client.Run(context.Background(), s.url, run("r"))
+			is.Equal(res.Verdict, c.verdict)
+			is.Equal(res.Reason, c.reason)
+			is.Equal(res.Status, c.status)
+			is.Equal(s.times("r"), 1)
+			if c.name == "refused" {
+				is.Equal(res.RetryAfter, 2*time.Second)
+			}
+			if c.status == 0 {
+				is.Equal(len(res.Body)+len(res.Header), 0)
+			}
+		})
+	}
+}
+
+// A request crashes the backend server: the listening socket and the
+// connection go. That is told from one that breaks a connection or is slow,
+// because only a crash makes the requests in flight suspects.
+func TestCrash(t *testing.T) {
+	for _, part := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab"} {
+		is := is.New(t)
+		s := serve(t, func(s *rawServer, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, part)
+			s.ln.Close()
+			return true
+		})
+		res := newClient(t).Run(context.Background(), s.url, run("r"))
+		is.True(res.Broken && res.Crashed)
+		is.True(res.Verdict != verdict.NotRun)
+
+		res = newClient(t).Run(context.Background(), s.url, run("later"))
+		is.Equal(res.Verdict, verdict.NotRun) // nothing listens: nothing was sent
+		is.Equal(res.Reason, verdict.NoBackend)
+		is.True(!res.Broken && !res.Crashed) // and this request is no suspect
+	}
+}
+
+// The backend server takes a request and stays silent. The deadline passes or
+// the caller cancels: it may have run, and the server has not crashed.
+func TestSlowIsNoCrash(t *testing.T) {
+	is := is.New(t)
+	taken := make(chan bool, 2)
+	s := serve(t, func(_ *rawServer, c net.Conn, _ *http.Request) bool {
+		taken <- true
+		io.Copy(io.Discard, c) // until the client gives up
+		return true
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	res := newClient(t).Run(ctx, s.url, run("r"))
+	is.Equal(res.Verdict, verdict.MayHaveRun)
+	is.Equal(res.Reason, verdict.Deadline)
+	is.True(!res.Broken && !res.Crashed)
+	<-taken
+
+	ctx, cancel = context.WithCancel(context.Background())
+	go func() {
+		<-taken
+		cancel()
+	}()
+	res = newClient(t).Run(ctx, s.url, run("r2"))
+	is.Equal(res.Verdict, verdict.MayHaveRun)
+	is.Equal(res.Reason, verdict.Canceled)
+	is.True(!res.Broken && !res.Crashed)
+}
+
+// What cannot be sent at all has not run, and the backend server has seen
+// nothing of it.
+func TestNotSent(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ *rawServer, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, whole)
+		return false
+	})
+	over, cancel := context.WithCancel(context.Background())
+	cancel()
+	for _, c := range []struct {
+		ctx    context.Context
+		change func(*Run)
+		reason verdict.Reason
+	}{
+		{over, func(*Run) {}, verdict.Canceled},
+		{context.Background(), func(r *Run) { r.Budget = 0 }, verdict.Deadline},
+		{context.Background(), func(r *Run) { r.Query = "a\r\nb" }, verdict.BadRequest},
+		{context.Background(), func(r *Run) { r.Header = []call.Field{{Name: "X", Value: "a\r\nb"}} }, verdict.BadRequest},
+		{context.Background(), func(r *Run) { r.Header = []call.Field{{Name: "X Y", Value: "a"}} }, verdict.BadRequest},
+	} {
+		r := run("r")
+		c.change(&r)
+		res := newClient(t).Run(c.ctx, s.url, r)
+		is.Equal(res.Verdict, verdict.NotRun)
+		is.Equal(res.Reason, c.reason)
+		is.Equal(s.times("r"), 0)
+	}
+}
+
+func TestCheckURL(t *testing.T) {
+	is := is.New(t)
+	for _, good := range []string{"http://127.0.0.1:8000", "http://127.0.0.9:8000/api", "http://[::1]:8000"} {
+		is.NoErr(CheckURL(good))
+	}
+	for _, bad := range []string{
+		"", "127.0.0.1:8000", "http://localhost:8000", "http://10.0.0.7:8000", "http://127.0.0.1", "http://127.0.0.1:0",
+		"https://127.0.0.1:8000", "http://127.0.0.1:8000/", "http://u@127.0.0.1:8000", "http://127.0.0.1:8000?x=1", "http://127.0.0.1:8000#x",
+	} {
+		is.True(CheckURL(bad) != nil)
+	}
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -57,8 +57,14 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
-// probes is how often a backend server that broke a connection is looked for.
-const probes = 2
+const (
+	// probes is how often a backend server that broke a connection is
+	// looked for.
+	probes = 2
+	// probeTimeout is short: a crash refuses at once, and one that is too
+	// busy to accept must not hold up the answer to its caller.
+	probeTimeout = 100 * time.Millisecond
+)
 
 // notice tells a crash from a backend server that broke one connection: after
 // a crash nothing listens. One look is not enough, because a process that is
@@ -84,7 +90,7 @@
 	if err != nil {
 		return false
 	}
-	conn, err := net.DialTimeout("tcp", u.Host, c.cfg.DialTimeout)
+	conn, err := net.DialTimeout("tcp", u.Host, probeTimeout)
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
