settings: keys are held no longer than the log keeps their binding

The binding of a caller's own key is a record in the log. Ruled out: shortening the promise silently; a setting that does not do what it says is refused at start like any other.

--- a/settings/rules.go
+++ b/settings/rules.go
@@ -57,8 +57,11 @@
 	{"log-retention", "a duration from 1s to 8760h", func(s Settings) any { return s.LogRetention },
 		func(s Settings) bool { return within(s.LogRetention, minRetention, maxRetention) }},
 	{"seed", wantAddr, func(s Settings) any { return s.Seeds }, func(s Settings) bool { return allAddrs(s.Seeds) }},
-	{"key-held-for", "a duration from 1s to 24h", func(s Settings) any { return s.KeyHeldFor },
-		func(s Settings) bool { return within(s.KeyHeldFor, minKeyHeld, maxKeyHeld) }},
+	// A binding of a caller's own key lives in the log: one that was promised
+	// for longer than the log keeps it would be forgotten, and a resend would
+	// run a second time.
+	{"key-held-for", "a duration from 1s to 24h, at most the value of --log-retention", func(s Settings) any { return s.KeyHeldFor },
+		func(s Settings) bool { return within(s.KeyHeldFor, minKeyHeld, min(maxKeyHeld, s.LogRetention)) }},
 	{"max-body", wantPayload, func(s Settings) any { return s.MaxBody }, func(s Settings) bool { return within(s.MaxBody, 1, maxPayload) }},
 	{"max-answer", wantPayload, func(s Settings) any { return s.MaxAnswer }, func(s Settings) bool { return within(s.MaxAnswer, 1, maxPayload) }},
 	{"max-limit", wantSlots, func(s Settings) any { return s.MaxLimit }, func(s Settings) bool { return within(s.MaxLimit, 1, maxSlots) }},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -94,6 +94,15 @@
 	}
 }
 
+// A key must not be promised for longer than the log keeps its binding.
+func TestKeysNeverOutliveTheLog(t *testing.T) {
+	is := is.New(t)
+	_, err := parse(nil, "--log-retention=5m", "--key-held-for=6m")
+	is.True(err != nil && strings.Contains(err.Error(), "--key-held-for"))
+	_, err = parse(nil, "--log-retention=5m", "--key-held-for=5m")
+	is.NoErr(err)
+}
+
 func without(args []string, flag string) []string {
 	var rest []string
 	for _, a := range args {
