--- /dev/null
+++ b/entry/fuzz_test.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// echo answers with the request's own body and refuses to see what the
+// interface should have refused.
+type echo struct{ t *testing.T }
+
+func (e echo) Do(_ context.Context, in Incoming) Outcome {
+	cfg := DefaultConfig()
+	switch {
+	case !validRequestID(in.RequestID):
+		e.t.Errorf("request id %q", in.RequestID)
+	case in.Key != "" && !validKey(in.Key):
+		e.t.Errorf("key %q", in.Key)
+	case in.Budget < 0 || in.Budget > cfg.MaxDeadline:
+		e.t.Errorf("budget %v", in.Budget)
+	case in.Service == "" || in.Operation == "":
+		e.t.Errorf("service %q, operation %q", in.Service, in.Operation)
+	case int64(len(in.Body)) > cfg.MaxBody:
+		e.t.Errorf("body of %d bytes", len(in.Body))
+	}
+	return Outcome{Verdict: verdict.Ran, Status: http.StatusOK, Header: in.Header, Body: in.Body}
+}
+
+func (e echo) Mint(context.Context, string, string) (string, time.Duration, error) {
+	return "", 0, errors.New("none")
+}
+
+// FuzzBytes sends arbitrary bytes to the callers' interface. Whatever they
+// are, each answer is whole and says whether the request may have run, and the
+// connection ends.
+func FuzzBytes(f *testing.F) {
+	const call = "POST /call/s/o HTTP/1.1\r\nHost: x\r\n"
+	for _, seed := range []string{
+		"GET /call/s/o HTTP/1.0\r\n\r\n",
+		call + "Content-Length: 3\r\n\r\nabcGET /other HTTP/1.1\r\nHost: x\r\n\r\n",
+		call + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-T: 1\r\n\r\n",
+		call + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\nzz\r\n",
+		call + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc",
+		call + "Connection: Keep-Alive, X-A\r\nX-A: 1\r\nUpgrade: h2c\r\n\r\n",
+		call + "Cassialoom-Deadline-Ms: 1e3\r\nCassialoom-Importance: low\r\n\r\n",
+		"POST /key/s/%2F HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nx",
+		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+		"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
+		"\x16\x03\x01\x00\x00",
+	} {
+		f.Add([]byte(seed))
+	}
+	cfg := DefaultConfig()
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		checkAnswers(t, talk(t, cfg, raw))
+	})
+}
+
+// script is a connection whose caller sends raw, ends its side and reads all
+// that comes back. A fuzzer would run out of real ones.
+type script struct {
+	raw     *bytes.Reader
+	answers bytes.Buffer
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (c *script) Read(p []byte) (int, error)  { return c.raw.Read(p) }
+func (c *script) Write(p []byte) (int, error) { return c.answers.Write(p) }
+
+func (c *script) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return nil
+}
+
+func (c *script) LocalAddr() net.Addr              { return &net.TCPAddr{} }
+func (c *script) RemoteAddr() net.Addr             { return &net.TCPAddr{} }
+func (c *script) SetDeadline(time.Time) error      { return nil }
+func (c *script) SetReadDeadline(time.Time) error  { return nil }
+func (c *script) SetWriteDeadline(time.Time) error { return nil }
+
+// oneConn is a listener that has one connection to give.
+type oneConn struct {
+	conn *script
+	used bool
+}
+
+func (l *oneConn) Accept() (net.Conn, error) {
+	if l.used {
+		<-l.conn.closed
+		return nil, net.ErrClosed
+	}
+	l.used = true
+	return l.conn, nil
+}
+
+func (l *oneConn) Close() error   { return nil }
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+func talk(t *testing.T, cfg Config, raw []byte) []byte {
+	c := &script{raw: bytes.NewReader(raw), closed: make(chan struct{})}
+	NewServer(cfg, New(cfg, echo{t})).Serve(Listener(&oneConn{conn: c}))
+	return c.answers.Bytes() // the server has closed the connection
+}
+
+func checkAnswers(t *testing.T, answers []byte) {
+	in := bufio.NewReader(bytes.NewReader(answers))
+	for {
+		if _, err := in.Peek(1); err != nil {
+			return
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("answer cannot be read: %v\n%q", err, answers)
+		}
+		if resp.StatusCode == http.StatusContinue {
+			continue
+		}
+		switch resp.Header.Get(headers.Verdict) {
+		case "ran", "not run", "may have run":
+		default:
+			t.Fatalf("answer without a verdict\n%q", answers)
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			t.Fatalf("answer is not whole: %v\n%q", err, answers)
+		}
+	}
+}
