ops: counters as of now, none without a writer

/debug/vars showed zeros for attempts and late replies: the node's slices count these themselves, and nothing fetched them. The interface asks the node to bring them up to date before it answers; a timer was ruled out, since the figures matter only when somebody looks. The counter of replayed answers had no writer and goes; the state dump has it.

--- a/ops/counters.go
+++ b/ops/counters.go
@@ -24,8 +24,8 @@
 	// BackendBroken counts connections that broke in flight, BackendCrashes
 	// the ends of the process.
 	BackendBroken, BackendCrashes expvar.Int
-	// KeysMinted, and answers given again from memory to a known key.
-	KeysMinted, Replays expvar.Int
+	// KeysMinted by this node.
+	KeysMinted expvar.Int
 	// Late replies matched no waiting attempt and were dropped.
 	LateReplies expvar.Int
 	// PeerConnects and PeerLosses of connections to other nodes.
@@ -93,7 +93,6 @@
 		{"backend_broken", &c.BackendBroken},
 		{"backend_crashes", &c.BackendCrashes},
 		{"keys_minted", &c.KeysMinted},
-		{"replays", &c.Replays},
 		{"late_replies", &c.LateReplies},
 		{"peer_connects", &c.PeerConnects},
 		{"peer_losses", &c.PeerLosses},
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -26,6 +26,8 @@
 	Version() Version
 	Members() []membership.Record
 	Explain(requestID string) []explain.Event
+	// Sync brings the counters up to date that the node's slices keep.
+	Sync()
 	// Drain starts the planned stop and returns at once.
 	Drain()
 }
@@ -108,7 +110,10 @@
 	get("/explain/{id}", func(req *http.Request) (int, any) {
 		return http.StatusOK, notNil(n.Explain(mux.Vars(req)["id"]))
 	})
-	get("/debug/vars", func(*http.Request) (int, any) { return http.StatusOK, vars(c) })
+	get("/debug/vars", func(*http.Request) (int, any) {
+		n.Sync()
+		return http.StatusOK, vars(c)
+	})
 	r.HandleFunc("/drain", serve(func(*http.Request) (int, any) {
 		n.Drain()
 		return http.StatusAccepted, Draining{Draining: true}
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -18,12 +18,14 @@
 type fakeNode struct {
 	why     string
 	drained int
+	synced  int
 }
 
 func (n *fakeNode) Ready() (bool, string)        { return n.why == "", n.why }
 func (n *fakeNode) State() any                   { return struct{ Queue int }{3} }
 func (n *fakeNode) Version() Version             { return Version{Node: wire.NodeID{1}, Version: 7} }
 func (n *fakeNode) Members() []membership.Record { return nil }
+func (n *fakeNode) Sync()                        { n.synced++ }
 func (n *fakeNode) Drain()                       { n.drained++ }
 
 func (n *fakeNode) Explain(id string) []explain.Event {
@@ -64,6 +66,10 @@
 	is.Equal(ask(h, "GET", "/explain/r:1", &events), 200)
 	is.Equal(events[0].RequestID, "r:1")
 
+	var all map[string]any
+	is.Equal(ask(h, "GET", "/debug/vars", &all), 200)
+	is.Equal(n.synced, 1) // what the slices count is shown as of now
+
 	var wrong failure
 	is.Equal(ask(h, "GET", "/drain", &wrong), 405) // a look must not stop a node
 	is.Equal(n.drained, 0)
