--- a/config/follow.go
+++ b/config/follow.go
@@ -92,7 +92,8 @@
 func (f *follower) startSearch() bool {
 	f.search = search{active: true, high: f.tail, end: f.tail}
 	f.searchWindow(f.searchSpan)
-	return f.afterWindow()
+	f.afterWindow()
+	return !f.search.waiting
 }
 
 // searchWindow moves the window to the records before high.
--- a/config/publication.go
+++ b/config/publication.go
@@ -42,8 +42,8 @@
 	// are ignored. It is the way out when the log has trimmed what would be
 	// needed to judge a change, so it is judged by its own record alone: it
 	// is accepted if its graph is valid and nothing was appended between
-	// ReadTo and it. No change can be overwritten unseen, and no second
-	// copy of it is ever accepted.
+	// ReadTo and it. So it overwrites no change that its writer could not
+	// see in the log, and no second copy of a record is ever accepted.
 	Whole bool `cbor:"5,keyasint,omitempty"`
 }
 
--- a/config/publish.go
+++ b/config/publish.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/platform"
 )
 
@@ -134,6 +135,9 @@
 		outcome.Repeated = true
 		return outcome, nil
 	}
+	if cause := p.invalid(pub); cause != "" {
+		return Outcome{Status: Rejected, Cause: cause}, nil
+	}
 	version := p.state.Version()
 	for {
 		pub.ReadTo = p.position()
@@ -153,11 +157,23 @@
 // again says whether a rejected replacement may be tried at once: it lost its
 // place to records that changed nothing, such as a checkpoint.
 func (p *publisher) again(pub Publication, o Outcome, version uint64) bool {
-	return pub.Whole && o.Status == Rejected && p.state.Version() == version && p.valid(pub)
+	return pub.Whole && o.Status == Rejected && p.state.Version() == version
 }
 
-func (p *publisher) valid(pub Publication) bool {
-	return p.replace(pub.ReadTo, &pub) != nil
+// invalid says why no copy of a replacement can ever be accepted. All that
+// decides about other publications is known only at their place in the log.
+func (p *publisher) invalid(pub Publication) string {
+	if !pub.Whole {
+		return ""
+	}
+	sections := make([]graph.Section, len(pub.Sections))
+	for i, c := range pub.Sections {
+		sections[i] = graph.Section{Service: c.Service, Text: c.Text}
+	}
+	if _, problems := p.assemble(sections); len(problems) > 0 {
+		return "the graph is not valid: " + problems[0].String()
+	}
+	return ""
 }
 
 // position is the as-of offset that all was read to.
