graph: guard the parser by a check of bytes instead of HCL's tokens

Needed: the check before the parser costs as much as the parser itself, because the lexer finds the end of every grapheme.

Ruled out: no check for small sections, which would accept in a short text what is refused in a long one.

--- a/graph/limits.go
+++ b/graph/limits.go
@@ -40,6 +40,6 @@
 )
 
 const (
-	maxNumberBytes = 20 // digits of a number: any 64-bit one fits
-	maxNesting     = 8  // brackets; a valid text nests three
+	maxWordBytes = 64 // name of an attribute or a number
+	maxNesting   = 8  // brackets; a valid text nests three
 )
--- a/graph/split.go
+++ b/graph/split.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 
+	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 )
 
@@ -35,6 +36,7 @@
 	for _, a := range sortedAttributes(s.body) {
 		d.problem(a.NameRange.Start.Line, formRemedy, "attribute %s stands outside of a service", excerpt(a.Name))
 	}
+	tokens, _ := hclsyntax.LexConfig(s.text, s.file, hcl.InitialPos)
 	var sections []Section
 	seen := make(map[string]bool)
 	start := 0
@@ -50,7 +52,7 @@
 		seen[name] = true
 		end := len(s.text)
 		if i < len(s.body.Blocks)-1 {
-			end = lineEnd(s.tokens, block.CloseBraceRange.End.Byte, end)
+			end = lineEnd(tokens, block.CloseBraceRange.End.Byte, end)
 		}
 		text := trimBlankLines(string(s.text[start:end]))
 		if len(text) > MaxSectionBytes {
--- a/graph/syntax.go
+++ b/graph/syntax.go
@@ -14,66 +14,26 @@
 
 // source is one file or section after its syntax was checked.
 type source struct {
-	file   string
-	text   []byte
-	tokens hclsyntax.Tokens
-	body   *hclsyntax.Body
+	file string
+	text []byte
+	body *hclsyntax.Body
 }
 
-// readSource checks size, tokens and syntax, in this order.
+// readSource checks size, bytes and syntax, in this order.
 func readSource(file string, text []byte, limit int) (source, Problems) {
 	var ps Problems
 	if len(text) > limit {
 		ps.add(file, 1, "shorten it; is it the right file?", "the text is longer than %d bytes", limit)
 		return source{}, ps
 	}
-	tokens, _ := hclsyntax.LexConfig(text, file, hcl.InitialPos)
-	if ps = checkTokens(file, tokens); len(ps) > 0 {
+	if ps = checkBytes(file, text); len(ps) > 0 {
 		return source{}, ps
 	}
 	body, ps := parseBody(file, text)
 	if len(ps) > 0 {
 		return source{}, ps
 	}
-	return source{file: file, text: text, tokens: tokens, body: body}, nil
-}
-
-// checkTokens lets only the tokens of declarations through. The parser of HCL
-// expressions recurses for each bracket, operator and template: a long run of
-// them overflows the stack, which ends the process and cannot be recovered
-// from. Without operators and templates, and with bounded nesting, nothing is
-// left to recurse on.
-func checkTokens(file string, tokens hclsyntax.Tokens) Problems {
-	var ps Problems
-	depth := 0
-	for _, t := range tokens {
-		if len(ps) > MaxProblems {
-			return ps
-		}
-		line := t.Range.Start.Line
-		switch t.Type {
-		case hclsyntax.TokenOBrace, hclsyntax.TokenOBrack:
-			depth++
-			if depth > maxNesting {
-				ps.add(file, line, formRemedy, "brackets are nested more than %d deep", maxNesting)
-				return ps
-			}
-		case hclsyntax.TokenCBrace, hclsyntax.TokenCBrack:
-			depth--
-		case hclsyntax.TokenNumberLit:
-			if len(t.Bytes) > maxNumberBytes {
-				ps.add(file, line, valueRemedy, "a number of %d characters", len(t.Bytes))
-			}
-		case hclsyntax.TokenIdent, hclsyntax.TokenEqual, hclsyntax.TokenComma,
-			hclsyntax.TokenOQuote, hclsyntax.TokenCQuote, hclsyntax.TokenQuotedLit,
-			hclsyntax.TokenNewline, hclsyntax.TokenComment, hclsyntax.TokenEOF:
-		case hclsyntax.TokenQuotedNewline:
-			ps.add(file, line, `close the string with " on the line where it begins`, "a string does not end on its line")
-		default:
-			ps.add(file, line, valueRemedy, "%s is not part of a graph text", excerpt(t.Bytes))
-		}
-	}
-	return ps
+	return source{file: file, text: text, body: body}, nil
 }
 
 // parseBody runs the parser. A panic in it would end every node that reads the
