limit, admission: class floors that balance, a recheck that backs off, one-step reopening

Cause: after a surge the limit of a 40-slot server stuck at 15-20. The mix of calls had changed, and the floor of a class unseen for seconds had drifted with every adjustment. Floors of classes now move against each other with each window, only known classes count for the ratio, and a class unseen in a test moves only if the test shows a change beyond noise. A queue inside the backend server is also cut when the limit itself is not in use (callers that are limited themselves hid it). Ruled out: learning floors per call under load (17% drift in one window).

--- a/admission/config.go
+++ b/admission/config.go
@@ -7,24 +7,22 @@
 	// Interval is how often the level is set. It holds some dozens of calls
 	// at a small backend server and is short against a caller's patience.
 	Interval time.Duration
-	// TargetWait is the mean wait in the queue from which the node counts
-	// as overloaded: enough to keep every slot busy, little beside a
-	// call's latency.
-	TargetWait time.Duration
-	// ShedShare is the share of arrivals shed by the queue that counts as
-	// overload.
-	ShedShare float64
-	// Surplus is how much more than was served is admitted by the node
-	// itself. Callers' nodes are told a stricter level (see Reserve), so
-	// that a request admitted there on slightly old news is not refused
-	// here after work was spent on it.
+	// Queue times the square root of the limit is the number of calls that
+	// should wait: what it takes to keep the slots busy through the chance
+	// gaps between arrivals. More would only hold the slots of the callers.
+	Queue float64
+	// Settle is the number of intervals in which the queue is brought to its
+	// target.
+	Settle float64
+	// Surplus is how much more the node itself admits than it tells callers'
+	// nodes to send, so that a request admitted there on slightly old news
+	// is not refused here after work was spent on it.
 	Surplus float64
-	// Reserve is how much less than was served the callers' nodes are told
-	// to send while the queue is too long.
-	Reserve float64
-	// Probe is how much more the level admits per interval while the queue
-	// is short.
+	// Probe is the factor by which more may be admitted from one interval to
+	// the next while the limit is not in use.
 	Probe float64
+	// Fade is what an arrival counts for one interval later.
+	Fade float64
 	// Memory is the half-life of the arrival rates of closed importances.
 	Memory time.Duration
 }
@@ -32,13 +30,13 @@
 // DefaultGateConfig is what the policy bench was tuned to.
 func DefaultGateConfig() GateConfig {
 	return GateConfig{
-		Interval:   100 * time.Millisecond,
-		TargetWait: 20 * time.Millisecond,
-		ShedShare:  0.02,
-		Surplus:    0.1,
-		Reserve:    0.05,
-		Probe:      0.05,
-		Memory:     time.Second,
+		Interval: 100 * time.Millisecond,
+		Queue:    1,
+		Settle:   3,
+		Surplus:  0.15,
+		Probe:    0.1,
+		Fade:     0.6,
+		Memory:   time.Second,
 	}
 }
 
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -21,11 +21,10 @@
 // Sample is one call that left the queue.
 type Sample struct {
 	Event Event
-	// Wait is how long the call had waited.
-	Wait time.Duration
-	// Full says that another call waits or every place of the limit is
-	// taken.
-	Full bool
+	// Queued is the number of calls that still wait.
+	Queued int
+	// InFlight and Limit are those of the backend server.
+	InFlight, Limit int
 }
 
 // Gate sets the level of one node. Within an importance the hash is uniform, so
@@ -36,24 +35,27 @@
 	cfg   GateConfig
 	start time.Time
 	seen  counts
-	// arrivals are calls per interval and importance, above the level and
-	// below it.
-	arrivals  [importance.Count]float64
+	// arrivals of each importance.
+	arrivals [importance.Count]flow
+	// capacity is the number of calls served per interval when full.
 	capacity  float64
-	admit     float64
 	published float64
-	calm      bool
+	admit     float64
 }
 
+// counts of one interval.
 type counts struct {
 	open, closed [importance.Count]float64
 	served, shed float64
 	full         float64
-	wait         time.Duration
+	queued       float64
+	limit        float64
+	inFlight     float64
+	shortest     int
 }
 
 // NewGate returns a Gate that admits everything.
-func NewGate(cfg GateConfig) *Gate { return &Gate{cfg: cfg, calm: true} }
+func NewGate(cfg GateConfig) *Gate { return &Gate{cfg: cfg} }
 
 // Admit counts an arrival and reports whether the node takes it.
 func (g *Gate) Admit(now time.Time, priority uint16) bool {
@@ -74,9 +76,14 @@
 		g.seen.shed++
 		return
 	}
+	if g.seen.served == 0 || s.Queued < g.seen.shortest {
+		g.seen.shortest = s.Queued
+	}
 	g.seen.served++
-	g.seen.wait += s.Wait
-	if s.Full {
+	g.seen.queued += float64(s.Queued)
+	g.seen.limit += float64(s.Limit)
+	g.seen.inFlight += float64(s.InFlight)
+	if s.InFlight >= s.Limit {
 		g.seen.full++
 	}
 }
@@ -106,24 +113,13 @@
 		return
 	}
 	part := float64(span) / float64(g.cfg.Interval)
-	g.learn(part)
-	g.set(part)
-	g.start = now
-	g.seen = counts{}
-}
-
-// learn estimates the arrivals per interval of each importance.
-func (g *Gate) learn(part float64) {
-	forget := math.Pow(0.5, part*float64(g.cfg.Interval)/float64(g.cfg.Memory))
 	for i := range g.arrivals {
 		open := openShare(g.published, i)
-		all := (g.seen.open[i] + g.seen.closed[i]) / part
-		if open == 0 {
-			g.arrivals[i] = max(all, g.arrivals[i]*forget)
-			continue
-		}
-		g.arrivals[i] = max(all, g.seen.open[i]/part/open)
+		g.arrivals[i].learn(&g.cfg, part, open, g.seen.open[i], g.seen.closed[i])
 	}
+	g.set(part)
+	g.start = now
+	g.seen = counts{}
 }
 
 // openShare is the share of an importance's hashes above a level.
@@ -132,53 +128,71 @@
 	return min(max((low+band-level)/band, 0), 1)
 }
 
+// set moves the level so that what is admitted is what is served, plus or
+// minus what brings the queue to its target.
 func (g *Gate) set(part float64) {
 	served := g.seen.served / part
-	shed := g.seen.shed / part
-	wait := time.Duration(0)
-	if g.seen.served > 0 {
-		wait = g.seen.wait / time.Duration(g.seen.served)
+	full := g.seen.full > g.seen.served/2 || g.seen.shed > 0
+	g.measure(served, full)
+	if !full {
+		g.lower(g.headroom(served))
+		return
 	}
-	full := g.seen.full > g.seen.served/2
-	if full || shed > 0 {
-		g.capacity = served
+	queued := g.seen.queued / max(g.seen.served, 1)
+	wanted := g.cfg.Queue * math.Sqrt(g.seen.limit/max(g.seen.served, 1))
+	target := g.capacity + (wanted-queued)/g.cfg.Settle
+	target = max(target, g.capacity/2)
+	if queued > wanted && g.seen.shortest > 0 {
+		g.raise(target)
+		return
 	}
-	overloaded := wait > g.cfg.TargetWait || shed > g.cfg.ShedShare*(served+shed)
-	g.calm = !overloaded
+	g.lower(target)
+}
+
+func (g *Gate) measure(served float64, full bool) {
+	const gain = 0.3
 	switch {
-	case overloaded:
-		g.raise(served)
-	case g.published > 0:
-		g.lower(served)
+	case served > g.capacity && (!full || g.capacity == 0):
+		g.capacity = served
+	case full:
+		g.capacity += gain * (served - g.capacity)
 	}
 }
 
-func (g *Gate) raise(served float64) {
-	to := g.levelFor(served * (1 - g.cfg.Reserve))
-	g.published = max(g.published, to)
-	g.admit = min(g.published, g.levelFor(served*(1+g.cfg.Surplus)))
+// headroom is what may be admitted while the limit is not in use: as much more
+// as there are places free, by at most Probe at a time, or what was served
+// before if that was more.
+func (g *Gate) headroom(served float64) float64 {
+	free := g.seen.limit / max(g.seen.inFlight, 1)
+	return max(g.capacity, served*min(free, g.cfg.Probe))
+}
+
+func (g *Gate) raise(target float64) {
+	g.published = max(g.published, g.levelFor(target))
+	own := g.levelFor(target * (1 + g.cfg.Surplus))
+	g.admit = min(g.published, own)
 }
 
 // lower opens up. It stops at the lower end of an importance, so that the next
 // one is only admitted once nothing of this one has been refused for a whole
 // interval.
-func (g *Gate) lower(served float64) {
-	target := max(served, g.capacity) * (1 + g.cfg.Probe)
-	to := g.levelFor(target)
+func (g *Gate) lower(target float64) {
 	floor := math.Floor((g.published-1)/band) * band
-	g.published = min(g.published, max(to, floor, 0))
-	g.admit = min(g.admit, g.published)
+	to := max(g.levelFor(target), floor, 0)
+	g.published = min(g.published, to)
+	own := max(g.levelFor(target*(1+g.cfg.Surplus)), floor)
+	g.admit = min(g.admit, g.published, own)
 }
 
 // levelFor is the level above which arrives the given number of calls per
 // interval.
 func (g *Gate) levelFor(target float64) float64 {
 	for i := importance.Count - 1; i >= 0; i-- {
-		if g.arrivals[i] > target {
-			share := target / g.arrivals[i]
-			return float64(i*band) + (1-share)*band
+		rate := g.arrivals[i].rate()
+		if rate > target {
+			return float64(i*band) + (1-target/rate)*band
 		}
-		target -= g.arrivals[i]
+		target -= rate
 	}
 	return 0
 }
@@ -193,10 +207,13 @@
 
 // Dump returns the state for people.
 func (g *Gate) Dump() GateState {
-	return GateState{
+	s := GateState{
 		Level:    toLevel(g.published),
 		Own:      toLevel(g.admit),
 		Capacity: g.capacity,
-		Arrivals: g.arrivals,
 	}
+	for i := range g.arrivals {
+		s.Arrivals[i] = g.arrivals[i].rate()
+	}
+	return s
 }
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -32,6 +32,7 @@
 	cfg      LevelsConfig
 	rng      *rand.Rand
 	services map[string]*service
+	passOn   []string
 	scratch  []uint16
 }
 
@@ -45,6 +46,14 @@
 	}
 }
 
+// PassOn sets the services whose levels Report passes on: those that the node's
+// own service reaches, without any that reaches back to it. If levels were
+// passed on in a circle, each node would take the echo of its own word for news
+// and a level would never fall again.
+func (l *Levels) PassOn(services []string) {
+	l.passOn = slices.Clone(services)
+}
+
 // Learn notes the level of a service as told by a node: its own, or one that it
 // passes on.
 func (l *Levels) Learn(now time.Time, name string, node wire.NodeID, level uint16) {
@@ -184,8 +193,8 @@
 // Report lists the levels to pass on, the highest first if there are too many.
 func (l *Levels) Report(now time.Time) []call.Level {
 	var out []call.Level
-	for name, s := range l.services {
-		if level := l.follow(now, s); level > 0 {
+	for _, name := range l.passOn {
+		if level := l.Level(now, name); level > 0 {
 			out = append(out, call.Level{Service: name, Priority: level})
 		}
 	}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -57,6 +57,7 @@
 	if m.policy.Admission {
 		n.gate = admission.NewGate(m.policy.Gate)
 		n.levels = admission.NewLevels(m.policy.Levels, m.scenario.Seed)
+		n.levels.PassOn(m.scenario.below(s))
 	}
 	return n
 }
@@ -196,7 +197,6 @@
 	left     int
 	current  *call
 	over     bool
-	used     time.Duration
 	done     func(result)
 }
 
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -70,6 +70,7 @@
 	item := queue.Item[*call]{ID: c.id, Priority: c.priority, Value: c}
 	if n.policy.Cancel {
 		item.Deadline = c.deadline
+		item.Need = n.expect(c)
 	}
 	n.drop(n.queue.Push(now, item))
 	n.pump()
@@ -78,6 +79,14 @@
 	}
 }
 
+// expect is how long the call takes at least.
+func (n *node) expect(c *call) time.Duration {
+	if l, ok := n.limit.(*limit.Limiter); ok {
+		return l.Expect(c.op.class())
+	}
+	return 0
+}
+
 // shedBelow empties the queue below the node's own level when that has risen.
 func (n *node) shedBelow() {
 	own := n.gate.Own(n.model.sim.now)
@@ -122,8 +131,12 @@
 	c.begun = now
 	c.inFlight = n.limit.Begin(now)
 	if n.policy.Admission {
-		full := n.running >= n.limit.Limit()
-		n.gate.Observe(now, admission.Sample{Event: admission.Served, Wait: now.Sub(c.arrived), Full: full})
+		n.gate.Observe(now, admission.Sample{
+			Event:    admission.Served,
+			Queued:   n.queue.Len(),
+			InFlight: n.running,
+			Limit:    n.limit.Limit(),
+		})
 		n.shedBelow()
 	}
 	c.job = &job{run: func() { n.run(c) }}
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -1,6 +1,7 @@
 package loadmodel
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
@@ -107,10 +108,25 @@
 // Operations of one importance are let in by equal shares until a service that
 // they need is full.
 func (sc *Scenario) best(p Phase) [importance.Count]float64 {
+	if !p.Cold {
+		return sc.bestAt(p, p.Slow)
+	}
+	const steps = 50
+	var out [importance.Count]float64
+	for i := range steps {
+		left := 1 - (float64(i)+0.5)/steps
+		for imp, rate := range sc.bestAt(p, 1+(p.Slow-1)*left) {
+			out[imp] += rate / steps
+		}
+	}
+	return out
+}
+
+func (sc *Scenario) bestAt(p Phase, factor float64) [importance.Count]float64 {
 	var out [importance.Count]float64
 	slow := func(s int) float64 {
-		if p.Slow > 0 && s == p.SlowService && !p.Cold {
-			return p.Slow
+		if factor > 0 && s == p.SlowService {
+			return factor
 		}
 		return 1
 	}
@@ -155,3 +171,17 @@
 	}
 	return part
 }
+
+// below names the services that a service calls, directly or not.
+func (sc *Scenario) below(s int) []string {
+	var names []string
+	for _, op := range sc.Operations {
+		at := slices.Index(op.Path, s)
+		for _, t := range op.Path[at+1:] {
+			if name := sc.Services[t].Name; at >= 0 && !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
+	return names
+}
--- a/limit/config.go
+++ b/limit/config.go
@@ -30,22 +30,24 @@
 	// StartGrowth is the factor by which the limit grows per window until
 	// the first sign of queueing.
 	StartGrowth float64
-	// CutAbove is the ratio of latency to floor from which the limit is cut
-	// at once instead of being adjusted.
-	CutAbove float64
+	// Tolerance is by how much the latency may exceed the floor. Noise is
+	// added to it, over the square root of the calls in the window, so that
+	// a few slow calls at a small backend server are not taken for a queue.
+	Tolerance, Noise float64
 	// CutTo is the least share of the limit that one cut leaves.
 	CutTo float64
-	// JudgeBelow is the share of the old limit below which a decrease is
-	// judged by what it did to the latency.
-	JudgeBelow float64
 	// Elasticity is the share of the expected fall in latency from which a
-	// decrease is held to have shortened a queue.
+	// cut is held to have shortened a queue.
 	Elasticity float64
+	// TestCalls is the number of calls after a cut that decide.
+	TestCalls int
 	// RecheckAfter is how long the limit may be in use before the floor is
-	// measured again with fewer calls in flight.
-	RecheckAfter time.Duration
+	// measured again with fewer calls in flight. It doubles up to
+	// RecheckMax while the check finds nothing.
+	RecheckAfter, RecheckMax time.Duration
 	// LowUse is the share of the limit up to which calls in flight are held
-	// to meet no queue, so that their latency is the floor.
+	// to meet no queue, so that their latency is the floor. The limit may
+	// stand too high by half after it has grown.
 	LowUse float64
 	// FloorCalls is the number of calls over which a floor is averaged.
 	FloorCalls int
@@ -71,13 +73,15 @@
 		WindowCalls:     60,
 		WindowLatencies: 2,
 		Headroom:        0.7,
-		StartGrowth:     1.5,
-		CutAbove:        1.4,
+		StartGrowth:     2,
+		Tolerance:       0.15,
+		Noise:           1.5,
 		CutTo:           0.7,
-		JudgeBelow:      0.85,
 		Elasticity:      0.5,
-		RecheckAfter:    5 * time.Second,
-		LowUse:          0.7,
+		TestCalls:       150,
+		RecheckAfter:    2 * time.Second,
+		RecheckMax:      16 * time.Second,
+		LowUse:          0.5,
 		FloorCalls:      200,
 		Classes:         256,
 		ShedShare:       0.01,
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -63,10 +63,9 @@
 
 // reference is what a decrease is judged against.
 type reference struct {
-	set     bool
+	measure
 	limit   float64
-	ratio   float64
-	refused float64
+	recheck bool
 }
 
 // Limiter is the adaptive limit of one backend server. It is not safe for
@@ -86,6 +85,7 @@
 	ratio    float64
 	latency  time.Duration
 	checked  time.Time
+	recheck  time.Duration
 	hold     time.Duration
 	holdTill time.Time
 	deafTill time.Time
@@ -100,6 +100,7 @@
 		starting: true,
 		ratio:    1,
 		hold:     cfg.HoldMin,
+		recheck:  cfg.RecheckAfter,
 	}
 }
 
@@ -112,9 +113,13 @@
 // Free reports whether another call may begin.
 func (l *Limiter) Free() bool { return l.inFlight < l.Limit() }
 
-// Expect returns the latency that a call of the class has at least, as far as
-// known, without the calls that it makes; zero if unknown.
+// Expect returns how long a call of the class takes at the backend server at
+// present, without the calls that it makes; zero if that is not known or
+// nothing is in flight, so that there is always a call that can measure it.
 func (l *Limiter) Expect(class uint32) time.Duration {
+	if l.inFlight == 0 {
+		return 0
+	}
 	return time.Duration(float64(l.floors.expect(class)) * max(l.ratio, 1))
 }
 
@@ -145,22 +150,45 @@
 
 func (l *Limiter) account(s Sample) {
 	own := max(0, s.Latency-s.Downstream).Seconds()
-	if s.Outcome == Success {
-		fl := l.floors.get(s.Class, own, l.ratio)
-		if l.phase == steady && float64(s.InFlight) <= l.cfg.LowUse*l.limit {
-			l.floors.learn(fl, own)
-		}
-		l.win.credit += fl.seconds
+	l.win.ended += own
+	switch s.Outcome {
+	case Success:
 		l.win.useful += s.Latency.Seconds()
 		l.win.finished++
-		return
-	}
-	// A call that was cut short used a slot only for as long as it lasted.
-	known := l.floors.expect(s.Class).Seconds()
-	l.win.credit += min(own, known)
-	if s.Outcome == Overload {
-		l.win.finished++
+		l.succeed(s, own)
+	case Overload:
 		l.win.refused++
+		l.win.finished++
+		l.cutShort(s, own)
+	default:
+		l.cutShort(s, own)
+	}
+}
+
+func (l *Limiter) succeed(s Sample, own float64) {
+	fl := l.floors.get(s.Class, own, l.ratio)
+	fl.recent += own
+	fl.recentCalls++
+	unqueued := float64(s.InFlight) <= l.cfg.LowUse*l.limit
+	switch {
+	case l.phase == steady && unqueued:
+		l.floors.learn(fl, own)
+	case !fl.known():
+		l.floors.learn(fl, own/max(l.ratio, 1))
+	}
+	if fl.known() {
+		l.win.known += own
+		l.win.calls++
+		l.win.credit += fl.seconds
+	}
+}
+
+// cutShort accounts for a call that used a slot only for as long as it lasted.
+func (l *Limiter) cutShort(s Sample, own float64) {
+	floor := l.floors.expect(s.Class).Seconds()
+	if floor > 0 {
+		l.win.known += own
+		l.win.credit += min(own, floor)
 	}
 }
 
@@ -193,7 +221,7 @@
 	if span < l.cfg.Window || span < l.windowLatencies() {
 		return
 	}
-	if l.win.finished < l.cfg.WindowCalls && span < l.cfg.WindowMax {
+	if l.win.finished < l.windowCalls() && span < l.cfg.WindowMax {
 		return
 	}
 	m, ok := l.win.measure(now)
@@ -202,18 +230,30 @@
 		// would not free the backend server.
 		return
 	}
-	l.restart(now)
 	l.latency = m.latency
 	l.decide(now, m)
+	l.restart(now)
+}
+
+func (l *Limiter) windowCalls() int {
+	if l.phase == testing {
+		return l.cfg.TestCalls
+	}
+	return l.cfg.WindowCalls
 }
 
 func (l *Limiter) windowLatencies() time.Duration {
-	d := time.Duration(l.cfg.WindowLatencies * float64(l.latency))
+	latencies := l.cfg.WindowLatencies
+	if l.starting {
+		latencies = 1
+	}
+	d := time.Duration(latencies * float64(l.latency))
 	return min(d, l.cfg.WindowMax)
 }
 
 func (l *Limiter) restart(now time.Time) {
 	l.win = window{start: now}
+	l.floors.restart()
 }
 
 // settle ends the wait after a decrease: the surplus has left and the calls
@@ -235,123 +275,120 @@
 		l.judge(now, m)
 		return
 	}
-	if !m.inUse {
-		l.ratio = 1
-		l.ref = reference{}
-		l.checked = now
-		l.refusals(now, m)
-		return
-	}
-	l.ratio = m.ratio
 	if l.refusals(now, m) {
 		return
 	}
+	const smoothing = 0.5
+	l.ratio += smoothing * (m.ratio - l.ratio)
+	if !m.inUse {
+		l.checked = now
+	}
+	slack := l.slack(m)
 	switch {
-	case m.ratio > l.cfg.CutAbove:
+	case m.ratio > 1+slack && (m.inUse || l.standing(m, slack)):
 		l.starting = false
-		l.cut(now, m, l.target(m))
-	case now.Sub(l.checked) >= l.cfg.RecheckAfter:
-		l.cut(now, m, m.slots()*l.cfg.JudgeBelow)
+		l.ratio = m.ratio
+		l.cut(now, m, l.target(m), false)
+	case m.ratio < 1-slack:
+		// Calls became faster, which no queue explains.
+		l.floors.scale(m.ratio)
+		l.ratio = 1
+	case !m.inUse:
+		// Nothing asks for a higher limit.
+		l.floors.balance(m.ratio)
+	case now.Sub(l.checked) >= l.recheck:
+		m.ratio = l.ratio
+		l.cut(now, m, 0, true)
 	default:
-		l.adjust(now, m)
+		l.floors.balance(m.ratio)
+		l.grow(now)
 	}
 }
 
+// standing reports whether calls queue although the limit is not in use, as
+// when the callers themselves are limited to less. With few calls in flight it
+// is the floor that is wrong, which the calls themselves correct.
+func (l *Limiter) standing(m measure, slack float64) bool {
+	return l.ratio > 1+slack && m.inFlight > l.cfg.LowUse*l.limit
+}
+
+// slack is by how much a ratio may differ from one and mean nothing.
+func (l *Limiter) slack(m measure) float64 {
+	return l.cfg.Tolerance + l.cfg.Noise/math.Sqrt(max(m.calls, 1))
+}
+
 // target is the limit that the measured concurrency asks for.
 func (l *Limiter) target(m measure) float64 {
-	slots := m.slots()
-	room := max(1, l.cfg.Headroom*math.Sqrt(slots))
-	return slots + room
+	return m.slots() + l.room(m.slots())
 }
 
-// adjust follows the measurement in small steps.
-func (l *Limiter) adjust(now time.Time, m measure) {
-	if m.ratio < 1 {
-		l.lowerFloor(m.ratio)
-	}
-	want := l.target(m)
-	if l.starting && m.ratio < 1.2 {
-		want = max(want, l.limit*l.cfg.StartGrowth)
-	} else {
-		l.starting = false
-	}
-	if want > l.limit && now.Before(l.holdTill) {
-		return
-	}
-	if want < l.limit && !l.ref.set {
-		l.ref = reference{set: true, limit: l.limit, ratio: m.ratio}
-	}
-	l.set(want)
-	if !l.ref.set {
-		return
-	}
-	if l.limit >= l.ref.limit {
-		l.ref = reference{}
-		return
-	}
-	if l.limit < l.ref.limit*l.cfg.JudgeBelow {
-		l.begin(now)
-	}
+func (l *Limiter) room(slots float64) float64 {
+	return max(1, l.cfg.Headroom*math.Sqrt(slots))
 }
 
-// lowerFloor follows calls that became faster: at once if by much, slowly if
-// it may be noise, which would otherwise ratchet the floor down.
-func (l *Limiter) lowerFloor(ratio float64) {
-	const certain, gain = 0.8, 0.1
-	if ratio < certain {
-		l.floors.scale(ratio)
+// grow looks for more slots, the slower the more the latency already shows.
+func (l *Limiter) grow(now time.Time) {
+	if now.Before(l.holdTill) {
+		return
+	}
+	if l.starting {
+		l.set(l.limit * l.cfg.StartGrowth)
 		return
 	}
-	l.floors.scale(1 - gain*(1-ratio))
+	felt := (l.ratio - 1) / l.cfg.Tolerance
+	l.set(l.limit + l.room(l.limit)*min(max(1-felt, 0), 1))
 }
 
 // cut decreases the limit and starts to observe what that does.
-func (l *Limiter) cut(now time.Time, m measure, to float64) {
-	l.ref = reference{set: true, limit: l.limit, ratio: m.ratio, refused: m.refused}
-	l.set(max(to, l.limit*l.cfg.CutTo))
-	l.begin(now)
-}
-
-func (l *Limiter) begin(now time.Time) {
+func (l *Limiter) cut(now time.Time, m measure, to float64, recheck bool) {
+	l.ref = reference{measure: m, limit: l.limit, recheck: recheck}
+	used := min(l.limit, m.inFlight)
+	l.set(max(to, used*l.cfg.CutTo))
 	l.phase = settling
 	l.settled = now.Add(l.latency)
 }
 
-// judge compares the measurement after a decrease with the one before.
+// judge compares the measurement after a cut with the one before.
 func (l *Limiter) judge(now time.Time, m measure) {
-	ref := l.ref
-	l.ref = reference{}
 	l.checked = now
-	if ref.refused > l.cfg.ShedShare {
-		l.judgeRefusals(now, m, ref)
+	if l.ref.refused > l.cfg.ShedShare {
+		l.judgeRefusals(now, m)
 		return
 	}
+	slack := l.slack(m)
+	surprise := math.Abs(m.ratio-1) > slack
 	l.ratio = m.ratio
-	if !l.followed(m, ref) {
+	switch {
+	case !l.followed(m):
 		// The latency did not follow: the backend server is slower, not
 		// queueing. Without this, each further cut would be answered by
 		// the same latency until the limit is at its least.
-		l.floors.scale(m.ratio)
+		if !surprise {
+			m.ratio = 1
+		}
+		l.floors.adopt(m.ratio)
 		l.ratio = 1
-		l.set(ref.limit)
-		return
-	}
-	if m.ratio < 1 {
-		l.floors.scale(m.ratio)
-		l.cut(now, measure{ratio: 1}, l.limit*l.cfg.JudgeBelow)
-		return
+		l.set(l.ref.limit)
+	case m.ratio > 1+slack:
+		l.cut(now, m, l.target(m), false)
+	case l.ref.recheck && surprise:
+		// There was a queue when the floor was measured.
+		l.floors.adopt(m.ratio)
+		m.ratio, l.ratio = 1, 1
+		l.cut(now, m, 0, true)
+	default:
+		l.set(min(l.ref.limit, l.target(l.ref.measure)))
 	}
-	if m.ratio > l.cfg.CutAbove {
-		l.cut(now, m, l.target(m))
-		return
+	l.recheck = min(2*l.recheck, l.cfg.RecheckMax)
+	if surprise {
+		l.recheck = l.cfg.RecheckAfter
 	}
-	l.set(l.target(m))
 }
 
 // followed reports whether the latency fell with the calls in flight.
-func (l *Limiter) followed(m measure, ref reference) bool {
-	fell := math.Log(ref.ratio / m.ratio)
-	expected := math.Log(ref.limit / max(l.limit, 1))
+func (l *Limiter) followed(m measure) bool {
+	fell := math.Log(l.ref.ratio / m.ratio)
+	expected := math.Log(l.ref.inFlight / m.inFlight)
 	return fell >= l.cfg.Elasticity*expected
 }
 
@@ -364,20 +401,18 @@
 	l.starting = false
 	l.hold = min(2*l.hold, l.cfg.HoldMax)
 	l.holdTill = now.Add(l.hold)
-	l.cut(now, m, m.succeeding)
+	l.cut(now, m, m.succeeding, false)
 	return true
 }
 
 // judgeRefusals tells a backend server that is full from one that refuses
 // whatever the number in flight: the latter must not close the limit.
-func (l *Limiter) judgeRefusals(now time.Time, m measure, ref reference) {
-	if m.refused <= ref.refused/2 {
+func (l *Limiter) judgeRefusals(now time.Time, m measure) {
+	if m.refused <= l.ref.refused/2 {
 		return
 	}
-	if l.limit <= float64(l.cfg.Min) || ref.limit-l.limit >= 1 {
-		l.deafTill = now.Add(l.cfg.RecheckAfter)
-		l.set(ref.limit)
-	}
+	l.deafTill = now.Add(l.cfg.RecheckAfter)
+	l.set(l.ref.limit)
 }
 
 func (l *Limiter) set(to float64) {
--- a/limit/window.go
+++ b/limit/window.go
@@ -11,8 +11,12 @@
 	own, total float64
 	// full is the time, in seconds, in which the limit was in use.
 	full float64
-	// credit is the sum of the floors of the finished calls.
-	credit float64
+	// ended is the sum of the own latencies of the calls that ended. Of
+	// those whose class is known, known is the same and credit the sum of
+	// the floors.
+	ended, known, credit float64
+	// calls is the number of the latter.
+	calls float64
 	// useful is the sum of the latencies of the successful calls.
 	useful float64
 	// finished counts successes and refusals, refused only the latter.
@@ -25,13 +29,15 @@
 	inFlight float64
 	// waiting is the mean number of those that waited for others.
 	waiting float64
-	// ratio is own latency to floor, by Little's law: calls in flight over
-	// floor times rate. It needs no call to finish late to show that calls
-	// are slow, and one stuck call weighs as one.
+	// ratio is own latency to floor. It is taken both from the calls that
+	// ended and, by Little's law, from those in flight, and the lesser
+	// counts: the former is fooled by one call that was stuck for long, the
+	// latter by calls that have only just begun.
 	ratio float64
 	// succeeding is the mean number of calls in flight that succeeded.
 	succeeding float64
 	refused    float64
+	calls      float64
 	inUse      bool
 	latency    time.Duration
 }
@@ -40,15 +46,20 @@
 
 func (w *window) measure(now time.Time) (measure, bool) {
 	span := now.Sub(w.start).Seconds()
-	if span <= 0 || w.finished == 0 || w.credit <= 0 {
+	if span <= 0 || w.finished == 0 || w.ended <= 0 {
 		return measure{}, false
 	}
+	ratio := 1.0
+	if w.credit > 0 {
+		ratio = w.known / w.credit * min(1, w.own/w.ended)
+	}
 	m := measure{
 		inFlight:   w.total / span,
 		waiting:    (w.total - w.own) / span,
-		ratio:      w.own / w.credit,
+		ratio:      ratio,
 		succeeding: w.useful / span,
 		refused:    float64(w.refused) / float64(w.finished),
+		calls:      w.calls,
 		inUse:      w.full/span >= inUseShare,
 		latency:    time.Duration(w.total / float64(w.finished) * float64(time.Second)),
 	}
