balancer, poison: a neutral outcome, and what the guard assumes of its user

A refusal for the content of a request, or a redirect, says nothing about the load of a node, but counted as a full node for 100 ms. Neutral is for these. The guard's page now says what the two-crash figure needs: notices before answers, About before a redirect, passing on to a few peers only, and that a suspect which is cleared while it waits must run and not be refused. Ruled out: mapping such refusals to Success, which would take their short time for the backend server's latency.

--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -18,13 +18,16 @@
 const (
 	// Success: the backend server answered, whatever its answer was.
 	Success Outcome = iota
-	// Refused: the node said that the call did not run there.
+	// Refused: the node had no room or could not serve; others may.
 	Refused
 	// Failed: the call was lost or could not be sent.
 	Failed
 	// Abandoned: the deadline passed or the caller went away first. The
 	// latency is what the call took at least.
 	Abandoned
+	// Neutral: the answer says nothing about the node's load, like a refusal
+	// for the content of the request.
+	Neutral
 )
 
 // Result of one call.
@@ -146,6 +149,8 @@
 		p.counters.Refused++
 	case Failed:
 		p.eject(now, m)
+	case Neutral:
+		m.failures = 0
 	case Abandoned:
 		p.measure(m, r.Latency, true)
 	}
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -256,7 +256,7 @@
 				i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "call")
 				p.Done(now, inFlight[i], Result{
 					Latency:  rapid.SampledFrom([]time.Duration{-1, time.Millisecond, 2 * time.Millisecond, time.Minute}).Draw(t, "latency"),
-					Outcome:  Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")),
+					Outcome:  Outcome(rapid.IntRange(0, 4).Draw(t, "outcome")),
 					InFlight: rapid.IntRange(-1, 1e6).Draw(t, "load"),
 					Limit:    rapid.IntRange(-1, 1e6).Draw(t, "limit"),
 				})
--- a/poison/gossip.go
+++ b/poison/gossip.go
@@ -6,7 +6,8 @@
 )
 
 // Receive takes a notice of a peer and returns what is to be passed on to a
-// few other peers: only what was news here, so that gossip ends.
+// few other peers, not to all: with n nodes that would be n squared messages.
+// Only what was news here is passed on, so that gossip ends.
 func (g *Guard) Receive(now time.Time, n Notice) []Notice {
 	if !n.valid(&g.cfg) {
 		g.counters.Invalid++
@@ -109,8 +110,9 @@
 	return notices
 }
 
-// About returns what is known of one fingerprint, for a sender that did not
-// know it when it sent the request here.
+// About returns what is known of one fingerprint. A node sends it along with a
+// suspect, and to a sender that did not know of the suspicion; if what the two
+// know differs, the later state holds at both after that.
 func (g *Guard) About(now time.Time, fp uint64) []Notice {
 	e := g.table.get(now, fp)
 	if e == nil {
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -7,13 +7,17 @@
 // convicted and refused everywhere until the conviction expires. Such a
 // request so costs two backend servers, and no other request is refused.
 //
-// That figure assumes that the notice of the first crash is at the nodes of
-// the service before another copy starts there: the node that saw the crash
-// sends its notices before it answers the calls that were lost, so a retry or
-// a resend that follows such an answer comes after them. Copies that already
-// run at other backend servers at that moment can't be recalled; each of them
-// costs one backend server more. A backend server that crashes for another
-// reason while a suspect runs alone convicts an innocent request.
+// That figure assumes that the notices of a crash are at the nodes of the
+// service before another copy starts there: the node that saw the crash sends
+// them before it answers the calls that were lost, so a retry or a resend that
+// follows such an answer comes after them, and a node that sends a suspect to
+// its place sends About first. It assumes too that the views of the ready nodes
+// agree, but for the nodes that the request itself made fail. Where that does
+// not hold a backend server more is lost for each copy that runs beside the
+// first: copies that already run elsewhere at the first crash can't be
+// recalled. A backend server that crashes for another reason while a suspect
+// runs alone convicts an innocent request. A request that crashes only some of
+// the backend servers that run it is cleared by the others and suspected anew.
 package poison
 
 import (
@@ -108,7 +112,9 @@
 }
 
 // Start asks to run a suspect alone at the local backend server. It agrees for
-// one at a time; Finished, Abandoned or Crashed make room for the next.
+// one at a time; Finished, Abandoned or Crashed make room for the next. It does
+// not agree when the request is no suspect any more: it may have been cleared
+// while it waited, and then must not be refused, or convicted. Check tells.
 func (g *Guard) Start(now time.Time, fp uint64) bool {
 	if g.occupied || g.Check(now, fp) != Alone {
 		return false
