admission: levels for entering requests apart from those of a node's own calls

Cause: with both in one table a node heard its own report again by way of the services above it. Those echoes start at zero, and as the lower quantile of the words counts, the level of the last service of a chain never reached the entry: the flood ran down the chain and was refused at its end. Ruled out: a limit on how far a level is passed on (does not help a chain).

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -26,7 +26,10 @@
 	recovery time.Duration
 }
 
-// Levels holds the levels of other services as learned from replies. It is not
+// Levels holds the levels of other services as learned from replies. A node has
+// two: one for the requests that enter at it, and one for the calls of its own
+// backend server, which alone is reported upwards. In a common one the node
+// would hear its own report again by way of the services above it. It is not
 // safe for concurrent use.
 type Levels struct {
 	cfg      LevelsConfig
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -58,6 +58,7 @@
 		n.gate = admission.NewGate(m.policy.Gate)
 		n.levels = admission.NewLevels(m.policy.Levels, m.scenario.Seed)
 		n.levels.PassOn(m.scenario.below(s))
+		n.entry = admission.NewLevels(m.policy.Levels, m.scenario.Seed+1)
 	}
 	return n
 }
@@ -148,7 +149,7 @@
 }
 
 func (r *request) send() {
-	r.model.ask(r.entry, r.op, 0, r.priority, r.deadline, r.answer)
+	r.model.ask(r.entry, r.entry.entry, r.op, 0, r.priority, r.deadline, r.answer)
 }
 
 func (r *request) answer(res result) {
@@ -171,10 +172,11 @@
 
 // ask makes one call from a node, with the policy's retries, and returns what
 // cancels it.
-func (m *model) ask(from *node, op *Operation, hop int, priority uint16, deadline time.Time, done func(result)) func() {
+func (m *model) ask(from *node, levels *admission.Levels, op *Operation, hop int, priority uint16, deadline time.Time, done func(result)) func() {
 	a := &asking{
 		model:    m,
 		from:     from,
+		levels:   levels,
 		op:       op,
 		hop:      hop,
 		priority: priority,
@@ -190,6 +192,7 @@
 type asking struct {
 	model    *model
 	from     *node
+	levels   *admission.Levels
 	op       *Operation
 	hop      int
 	priority uint16
@@ -203,7 +206,7 @@
 func (a *asking) attempt() {
 	m := a.model
 	if m.policy.Admission {
-		_, after, ok := a.from.levels.Admit(m.sim.now, m.reach(a.op, a.hop), a.priority)
+		_, after, ok := a.levels.Admit(m.sim.now, m.reach(a.op, a.hop), a.priority)
 		if !ok {
 			a.from.place.shedAtEntry(m.sim.now, a.op.Importance)
 			a.finish(result{retryAfter: after})
@@ -250,7 +253,7 @@
 	a.current = nil
 	m := a.model
 	if m.policy.Admission {
-		a.from.levels.LearnReply(m.sim.now, c.node.id, r.levels)
+		a.levels.LearnReply(m.sim.now, c.node.id, r.levels)
 	}
 	if !r.ok && a.left > 0 && m.sim.now.Before(a.deadline) {
 		a.left--
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -48,6 +48,7 @@
 	queue   waiting
 	gate    *admission.Gate
 	levels  *admission.Levels
+	entry   *admission.Levels
 	backend *backend
 	running int
 	place   place
@@ -156,7 +157,7 @@
 	n.step(c, work/2, func() {
 		asked := n.model.sim.now
 		n.limit.Waiting(asked, 1)
-		c.below = n.model.ask(n, c.op, c.hop+1, c.priority, c.deadline, func(r result) {
+		c.below = n.model.ask(n, n.levels, c.op, c.hop+1, c.priority, c.deadline, func(r result) {
 			now := n.model.sim.now
 			n.limit.Waiting(now, -1)
 			c.below = nil
