graph: the remedy for a wrong form reads as a sentence

Needed: the remedy showed the form on one line, which HCL refuses for more than one attribute; who copied it got the next error.

Ruled out: a form over several lines, since a problem takes one line each.

Conclusion: the remedy says in words where the line breaks belong.

--- a/graph/problems_test.go
+++ b/graph/problems_test.go
@@ -54,7 +54,7 @@
 		"service attribute":   {"service \"a\" {\n x = 1\n operation \"x\" {}\n}", 2, "unknown attribute", "operation"},
 		"top attribute":       {"\nx = 1", 2, "outside of a service", "service"},
 		"unknown block":       {"\nbackend \"a\" {\n}", 2, `unknown block "backend"`, "service"},
-		"inner block":         {op("retry {\n}"), 3, "inside of operation", "form"},
+		"inner block":         {op("retry {\n}"), 3, "inside of operation", "one attribute a line"},
 		"no name":             {"service {\n}", 1, "0 names", "NAME"},
 		"bad name":            {"service \"a.b\" {\n}", 1, "not a name", "letters"},
 		"long name":           {"service \"" + long + "\" {\n}", 1, "not a name", "63"},
@@ -64,7 +64,7 @@
 		"open comment":        {op("/* idempotent = true\n"), 3, "comment does not end", "*/"},
 		"comparison":          {op(`idempotent = 1 == 1`), 3, `"=" is not part`, "plain values"},
 		"not UTF-8":           {"# caf\xe9", 1, "UTF-8", "save"},
-		"open block":          {"service \"a\" {\n", 1, "", "form"},
+		"open block":          {"service \"a\" {\n", 1, "", "close each"},
 		"empty":               {"", 1, "no service", "declare"},
 		"comment only":        {"# nothing\n\n", 1, "no service", "declare"},
 	} {
--- a/graph/syntax.go
+++ b/graph/syntax.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	formRemedy  = `follow the form: service "NAME" { operation "NAME" { idempotent = true, one attribute a line } }`
+	formRemedy  = `write service "NAME" { and in it operation "NAME" { on lines of their own, one attribute a line, and close each with }`
 	valueRemedy = `write plain values only: true, false, a number, "a string" or a list of strings`
 )
 
