limit, admission: growth in doubling steps, a gate that reopens by free places

Cause: a 150-slot server at 0.7x took over a second from a cold start (20% to 77% of three seconds' requests failed). One noisy window with a handful of known calls cut the limit and ended its fast growth for good; then the gate, raised by that small limit, reopened by too little: its factor still had the old meaning. Growth now doubles its step while latency shows nothing, a ratio from too few calls counts as one, and the gate may double per interval.

--- a/admission/config.go
+++ b/admission/config.go
@@ -34,7 +34,7 @@
 		Queue:    1,
 		Settle:   3,
 		Surplus:  0.15,
-		Probe:    0.1,
+		Probe:    2,
 		Fade:     0.6,
 		Memory:   time.Second,
 	}
--- a/limit/config.go
+++ b/limit/config.go
@@ -27,9 +27,8 @@
 	// the limit stands above it: enough to find more slots, and about the
 	// size of the measurement's own noise.
 	Headroom float64
-	// StartGrowth is the factor by which the limit grows per window until
-	// the first sign of queueing.
-	StartGrowth float64
+	// MaxGrowth is the factor by which the limit grows in one window at most.
+	MaxGrowth float64
 	// Tolerance is by how much the latency may exceed the floor. Noise is
 	// added to it, over the square root of the calls in the window, so that
 	// a few slow calls at a small backend server are not taken for a queue.
@@ -73,7 +72,7 @@
 		WindowCalls:     60,
 		WindowLatencies: 2,
 		Headroom:        0.7,
-		StartGrowth:     2,
+		MaxGrowth:       2,
 		Tolerance:       0.15,
 		Noise:           1.5,
 		CutTo:           0.7,
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -51,6 +51,9 @@
 	Class uint32
 }
 
+// startStreak lets a new limit grow at full speed.
+const startStreak = 10
+
 type phase uint8
 
 const (
@@ -81,7 +84,7 @@
 	phase    phase
 	settled  time.Time
 	ref      reference
-	starting bool
+	streak   float64
 	ratio    float64
 	latency  time.Duration
 	checked  time.Time
@@ -94,13 +97,13 @@
 // New returns a Limiter at its initial limit.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		cfg:      cfg,
-		limit:    float64(cfg.Initial),
-		floors:   newFloors(cfg),
-		starting: true,
-		ratio:    1,
-		hold:     cfg.HoldMin,
-		recheck:  cfg.RecheckAfter,
+		cfg:     cfg,
+		limit:   float64(cfg.Initial),
+		floors:  newFloors(cfg),
+		streak:  startStreak,
+		ratio:   1,
+		hold:    cfg.HoldMin,
+		recheck: cfg.RecheckAfter,
 	}
 }
 
@@ -224,7 +227,7 @@
 	if l.win.finished < l.windowCalls() && span < l.cfg.WindowMax {
 		return
 	}
-	m, ok := l.win.measure(now)
+	m, ok := l.win.measure(now, float64(l.cfg.WindowCalls)/2)
 	if !ok {
 		// No call ended: nothing is known, and fewer calls in flight
 		// would not free the backend server.
@@ -244,7 +247,7 @@
 
 func (l *Limiter) windowLatencies() time.Duration {
 	latencies := l.cfg.WindowLatencies
-	if l.starting {
+	if l.streak >= startStreak {
 		latencies = 1
 	}
 	d := time.Duration(latencies * float64(l.latency))
@@ -286,7 +289,6 @@
 	slack := l.slack(m)
 	switch {
 	case m.ratio > 1+slack && (m.inUse || l.standing(m, slack)):
-		l.starting = false
 		l.ratio = m.ratio
 		l.cut(now, m, l.target(m), false)
 	case m.ratio < 1-slack:
@@ -326,17 +328,19 @@
 	return max(1, l.cfg.Headroom*math.Sqrt(slots))
 }
 
-// grow looks for more slots, the slower the more the latency already shows.
+// grow looks for more slots: in steps that double while the latency shows
+// nothing, and that shrink the more it shows.
 func (l *Limiter) grow(now time.Time) {
 	if now.Before(l.holdTill) {
 		return
 	}
-	if l.starting {
-		l.set(l.limit * l.cfg.StartGrowth)
-		return
+	felt := min(max((l.ratio-1)/l.cfg.Tolerance, 0), 1)
+	step := l.room(l.limit) * math.Exp2(l.streak) * (1 - felt)
+	l.set(l.limit + min(step, l.limit*(l.cfg.MaxGrowth-1)))
+	l.streak++
+	if felt > 0.5 {
+		l.streak = 0
 	}
-	felt := (l.ratio - 1) / l.cfg.Tolerance
-	l.set(l.limit + l.room(l.limit)*min(max(1-felt, 0), 1))
 }
 
 // cut decreases the limit and starts to observe what that does.
@@ -344,6 +348,7 @@
 	l.ref = reference{measure: m, limit: l.limit, recheck: recheck}
 	used := min(l.limit, m.inFlight)
 	l.set(max(to, used*l.cfg.CutTo))
+	l.streak = 0
 	l.phase = settling
 	l.settled = now.Add(l.latency)
 }
@@ -398,7 +403,7 @@
 	if m.refused <= l.cfg.ShedShare || now.Before(l.deafTill) {
 		return false
 	}
-	l.starting = false
+	l.streak = 0
 	l.hold = min(2*l.hold, l.cfg.HoldMax)
 	l.holdTill = now.Add(l.hold)
 	l.cut(now, m, m.succeeding, false)
--- a/limit/window.go
+++ b/limit/window.go
@@ -44,13 +44,15 @@
 
 const inUseShare = 0.3
 
-func (w *window) measure(now time.Time) (measure, bool) {
+// measure sums the window up. With fewer known calls than enough the ratio is
+// taken to be one.
+func (w *window) measure(now time.Time, enough float64) (measure, bool) {
 	span := now.Sub(w.start).Seconds()
 	if span <= 0 || w.finished == 0 || w.ended <= 0 {
 		return measure{}, false
 	}
 	ratio := 1.0
-	if w.credit > 0 {
+	if w.calls >= enough {
 		ratio = w.known / w.credit * min(1, w.own/w.ended)
 	}
 	m := measure{
