limit: floors fall only by calls that ended, a standing queue needs a nearly full limit

When load falls, the number in flight falls before the calls that ended show it, so Little's ratio drops below one; it was taken for faster calls and lowered the floors, after which the ordinary latency looked like a queue and cut the limit from 55 to 20 of 40 slots. Floors now follow only the calls that ended; Little's law only ever prevents a cut. A queue behind a limit that is not in use counts from 80% of it on.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -275,6 +275,7 @@
 func (l *Limiter) decide(now time.Time, m measure) {
 	if l.phase == testing {
 		l.phase = steady
+		m.ratio = m.ended
 		l.judge(now, m)
 		return
 	}
@@ -291,27 +292,31 @@
 	case m.ratio > 1+slack && (m.inUse || l.standing(m, slack)):
 		l.ratio = m.ratio
 		l.cut(now, m, l.target(m), false)
-	case m.ratio < 1-slack:
+	case m.ended < 1-slack:
 		// Calls became faster, which no queue explains.
-		l.floors.scale(m.ratio)
+		l.floors.scale(m.ended)
 		l.ratio = 1
 	case !m.inUse:
 		// Nothing asks for a higher limit.
-		l.floors.balance(m.ratio)
+		l.floors.balance(m.ended)
 	case now.Sub(l.checked) >= l.recheck:
 		m.ratio = l.ratio
 		l.cut(now, m, 0, true)
 	default:
-		l.floors.balance(m.ratio)
+		l.floors.balance(m.ended)
 		l.grow(now)
 	}
 }
 
+// nearlyInUse is the share of the limit from which calls in flight count as
+// many.
+const nearlyInUse = 0.8
+
 // standing reports whether calls queue although the limit is not in use, as
 // when the callers themselves are limited to less. With few calls in flight it
 // is the floor that is wrong, which the calls themselves correct.
 func (l *Limiter) standing(m measure, slack float64) bool {
-	return l.ratio > 1+slack && m.inFlight > l.cfg.LowUse*l.limit
+	return l.ratio > 1+slack && m.inFlight > nearlyInUse*l.limit
 }
 
 // slack is by how much a ratio may differ from one and mean nothing.
--- a/limit/window.go
+++ b/limit/window.go
@@ -29,11 +29,11 @@
 	inFlight float64
 	// waiting is the mean number of those that waited for others.
 	waiting float64
-	// ratio is own latency to floor. It is taken both from the calls that
-	// ended and, by Little's law, from those in flight, and the lesser
-	// counts: the former is fooled by one call that was stuck for long, the
-	// latter by calls that have only just begun.
-	ratio float64
+	// ended is own latency to floor over the calls that ended. ratio is the
+	// same, or by Little's law for those in flight if that is less: one call
+	// that was stuck for long, or a queue that has just gone, is no reason
+	// to cut.
+	ended, ratio float64
 	// succeeding is the mean number of calls in flight that succeeded.
 	succeeding float64
 	refused    float64
@@ -51,14 +51,15 @@
 	if span <= 0 || w.finished == 0 || w.ended <= 0 {
 		return measure{}, false
 	}
-	ratio := 1.0
+	ended := 1.0
 	if w.calls >= enough {
-		ratio = w.known / w.credit * min(1, w.own/w.ended)
+		ended = w.known / w.credit
 	}
 	m := measure{
 		inFlight:   w.total / span,
 		waiting:    (w.total - w.own) / span,
-		ratio:      ratio,
+		ratio:      ended * min(1, w.own/w.ended),
+		ended:      ended,
 		succeeding: w.useful / span,
 		refused:    float64(w.refused) / float64(w.finished),
 		calls:      w.calls,
