demo: runs whole; waits until all nodes know each other

Before, one run failed because a node that was ready did not yet know a backend server of a service that it calls ("not run, no-backend"); the demo now waits until every node's view is whole.

Resends keep their request id: a replayed answer names the id that it was made for. If the machine itself stood still (one run lost 19.5 s in all processes at once), a failure says so; ruled out is to pass over it, since the deadlines did lapse.

--- a/cmd/demo/demo.go
+++ b/cmd/demo/demo.go
@@ -15,7 +15,7 @@
 
 const (
 	serviceTime  = 5 * time.Millisecond
-	callerCount  = 6
+	callerCount  = 12
 	versionLimit = 10 * time.Second
 	versionPoll  = 50 * time.Millisecond
 	stopLimit    = 15 * time.Second
@@ -109,7 +109,7 @@
 		if err != nil {
 			panic(err) // the settings are fixed here
 		}
-		d.callers = append(d.callers, &client{Client: c, name: fmt.Sprintf("caller %d", k+1)})
+		d.callers = append(d.callers, &client{Client: c, name: fmt.Sprintf("caller %2d", k+1)})
 	}
 }
 
@@ -127,7 +127,10 @@
 	}
 	fmt.Printf("   version %d in force at all %d nodes after %.2f s\n",
 		version, len(d.cluster.Instances), time.Since(accepted).Seconds())
-	return d.cluster.Await(ctx, "/readyz", d.cluster.Instances)
+	if err := d.cluster.Await(ctx, "/readyz", d.cluster.Instances); err != nil {
+		return err
+	}
+	return d.cluster.AwaitView(ctx, d.cluster.Instances)
 }
 
 func (d *demo) awaitSameVersion(ctx context.Context) (uint64, error) {
--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -15,12 +15,16 @@
 	"time"
 
 	"github.com/jessevdk/go-flags"
+
+	"github.com/cassialoom/cassialoom/internal/rig"
 )
 
 const (
 	usageStatus = 2
 	// runLimit ends a demo that hangs; one that works takes a fraction.
 	runLimit = 90 * time.Second
+	// stallLimit is below the shortest deadline of the graph.
+	stallLimit = 200 * time.Millisecond
 )
 
 type options struct {
@@ -62,7 +66,12 @@
 	if err != nil {
 		return err
 	}
+	stalls := rig.WatchStalls()
+	defer stalls.Stop()
 	err = errors.Join(d.show(ctx), d.end())
+	if longest := stalls.Longest(); err != nil && longest > stallLimit {
+		fmt.Printf("\nthis machine stood still for %.1f s meanwhile: try again\n", longest.Seconds())
+	}
 	if err != nil || opts.KeepLogs {
 		fmt.Println("\nlogs:", d.rig.Dir())
 		return err
--- a/cmd/demo/table.go
+++ b/cmd/demo/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -23,7 +24,7 @@
 
 func (r *record) name() string {
 	if r.resend {
-		return r.action + " (key known)"
+		return r.action + " (sent again)"
 	}
 	return r.action
 }
@@ -58,9 +59,11 @@
 func printTraffic(records []*record) {
 	fmt.Println("   each request in order: R ran, N not run, M may have run, ! wrong answer")
 	lines := make(map[string][]byte)
+	slowest := make(map[string]time.Duration)
 	var odd []*record
 	for _, r := range records {
 		lines[r.caller] = append(lines[r.caller], r.letter())
+		slowest[r.caller] = max(slowest[r.caller], r.took)
 		if r.letter() != 'R' {
 			odd = append(odd, r)
 		}
@@ -71,7 +74,7 @@
 	}
 	slices.Sort(names)
 	for _, name := range names {
-		fmt.Printf("   %s  %s\n", name, lines[name])
+		fmt.Printf("   %s  %s (slowest %d ms)\n", name, lines[name], slowest[name].Milliseconds())
 	}
 	if len(odd) > 0 {
 		printRecords(odd)
--- a/cmd/demo/traffic.go
+++ b/cmd/demo/traffic.go
@@ -28,22 +28,33 @@
 	detail    string
 	body      string
 	key       string
+	requestID string
 	// fault says what is wrong with the answer, whatever the verdict.
 	fault error
 }
 
-// send sends one request and records it. With a key it is a resend.
-func (d *demo) send(ctx context.Context, step string, c *client, o *graph.Operation, action, key string) *record {
-	body := "action:" + action
-	r := &record{step: step, caller: c.name, operation: o.Ref(), action: action, resend: key != "", sent: time.Now()}
-	req := caller.Request{
+// newRequest is a request of its own; a non-idempotent one has a minted key.
+func newRequest(o *graph.Operation, action string) caller.Request {
+	return caller.Request{
 		Service:    o.Service,
 		Operation:  o.Name,
-		Body:       []byte(body),
+		Body:       []byte("action:" + action),
 		Idempotent: o.Idempotent,
-		MintKey:    !o.Idempotent && key == "",
-		Key:        key,
+		MintKey:    !o.Idempotent,
 	}
+}
+
+// resendOf is the request of the record once more, under its key and id.
+func resendOf(o *graph.Operation, r *record) caller.Request {
+	req := newRequest(o, r.action)
+	req.Key = r.key
+	req.RequestID = r.requestID
+	return req
+}
+
+// send sends a request and records what became of it.
+func (d *demo) send(ctx context.Context, step string, c *client, o *graph.Operation, action string, req caller.Request) *record {
+	r := &record{step: step, caller: c.name, operation: o.Ref(), action: action, sent: time.Now()}
 	res, err := c.Do(ctx, req)
 	r.took = time.Since(r.sent)
 	if err != nil {
@@ -51,8 +62,9 @@
 		r.verdict, r.reason, r.detail = e.Verdict, e.Reason, e.Detail
 		return r
 	}
-	r.verdict, r.attempts, r.body, r.key = res.Verdict, res.Attempts, string(res.Body), res.Key
-	r.fault = d.checkAnswer(o, res, []byte(body))
+	r.verdict, r.attempts, r.body = res.Verdict, res.Attempts, string(res.Body)
+	r.key, r.requestID = res.Key, res.RequestID
+	r.fault = d.checkAnswer(o, res, req.Body)
 	return r
 }
 
@@ -101,7 +113,7 @@
 }
 
 // sendEvery is the pause between two requests of one caller.
-const sendEvery = 80 * time.Millisecond
+const sendEvery = 50 * time.Millisecond
 
 // startTraffic lets every caller send requests one after the other. Ending it
 // lets requests under way finish.
@@ -114,7 +126,7 @@
 			for n := 0; sleep(ctx, sendEvery); n++ {
 				o := operations[(n+k)%len(operations)]
 				action := fmt.Sprintf("%s-%d-%d", step, k+1, n+1)
-				t.add(d.send(context.WithoutCancel(ctx), step, c, o, action, ""))
+				t.add(d.send(context.WithoutCancel(ctx), step, c, o, action, newRequest(o, action)))
 			}
 		})
 	}
--- /dev/null
+++ b/internal/rig/load/load_test.go
@@ -0,0 +1,193 @@
+package load
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/internal/standin/backend"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+const text = `
+service "front" {
+  operation "urgent" {
+    idempotent = true
+    importance = "critical"
+    deadline   = "1s"
+    calls      = ["deep.read"]
+  }
+  operation "idle" {
+    idempotent = true
+    importance = "low"
+    deadline   = "1s"
+    calls      = ["deep.read"]
+  }
+  operation "alone" {
+    idempotent = true
+    importance = "low"
+    deadline   = "1s"
+  }
+}
+service "deep" {
+  operation "read" {
+    idempotent = true
+    importance = "normal"
+    deadline   = "1s"
+  }
+}`
+
+func testModel(t *testing.T) Model {
+	is := is.New(t)
+	g, problems := graph.Parse("test", []byte(text))
+	is.NoErr(problems.Err())
+	mix, err := Resolve([]Class{
+		{Service: "front", Operation: "urgent", Share: 0.4},
+		{Service: "front", Operation: "idle", Share: 0.4},
+		{Service: "front", Operation: "alone", Share: 0.2},
+	}, g)
+	is.NoErr(err)
+	return Model{
+		Graph: g,
+		Mix:   mix,
+		Slots: map[string]float64{"front": 100, "deep": 1},
+		Time:  func(*rand.Rand, string, string) time.Duration { return 10 * time.Millisecond },
+	}
+}
+
+// With constant service times the limit can be worked out by hand: one deep
+// slot of 10 ms does 100 calls a second, and 0.8 of the requests make one.
+func TestBestIsTheLimitOfTheSlots(t *testing.T) {
+	is := is.New(t)
+	m := testModel(t)
+	rate, service := m.Saturation()
+	is.Equal(service, "deep")
+	near(t, rate, 125)
+	for _, c := range []struct{ rate, urgent, idle, alone float64 }{
+		{100, 40, 40, 20},   // all of it
+		{200, 80, 20, 40},   // deep is full: the rest of it goes to idle
+		{1000, 100, 0, 200}, // none left for idle; alone does not need it
+	} {
+		best := m.Best(c.rate)
+		near(t, best[0], c.urgent)
+		near(t, best[1], c.idle)
+		near(t, best[2], c.alone)
+	}
+}
+
+func near(t *testing.T, got, want float64) {
+	t.Helper()
+	if got < want-0.01 || got > want+0.01 {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
+
+// testRun has a request every 10 ms for 9 s, with the trigger from 3 s to 6 s.
+func testRun(m Model, good func(at time.Duration) bool) *Run {
+	start := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	r := &Run{
+		Mix:     m.Mix,
+		Before:  Span{From: start.Add(time.Second), To: start.Add(3 * time.Second)},
+		Trigger: Span{From: start.Add(3 * time.Second), To: start.Add(6 * time.Second)},
+		End:     start.Add(9 * time.Second),
+	}
+	for at := time.Duration(0); at < 9*time.Second; at += 10 * time.Millisecond {
+		res := Result{Due: start.Add(at), Finished: start.Add(at + time.Millisecond), Good: good(at)}
+		res.ID = at.String()
+		res.Attempts = []Attempt{{Sent: res.Due, Answered: res.Finished, Status: 200, Verdict: verdict.Ran}}
+		if !res.Good {
+			res.Attempts[0].Status = 503
+			res.Attempts[0].Verdict = verdict.NotRun
+			res.Attempts[0].Reason = verdict.Shed
+		}
+		r.Results = append(r.Results, res)
+	}
+	return r
+}
+
+func TestRecoveryCountsFromTheTriggersEnd(t *testing.T) {
+	is := is.New(t)
+	m := testModel(t)
+	bad := func(from, to time.Duration) func(time.Duration) bool {
+		return func(at time.Duration) bool { return at < from || at >= to }
+	}
+	f := testRun(m, bad(3*time.Second, 6*time.Second)).Figures()
+	is.True(f.Recovered)
+	is.Equal(f.Recovery, time.Duration(0))
+	is.Equal(f.Before, 1.0)
+	is.Equal(f.Good, 0.0)
+	f = testRun(m, bad(3*time.Second, 7*time.Second)).Figures()
+	is.True(f.Recovered)
+	is.Equal(f.Recovery, 1400*time.Millisecond) // the last window begins at 6.9 s
+	f = testRun(m, bad(3*time.Second, 9*time.Second)).Figures()
+	is.True(!f.Recovered)
+}
+
+// Slot time of a request that failed is wasted, whatever part of the chain
+// spent it; a request that was "not run" and ran is found.
+func TestWorkIsJoinedWithWhatCallersGot(t *testing.T) {
+	is := is.New(t)
+	r := testRun(testModel(t), func(at time.Duration) bool { return at >= 10*time.Millisecond })
+	for i := range 4 {
+		e := backend.Execution{RequestID: r.Results[i].ID, Slot: 10 * time.Millisecond}
+		r.Executions = append(r.Executions, e)
+	}
+	f := r.Figures()
+	is.Equal(f.Wasted, 0.25)
+	is.Equal(f.Untrue, 1)
+	is.Equal(f.Attempts, 1.0)
+}
+
+// An important request is shed at one node while a less important one that
+// needs the same services is admitted there at the same moment.
+func TestOrderViolationsAreFound(t *testing.T) {
+	is := is.New(t)
+	m := testModel(t)
+	at := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	shed := Result{Attempts: []Attempt{{Sent: at, Status: 503, Verdict: verdict.NotRun, Reason: verdict.Shed}}}
+	other := func(class, node int, after time.Duration, status int) Result {
+		res := Result{Attempts: []Attempt{{Node: node, Sent: at.Add(after), Status: status}}}
+		res.Class = class
+		return res
+	}
+	const idle, alone = 1, 2
+	for _, c := range []struct {
+		other Result
+		want  Orders
+	}{
+		{other(idle, 0, time.Millisecond, 200), Orders{Pairs: 1, Violations: 1}},
+		{other(idle, 0, -time.Millisecond, 200), Orders{Pairs: 1, Violations: 1}},
+		{other(idle, 0, time.Millisecond, 503), Orders{Pairs: 1}},
+		{other(idle, 1, time.Millisecond, 200), Orders{}},
+		{other(idle, 0, 3*time.Millisecond, 200), Orders{}},
+		{other(alone, 0, time.Millisecond, 200), Orders{}},
+	} {
+		r := &Run{Mix: m.Mix, Results: []Result{shed, c.other}}
+		is.Equal(r.orders(), c.want)
+	}
+}
+
+// Every policy that is compared sees the same arrivals.
+func TestScheduleIsRepeatable(t *testing.T) {
+	is := is.New(t)
+	mix := testModel(t).Mix
+	phases := []Phase{{Length: 10 * time.Second, Rate: 100}, {Length: 10 * time.Second, Rate: 1000}}
+	a := Schedule(phases, mix, 5, 0.5, 1)
+	is.Equal(a, Schedule(phases, mix, 5, 0.5, 1))
+	var late, urgent float64
+	for i, arrival := range a {
+		is.True(i == 0 || arrival.At > a[i-1].At)
+		if arrival.At >= 10*time.Second {
+			late++
+		}
+		if mix[arrival.Class].Importance == importance.Critical {
+			urgent++
+		}
+	}
+	is.True(late > 9500 && late < 10500)
+	is.True(urgent/float64(len(a)) > 0.37 && urgent/float64(len(a)) < 0.43)
+}
--- /dev/null
+++ b/internal/rig/load/workload.go
@@ -0,0 +1,114 @@
+// Package load measures a running cluster with open-loop load: requests start
+// when they are due, whether or not earlier ones have been answered, and
+// latency counts from that moment. A generator that waits for answers sends
+// less when the system slows down and hides what callers would see.
+package load
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/importance"
+)
+
+// Class is one kind of request in the mix.
+type Class struct {
+	Service   string
+	Operation string
+	// Share of all requests; the shares of a workload add up to 1.
+	Share float64
+
+	// What the graph declares; filled in by Resolve.
+	Importance importance.Importance
+	Idempotent bool
+	Deadline   time.Duration
+	Reach      []string
+}
+
+// Name of the operation.
+func (c Class) Name() string { return c.Service + "." + c.Operation }
+
+// Resolve fills in what the graph declares for each class.
+func Resolve(mix []Class, g *graph.Graph) ([]Class, error) {
+	out := slices.Clone(mix)
+	sum := 0.0
+	for i := range out {
+		c := &out[i]
+		o, ok := g.Operation(c.Service, c.Operation)
+		if !ok {
+			return nil, fmt.Errorf("the graph has no operation %s", c.Name())
+		}
+		c.Importance = o.Importance
+		c.Idempotent = o.Idempotent
+		c.Deadline = o.Deadline
+		c.Reach = o.Reach()
+		sum += c.Share
+	}
+	if math.Abs(sum-1) > 1e-6 {
+		return nil, fmt.Errorf("shares add up to %v: want 1", sum)
+	}
+	return out, nil
+}
+
+// Phase is a time of constant load.
+type Phase struct {
+	Length time.Duration
+	// Rate of arrivals in a second.
+	Rate float64
+}
+
+// Arrival is one request that is due.
+type Arrival struct {
+	At    time.Duration // since the start
+	Class int
+	Node  int // first node that the caller goes to
+	// Hard callers resend at once and ignore Retry-After.
+	Hard bool
+	// Draw decides what else is random about the request, in [0, 1).
+	Draw float64
+	ID   string
+}
+
+// Schedule draws a Poisson process over the phases; the same seed gives the
+// same arrivals to every policy that is compared.
+func Schedule(phases []Phase, mix []Class, nodes int, hardShare float64, seed uint64) []Arrival {
+	rng := rand.New(rand.NewPCG(seed, 0))
+	prefix := strconv.FormatUint(seed, 36)
+	var list []Arrival
+	start := time.Duration(0)
+	for _, p := range phases {
+		end := start + p.Length
+		at := start
+		for p.Rate > 0 {
+			at += time.Duration(rng.ExpFloat64() / p.Rate * float64(time.Second))
+			if at >= end {
+				break
+			}
+			list = append(list, Arrival{
+				At:    at,
+				Class: pick(mix, rng.Float64()),
+				Node:  rng.IntN(nodes),
+				Hard:  rng.Float64() < hardShare,
+				Draw:  rng.Float64(),
+				ID:    fmt.Sprintf("m%s-%d", prefix, len(list)),
+			})
+		}
+		start = end
+	}
+	return list
+}
+
+func pick(mix []Class, u float64) int {
+	for i, c := range mix {
+		u -= c.Share
+		if u < 0 {
+			return i
+		}
+	}
+	return len(mix) - 1
+}
