dispatch, serve, node: faults found by running the parts together

Causes, each seen in a run or read from the code against its package's contract: (1) extra attempts were spent within microseconds when no backend server was left, and the last answer hid the first; now a node is found before an attempt is taken. (2) Every refusal counted as a full node, also a passed deadline or a redirect, so that one short deadline closed a service; only refusals that concern the node count. (3) A suspect cleared while it waited was refused as shed; it runs. (4) A suspect sent to its place arrived before the notice about it; the notice goes first. (5) Passing a notice on to all made n squared messages; four at random. (6) A replayed answer promised its key for the full time again. (7) Levels learned from requests that enter were reported upwards and came back as news. (8) The checkpoint interval did not follow the log's retention. (9) net/http's own refusals had no verdict. Ruled out for (1): leaving the attempts spent and waiting between them: a final answer goes out at once.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -11,6 +11,10 @@
 	"github.com/cassialoom/cassialoom/settings"
 )
 
+// checkpointsPerRetention is how often the configuration is written again
+// while the log keeps one record: it survives an outage of most of that time.
+const checkpointsPerRetention = 6
+
 // The policies of the hidden setting, for experiments.
 const (
 	policyNone  = "none"
@@ -33,6 +37,7 @@
 	cfg.DrainGrace = s.DrainGrace
 	cfg.Transport.Cluster = s.Cluster
 	cfg.Membership.Retention = s.LogRetention
+	cfg.Spread.CheckpointEvery = min(cfg.Spread.CheckpointEvery, s.LogRetention/checkpointsPerRetention)
 	cfg.Entry.MaxBody = s.MaxBody
 	cfg.Backend.MaxAnswer = s.MaxAnswer
 	cfg.Serve.Limit.Initial = s.InitialLimit
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -108,6 +108,7 @@
 
 func newServers(cfg node.Config, n *node.Node, c *ops.Counters, on *listeners) *servers {
 	opsConfig := ops.DefaultConfig()
+	cfg.Entry.Draining = n.Draining
 	return &servers{
 		callers: entry.NewServer(cfg.Entry, entry.New(cfg.Entry, n)),
 		local:   entry.NewServer(cfg.Entry, local.New(cfg.Entry, n, n)),
@@ -122,8 +123,8 @@
 		srv *http.Server
 		ln  net.Listener
 	}{
-		{s.callers, s.on.callers},
-		{s.local, s.on.local},
+		{s.callers, entry.Listener(s.on.callers)},
+		{s.local, entry.Listener(s.on.local)},
 		{s.peers, s.on.peers},
 		{s.ops, s.on.ops},
 	} {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -71,6 +71,9 @@
 	// Margin is kept back from the deadline at each hop, so that the
 	// callee's own answer to an expired call is back in time.
 	Margin time.Duration
+	// NoBackendRetryAfter is proposed when no backend server takes work: a
+	// restarted one announces itself within a second.
+	NoBackendRetryAfter time.Duration
 	// NoAdmission switches the check of learned levels off, for
 	// experiments.
 	NoAdmission bool
@@ -89,6 +92,8 @@
 		Budget:   retry.DefaultConfig(),
 		Levels:   admission.DefaultLevelsConfig(),
 		Margin:   2 * time.Millisecond,
+
+		NoBackendRetryAfter: time.Second,
 	}
 }
 
@@ -103,10 +108,13 @@
 	mu      sync.Mutex
 	waiting map[uint64]*wait
 	pickers map[string]*picker
-	levels  *admission.Levels
-	budget  *retry.Budget
-	random  *rand.Rand
-	counts  Counts
+	// entering are the levels for requests that enter here, own those for
+	// the calls of the node's backend server; only own is passed on.
+	entering *admission.Levels
+	own      *admission.Levels
+	budget   *retry.Budget
+	random   *rand.Rand
+	counts   Counts
 }
 
 // Counts are totals since the node started.
@@ -130,15 +138,16 @@
 // New returns a Dispatcher.
 func New(cfg Config, l Linker, m Members, notes *explain.Recorder) *Dispatcher {
 	return &Dispatcher{
-		cfg:     cfg,
-		linker:  l,
-		members: m,
-		notes:   notes,
-		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
-		waiting: make(map[uint64]*wait),
-		pickers: make(map[string]*picker),
-		levels:  admission.NewLevels(cfg.Levels, cfg.Seed),
-		budget:  retry.NewBudget(cfg.Budget, time.Now()),
+		cfg:      cfg,
+		linker:   l,
+		members:  m,
+		notes:    notes,
+		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
+		waiting:  make(map[uint64]*wait),
+		pickers:  make(map[string]*picker),
+		entering: admission.NewLevels(cfg.Levels, cfg.Seed),
+		own:      admission.NewLevels(cfg.Levels, cfg.Seed+1),
+		budget:   retry.NewBudget(cfg.Budget, time.Now()),
 	}
 }
 
@@ -156,6 +165,9 @@
 	Holder      wire.NodeID
 	Fingerprint uint64
 	Depth       uint8
+	// Entering marks a caller's own request, as opposed to a call of the
+	// node's backend server.
+	Entering bool
 	// Fanout is the number of calls that the calling operation declares:
 	// the grant is shared among so many.
 	Fanout int
@@ -196,7 +208,7 @@
 		return nil
 	}
 	prio := admission.Priority(p.Importance, p.RequestID)
-	service, after, ok := d.levels.Admit(now, p.Operation.Reach(), prio)
+	service, after, ok := d.levels(p).Admit(now, p.Operation.Reach(), prio)
 	if ok {
 		return nil
 	}
@@ -205,12 +217,19 @@
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, p Params) Outcome {
+	to, ok := d.firstTarget(p)
+	if !ok {
+		err := verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", p.Operation.Service)
+		err = err.After(d.cfg.NoBackendRetryAfter)
+		d.note(p, explain.Refused, err.Reason, err.Detail)
+		return Failed(err)
+	}
 	a := newAttempts(p)
 	hop := d.cfg.HopAttempts
-	to := p.Holder
 	for {
-		reply, id := d.once(ctx, p, &a, to)
-		switch a.next(reply, func() bool { return d.spend(ctx, p, &hop) }) {
+		reply := d.once(ctx, p, &a, to)
+		var next target
+		switch a.next(reply, func() bool { return d.spend(ctx, p, &a, reply, &next, &hop) }) {
 		case finish:
 			out := a.conclude(reply)
 			d.noteOutcome(p, out)
@@ -220,26 +239,14 @@
 			if !d.members.Known(reply.BoundTo) {
 				return d.holderGone(p, &a, reply)
 			}
-			to = reply.BoundTo
+			to = target{id: reply.BoundTo}
 		case again:
 			d.note(p, explain.Retried, reply.Reason, reply.Detail)
-			to = nextTarget(p, &a, reply, id)
+			to = next
 		}
 	}
 }
 
-// nextTarget keeps an attempt that may have run with its key at the one
-// incarnation that remembers the key.
-func nextTarget(p Params, a *attempts, r call.Reply, id wire.NodeID) wire.NodeID {
-	if !p.Holder.IsZero() {
-		return p.Holder
-	}
-	if a.keyed && r.Verdict != verdict.NotRun {
-		return id
-	}
-	return wire.NodeID{}
-}
-
 func (d *Dispatcher) holderGone(p Params, a *attempts, r call.Reply) Outcome {
 	if !a.keyed {
 		return a.conclude(r)
@@ -249,11 +256,25 @@
 	return Failed(err)
 }
 
-// spend takes one extra attempt from the request and from the node's budget.
-func (d *Dispatcher) spend(ctx context.Context, p Params, hop *int) bool {
+// spend finds a node for another attempt and takes the attempt from the
+// request and from the node's budget. Nothing is taken when there is no node.
+func (d *Dispatcher) spend(ctx context.Context, p Params, a *attempts, r call.Reply, next *target, hop *int) bool {
 	if ctx.Err() != nil {
 		return false
 	}
+	to, ok := d.nextTarget(p, a, r)
+	if !ok {
+		return false
+	}
+	if !d.take(p, hop) {
+		d.release(p, to)
+		return false
+	}
+	*next = to
+	return true
+}
+
+func (d *Dispatcher) take(p Params, hop *int) bool {
 	if d.cfg.HopAttempts > 0 {
 		*hop--
 		return *hop >= 0
@@ -273,23 +294,13 @@
 
 // once makes one attempt. Its reply is the callee's, or stands for what is
 // known without one.
-func (d *Dispatcher) once(ctx context.Context, p Params, a *attempts, to wire.NodeID) (call.Reply, wire.NodeID) {
-	picked := to.IsZero()
-	if picked {
-		id, ok := d.pick(p, a.tried)
-		if !ok {
-			return refused(verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", p.Operation.Service)), to
-		}
-		to = id
-	}
-	a.tried = append(a.tried, to)
+func (d *Dispatcher) once(ctx context.Context, p Params, a *attempts, to target) call.Reply {
+	a.tried = append(a.tried, to.id)
 	sent := time.Now()
-	reply := d.send(ctx, p, to)
-	if picked {
-		d.picked(p, to, time.Since(sent), reply)
-	}
-	d.learn(reply)
-	return reply, to
+	reply := d.send(ctx, p, to.id)
+	d.picked(p, to, time.Since(sent), reply)
+	d.learn(p, reply)
+	return reply
 }
 
 // send hands one attempt to the incarnation to and awaits its answer.
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -11,11 +11,14 @@
 
 // Dump is the state for people.
 type Dump struct {
-	Waiting int                    `json:"waiting"`
-	Counts  Counts                 `json:"counts"`
-	Budget  retry.BudgetState      `json:"retry_budget"`
-	Levels  []admission.LevelState `json:"levels"`
-	Targets []TargetDump           `json:"targets"`
+	Waiting int               `json:"waiting"`
+	Counts  Counts            `json:"counts"`
+	Budget  retry.BudgetState `json:"retry_budget"`
+	// Entering are the levels for requests that enter here, Own those for
+	// calls of the node's backend server.
+	Entering []admission.LevelState `json:"levels_entering"`
+	Own      []admission.LevelState `json:"levels_own_calls"`
+	Targets  []TargetDump           `json:"targets"`
 }
 
 // TargetDump is what is known of one service that this node calls.
@@ -29,10 +32,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	dump := Dump{
-		Waiting: len(d.waiting),
-		Counts:  d.counts,
-		Budget:  d.budget.Dump(),
-		Levels:  d.levels.Dump(now),
+		Waiting:  len(d.waiting),
+		Counts:   d.counts,
+		Budget:   d.budget.Dump(),
+		Entering: d.entering.Dump(now),
+		Own:      d.own.Dump(now),
 	}
 	for name, pk := range d.pickers {
 		dump.Targets = append(dump.Targets, TargetDump{Service: name, Picker: pk.balancer.Dump(now)})
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/cassialoom/cassialoom/admission"
 	"github.com/cassialoom/cassialoom/balancer"
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/explain"
@@ -23,10 +24,36 @@
 	turn       int // for the round robin of experiments
 }
 
+// target is the node for one attempt.
+type target struct {
+	id wire.NodeID
+	// picked says that the balancer chose it and counts it until Done.
+	picked bool
+}
+
+func (d *Dispatcher) firstTarget(p Params) (target, bool) {
+	if !p.Holder.IsZero() {
+		return target{id: p.Holder}, true
+	}
+	return d.pick(p, nil)
+}
+
+// nextTarget finds the node for another attempt; there may be none. One that
+// may have run with its key stays at the one incarnation that remembers it.
+func (d *Dispatcher) nextTarget(p Params, a *attempts, r call.Reply) (target, bool) {
+	if !p.Holder.IsZero() {
+		return target{id: p.Holder}, true
+	}
+	if a.keyed && r.Verdict != verdict.NotRun {
+		return target{id: a.tried[len(a.tried)-1]}, true
+	}
+	return d.pick(p, a.tried)
+}
+
 // pick chooses the node for an attempt. A caller's own key goes to the same
 // node each time while the view is the same, since that node has bound it;
 // elsewhere it would be redirected.
-func (d *Dispatcher) pick(p Params, tried []wire.NodeID) (wire.NodeID, bool) {
+func (d *Dispatcher) pick(p Params, tried []wire.NodeID) (target, bool) {
 	candidates, version := d.members.Candidates(p.Operation.Service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -36,14 +63,16 @@
 		pk.candidates = candidates
 		pk.balancer.Update(time.Now(), candidates)
 	}
-	switch {
-	case p.Key != "":
-		return rendezvous(p.Key, candidates, tried)
-	case d.cfg.RoundRobin:
-		return pk.roundRobin()
-	default:
-		return pk.balancer.Pick(time.Now(), tried)
+	if p.Key != "" {
+		id, ok := rendezvous(p.Key, candidates, tried)
+		return target{id: id}, ok
+	}
+	if d.cfg.RoundRobin {
+		id, ok := pk.roundRobin()
+		return target{id: id}, ok
 	}
+	id, ok := pk.balancer.Pick(time.Now(), tried)
+	return target{id: id, picked: true}, ok
 }
 
 func (d *Dispatcher) picker(service string) *picker {
@@ -109,15 +138,12 @@
 	return false
 }
 
-// picked tells the picker how an attempt at a node of its choice ended. For a
-// keyed call the node was chosen by hash, so there is no count to take back.
-func (d *Dispatcher) picked(p Params, id wire.NodeID, latency time.Duration, r call.Reply) {
-	if p.Key != "" || d.cfg.RoundRobin {
+// picked tells the balancer how an attempt at a node of its choice ended.
+func (d *Dispatcher) picked(p Params, to target, latency time.Duration, r call.Reply) {
+	if !to.picked {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.picker(p.Operation.Service).balancer.Done(time.Now(), id, balancer.Result{
+	d.done(p, to, balancer.Result{
 		Latency:  latency,
 		Outcome:  balance(r),
 		InFlight: int(r.InFlight),
@@ -125,34 +151,63 @@
 	})
 }
 
+// release takes back a choice that was not used.
+func (d *Dispatcher) release(p Params, to target) {
+	if to.picked {
+		d.done(p, to, balancer.Result{Outcome: balancer.Neutral})
+	}
+}
+
+func (d *Dispatcher) done(p Params, to target, r balancer.Result) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picker(p.Operation.Service).balancer.Done(time.Now(), to.id, r)
+}
+
 func balance(r call.Reply) balancer.Outcome {
 	switch {
 	case r.Reason == verdict.Canceled, r.Reason == verdict.Deadline && r.From.IsZero():
 		return balancer.Abandoned
 	case r.Reason == verdict.Lost, r.Reason == verdict.WrongIncarnation:
 		return balancer.Failed
-	case r.Verdict == verdict.NotRun:
+	case r.Verdict == verdict.NotRun && r.Reason.Elsewhere():
 		return balancer.Refused
+	case r.Verdict == verdict.NotRun:
+		return balancer.Neutral
 	default:
 		return balancer.Success
 	}
 }
 
 // learn takes the admission levels that came with a reply.
-func (d *Dispatcher) learn(r call.Reply) {
+func (d *Dispatcher) learn(p Params, r call.Reply) {
 	if r.From.IsZero() {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.levels.LearnReply(time.Now(), r.From, r.Levels)
+	d.levels(p).LearnReply(time.Now(), r.From, r.Levels)
+}
+
+func (d *Dispatcher) levels(p Params) *admission.Levels {
+	if p.Entering {
+		return d.entering
+	}
+	return d.own
+}
+
+// PassOn names the services whose levels are passed on with replies.
+func (d *Dispatcher) PassOn(services []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own.PassOn(services)
 }
 
 // Levels returns the learned levels to pass on with a reply.
 func (d *Dispatcher) Levels(now time.Time) []call.Level {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.levels.Report(now)
+	return d.own.Report(now)
 }
 
 // grant takes the share of one attempt out of the request's ledger.
--- a/node/entry.go
+++ b/node/entry.go
@@ -45,6 +45,7 @@
 	p := n.params(in, op)
 	p.Ledger = ledger
 	p.Holder = holder
+	p.Entering = true
 	p.Resend = op.ExtraAttempts > 0 && ledger.Left() == 0
 	return outcome(n.dispatch.Call(ctx, p))
 }
--- a/node/graphs.go
+++ b/node/graphs.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sort"
 	"sync"
 	"sync/atomic"
 
@@ -61,6 +62,37 @@
 	return op, true
 }
 
+// below lists the services that a service reaches, without those that reach
+// back to it.
+func below(g *graph.Graph, service string) []string {
+	if g == nil {
+		return nil
+	}
+	own := reach(g, service)
+	var names []string
+	for name := range own {
+		if name != service && !reach(g, name)[service] {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
+func reach(g *graph.Graph, service string) map[string]bool {
+	names := make(map[string]bool)
+	s, ok := g.Service(service)
+	if !ok {
+		return names
+	}
+	for _, op := range s.Operations {
+		for _, name := range op.Reach() {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 func (g *graphs) dump() config.Dump {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/node/loops.go
+++ b/node/loops.go
@@ -20,6 +20,9 @@
 	noticeTick  = 5 * time.Second
 )
 
+// noticeFanOut is to how many nodes a notice is passed on.
+const noticeFanOut = 4
+
 // gossipNotices is how many suspects are repeated to one peer at a time.
 const gossipNotices = 64
 
@@ -123,11 +126,21 @@
 		n.background(func() { n.readConfig(*a.Read) })
 	}
 	if a.Changed {
-		n.counts.ConfigChanges.Add(1)
-		n.log.Info().Uint64("version", n.graph.state().Version()).Msg("configuration in force")
+		n.configured()
 	}
 }
 
+// configured makes a new configuration known to those that depend on it.
+func (n *Node) configured() {
+	version := n.graph.state().Version()
+	if n.inForce.Swap(version) == version {
+		return // only the place in the log moved
+	}
+	n.dispatch.PassOn(below(n.graph.graph(), n.cfg.Service))
+	n.counts.ConfigChanges.Add(1)
+	n.log.Info().Uint64("version", version).Msg("configuration in force")
+}
+
 func (n *Node) readConfig(r config.Read) {
 	ctx, cancel := n.logContext()
 	defer cancel()
@@ -203,7 +216,17 @@
 	onward := n.server.serve.Hear(time.Now(), notice)
 	n.server.mu.Unlock()
 	for _, next := range onward {
-		n.spreadNotice(next)
+		n.passOn(next)
+	}
+}
+
+// passOn repeats another node's notice to a few nodes of the service. Its
+// origin has told them all; this reaches those that it could not.
+func (n *Node) passOn(notice poison.Notice) {
+	for range noticeFanOut {
+		if id, ok := n.dispatch.Choose(n.cfg.Service); ok && id != n.id {
+			n.posts.post(id, wire.KindPoison, notice)
+		}
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,7 @@
 	stateMu  sync.Mutex
 	instance instance // what the backend server last said of itself
 
+	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
 	entered  atomic.Int64 // callers' requests under way
 	stop     context.CancelFunc
--- a/node/run.go
+++ b/node/run.go
@@ -18,6 +18,11 @@
 	for _, notice := range e.Notices {
 		n.spreadNotice(notice)
 	}
+	for _, tell := range e.Tell {
+		for _, notice := range tell.Notices {
+			n.posts.post(tell.To, wire.KindPoison, notice)
+		}
+	}
 	for _, r := range started {
 		n.wg.Add(1)
 		go n.run(r)
--- a/node/stop.go
+++ b/node/stop.go
@@ -37,6 +37,9 @@
 	})
 }
 
+// Draining reports whether the planned stop has begun.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
 const waitPoll = 20 * time.Millisecond
 
 // Wait returns when the drain's grace has passed and nothing is in flight, or
--- a/serve/key.go
+++ b/serve/key.go
@@ -11,7 +11,17 @@
 // answer is what is stored with a used key.
 type answer struct {
 	result Result
-	held   time.Duration
+	// heldUntil is when a resend with the key stops being safe; zero
+	// without a key.
+	heldUntil time.Time
+}
+
+// held is how long a resend with the key stays safe.
+func (a answer) held(now time.Time) time.Duration {
+	if a.heldUntil.IsZero() {
+		return 0
+	}
+	return max(0, a.heldUntil.Sub(now))
 }
 
 // answerSize is the memory that a stored answer holds, in bytes.
@@ -53,7 +63,7 @@
 	case once.Pending:
 		s.parked[t.Request.Key] = append(s.parked[t.Request.Key], t)
 	case once.BoundHere:
-		t.held = r.Held
+		t.heldUntil = now.Add(r.Held)
 		s.begin(now, t, e)
 	case once.BoundTo:
 		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key is bound to another node"), r.Holder, e)
@@ -65,8 +75,8 @@
 // begin runs, joins, replays or refuses a request whose key may run here.
 func (s *Server) begin(now time.Time, t *Task, e *Effects) {
 	d := s.keys.Begin(now, t.Request.Key, t.Request.Fingerprint, t.waiter)
-	if d.Held > 0 && t.held == 0 {
-		t.held = d.Held
+	if d.Held > 0 && t.heldUntil.IsZero() {
+		t.heldUntil = now.Add(d.Held)
 	}
 	switch d.Action {
 	case once.Run:
@@ -75,7 +85,7 @@
 		s.counts.Joined++
 	case once.Replay:
 		s.counts.Replayed++
-		reply := s.answerTo(t.waiter, d.Answer)
+		reply := s.answerTo(now, t.waiter, d.Answer)
 		reply.Unused = t.Request.Grant
 		e.reply(reply)
 	default:
@@ -91,7 +101,7 @@
 	if r.Verdict == verdict.NotRun {
 		return s.keys.Abandon(t.Request.Key)
 	}
-	return s.keys.Finish(now, t.Request.Key, answer{result: r, held: t.held}, r.Verdict)
+	return s.keys.Finish(now, t.Request.Key, answer{result: r, heldUntil: t.heldUntil}, r.Verdict)
 }
 
 func (s *Server) abandonKey(t *Task) (joined []waiter) {
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -13,11 +13,11 @@
 func (s *Server) finish(now time.Time, t *Task, r Result, e *Effects) {
 	joined := s.finishKey(now, t, r)
 	s.forget(t)
-	a := answer{result: r, held: t.held}
+	a := answer{result: r, heldUntil: t.heldUntil}
 	for _, w := range joined {
-		e.reply(s.answerTo(w, a))
+		e.reply(s.answerTo(now, w, a))
 	}
-	own := s.answerTo(t.waiter, a)
+	own := s.answerTo(now, t.waiter, a)
 	own.Unused = r.Unused
 	e.reply(own)
 }
@@ -51,7 +51,7 @@
 	delete(s.byCall, t.waiter)
 }
 
-func (s *Server) answerTo(w waiter, a answer) call.Reply {
+func (s *Server) answerTo(now time.Time, w waiter, a answer) call.Reply {
 	reply := s.replyTo(w)
 	reply.Verdict = a.result.Verdict
 	reply.Reason = a.result.Reason
@@ -60,7 +60,7 @@
 	reply.Status = a.result.Status
 	reply.Header = a.result.Header
 	reply.Body = a.result.Body
-	reply.KeyHeld = a.held
+	reply.KeyHeld = a.held(now)
 	return reply
 }
 
--- a/serve/run.go
+++ b/serve/run.go
@@ -71,6 +71,7 @@
 			return false
 		}
 		s.forget(t)
+		e.Tell = append(e.Tell, Tell{To: place, Notices: s.guard.About(now, fp)})
 		s.redirect(t, verdict.Refuse(verdict.Poison, "runs alone at another node"), place, e)
 		return true
 	default:
@@ -85,11 +86,24 @@
 	if s.lone == nil || len(s.running) > 0 || !s.ready {
 		return
 	}
-	if !s.guard.Start(now, s.lone.Request.Fingerprint) {
-		s.refuseLone(verdict.Shed, e)
+	t := s.lone
+	s.lone = nil
+	if s.quarantined(now, t, e) {
+		s.pump(now, e)
+		return
+	}
+	if !t.alone { // cleared while it waited: it runs like any other
+		s.start(now, t, e)
+		s.pump(now, e)
+		return
+	}
+	if !s.guard.Start(now, t.Request.Fingerprint) {
+		s.finishUnstarted(t, verdict.Refuse(verdict.Shed, "another suspect runs alone").After(s.cfg.RefuseRetryAfter), e)
+		s.pump(now, e)
 		return
 	}
-	s.start(now, s.lone, e)
+	s.lone = t
+	s.start(now, t, e)
 }
 
 func (s *Server) refuseLone(reason verdict.Reason, e *Effects) {
--- a/serve/task.go
+++ b/serve/task.go
@@ -28,8 +28,8 @@
 	waiter   waiter
 	priority uint16
 	class    uint32
-	// held is how long a resend with the same key stays safe.
-	held time.Duration
+	// heldUntil is when a resend with the same key stops being safe.
+	heldUntil time.Time
 	// alone says that nothing else may run beside it.
 	alone bool
 	// inFlight is the number of tasks that ran when this one began.
@@ -62,10 +62,18 @@
 	Unused uint32
 }
 
+// Tell is what one other node of the service must know before a request that
+// is sent there arrives.
+type Tell struct {
+	To      wire.NodeID
+	Notices []poison.Notice
+}
+
 // Effects are what the shell has to do after an event, in this order.
 type Effects struct {
 	// Notices go to all nodes of this node's service.
 	Notices []poison.Notice
+	Tell    []Tell
 	// Stop lists running tasks that nobody waits for any more.
 	Stop []uint64
 	// Start lists tasks to hand to the backend server now.
