bench: Go benchmarks of a forwarded call beside a direct one

What two nodes cost has to be known before anything is made faster, so the benchmark runs caller, two nodes and backend server in one process: the difference between the two ways is the nodes' time and allocations. Ruled out: measuring each layer alone, which misses the hand-overs between goroutines that most of the time goes to.

--- /dev/null
+++ b/internal/bench/pair.go
@@ -0,0 +1,165 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/internal/fakelog"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/ops"
+)
+
+// The services of the pair and of the processes: requests enter at the node of
+// entryService, which has no part in them, and run at that of workService.
+const (
+	entryService = "front"
+	workService  = "work"
+	operation    = "echo"
+)
+
+// graphText declares the two services; both ways of measuring publish it.
+const graphText = `
+service "` + entryService + `" {
+  operation "` + operation + `" {
+    idempotent = true
+    importance = "normal"
+    deadline   = "5s"
+  }
+}
+
+service "` + workService + `" {
+  operation "` + operation + `" {
+    idempotent = true
+    importance = "normal"
+    deadline   = "5s"
+  }
+}
+`
+
+// Pair is two nodes in this process, one of them beside a backend server that
+// answers with the request's body.
+type Pair struct {
+	// Direct is the URL of the operation at the backend server, Forwarded at
+	// the node where callers enter.
+	Direct    string
+	Forwarded string
+
+	nodes   []*node.Node
+	servers []*http.Server
+}
+
+const pairStart = 10 * time.Second
+
+// StartPair starts the pair and waits until requests get through. Close must
+// be called.
+func StartPair() (*Pair, error) {
+	p := &Pair{}
+	if err := p.start(); err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Pair) start() error {
+	log := fakelog.New(fakelog.Config{}, time.Now)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	p.serveOn(ln, &http.Server{Handler: http.HandlerFunc(echo)})
+	backend := "http://" + ln.Addr().String()
+	p.Direct = backend + "/" + operation
+	for _, service := range []string{workService, entryService} {
+		callers, err := p.startNode(service, log)
+		if err != nil {
+			return err
+		}
+		p.Forwarded = "http://" + callers + "/call/" + workService + "/" + operation
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), pairStart)
+	defer cancel()
+	if err := publish(ctx, log); err != nil {
+		return err
+	}
+	if err := p.nodes[0].Announce(time.Now(), backend, "ready", "bench"); err != nil {
+		return err
+	}
+	return awaitAnswer(ctx, p.Forwarded)
+}
+
+func echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Write(body)
+}
+
+func (p *Pair) startNode(service string, log *fakelog.Log) (callers string, err error) {
+	peers, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	cfg := node.DefaultConfig()
+	cfg.Service = service
+	cfg.DataCentre = "dc"
+	cfg.Region = "region"
+	cfg.PeerAddr = peers.Addr().String()
+	cfg.Transport.Cluster = "bench"
+	cfg.BackendSilence = time.Hour // the backend server announces itself once
+	n, err := node.New(cfg, log, zerolog.Nop(), &ops.Counters{})
+	if err != nil {
+		peers.Close()
+		return "", err
+	}
+	n.Start()
+	p.nodes = append(p.nodes, n)
+	p.serveOn(peers, &http.Server{Handler: n.Peers()})
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	p.serveOn(entry.Listener(ln), entry.NewServer(cfg.Entry, entry.New(cfg.Entry, n)))
+	return ln.Addr().String(), nil
+}
+
+func (p *Pair) serveOn(ln net.Listener, srv *http.Server) {
+	p.servers = append(p.servers, srv)
+	go srv.Serve(ln) // ends with Close
+}
+
+// Close ends the nodes and the servers.
+func (p *Pair) Close() {
+	for _, n := range p.nodes {
+		n.Stop()
+	}
+	for _, srv := range p.servers {
+		srv.Close()
+	}
+}
+
+func publish(ctx context.Context, log *fakelog.Log) error {
+	sections, problems := splitGraph()
+	if err := problems.Err(); err != nil {
+		return err
+	}
+	p := config.Publication{ID: config.NewPublicationID(), Operator: "bench"}
+	for _, s := range sections {
+		p.Sections = append(p.Sections, config.SectionChange{Service: s.Service, Text: s.Text})
+	}
+	out, err := config.Publish(ctx, log, p)
+	if err == nil && out.Status != config.Accepted {
+		err = fmt.Errorf("publish: %s: %s", out.Status, out.Cause)
+	}
+	return err
+}
