testnode: whole nodes in one process for tests

What no part can show alone, such as an answer that reaches its own caller over three nodes, needs whole nodes: real sockets on loopback, the log in memory, backend servers that do what the test tells them, and a peer that says a valid hello and then sends what it likes.

--- /dev/null
+++ b/internal/testnode/caller.go
@@ -0,0 +1,97 @@
+package testnode
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// Answer is one HTTP answer.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Verdict and Reason are what the node says about the request.
+func (a Answer) Verdict() verdict.Verdict { return verdict.Parse(a.Header.Get(headers.Verdict)) }
+
+// Reason is empty for the backend server's own answer.
+func (a Answer) Reason() verdict.Reason { return verdict.Reason(a.Header.Get(headers.Reason)) }
+
+// RetryAfter is zero when no time is proposed.
+func (a Answer) RetryAfter() time.Duration {
+	ms, err := strconv.ParseInt(a.Header.Get(headers.RetryAfterMs), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
+// String shows the answer in a failed test.
+func (a Answer) String() string {
+	return fmt.Sprintf("status %d, %s, reason %q, body %.200q", a.Status, a.Verdict(), a.Reason(), a.Body)
+}
+
+// Send sends a request as a caller does; fields are names and values in turn.
+func (i *Instance) Send(ctx context.Context, service, operation string, body []byte, fields ...string) (Answer, error) {
+	return i.cluster.exchange(ctx, "http://"+i.Callers+"/call/"+service+"/"+operation, body, fields...)
+}
+
+// Must sends a request that has to be answered.
+func (i *Instance) Must(tb testing.TB, service, operation, body string, fields ...string) Answer {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	a, err := i.Send(ctx, service, operation, []byte(body), fields...)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return a
+}
+
+// MintKey asks the node for a key.
+func (i *Instance) MintKey(tb testing.TB, service, operation string) string {
+	tb.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	a, err := i.cluster.exchange(ctx, "http://"+i.Callers+"/key/"+service+"/"+operation, nil)
+	var minted struct{ Key string }
+	if err == nil {
+		err = json.Unmarshal(a.Body, &minted)
+	}
+	if err != nil || minted.Key == "" {
+		tb.Fatalf("no key: %v, %v", a, err)
+	}
+	return minted.Key
+}
+
+func (c *Cluster) exchange(ctx context.Context, url string, body []byte, fields ...string) (Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return Answer{}, err
+	}
+	req.GetBody = nil // net/http must not send a request a second time
+	for n := 0; n+1 < len(fields); n += 2 {
+		req.Header.Set(fields[n], fields[n+1])
+	}
+	resp, err := c.client.Do(req)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer resp.Body.Close()
+	whole, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return Answer{}, fmt.Errorf("answer broke off: %w", err)
+	}
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: whole}, nil
+}
--- /dev/null
+++ b/internal/testnode/instance.go
@@ -0,0 +1,139 @@
+package testnode
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/rs/zerolog"
+
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/local"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/ops"
+)
+
+// Instance is a node and the backend server beside it.
+type Instance struct {
+	Node     *node.Node
+	Counters *ops.Counters
+	// Backend is nil for a node without one.
+	Backend *Backend
+	// Callers, Local and Peers are the node's addresses.
+	Callers, Local, Peers string
+
+	cluster *Cluster
+	servers []*server
+	stopped bool
+}
+
+// Add starts a node of a service, with a backend server if script is not nil.
+func (c *Cluster) Add(service string, script Script) *Instance {
+	c.tb.Helper()
+	callers, local, peers := c.listen(), c.listen(), c.listen()
+	cfg := c.nodeConfig(service)
+	cfg.CallerAddr = callers.Addr().String()
+	cfg.PeerAddr = peers.Addr().String()
+	cfg.OpsAddr = cfg.CallerAddr
+	for _, i := range c.instances {
+		cfg.Seeds = append(cfg.Seeds, i.Peers)
+	}
+	i := &Instance{
+		Counters: &ops.Counters{},
+		Callers:  cfg.CallerAddr,
+		Local:    local.Addr().String(),
+		Peers:    cfg.PeerAddr,
+		cluster:  c,
+	}
+	var err error
+	if i.Node, err = node.New(cfg, c.Log, zerolog.Nop(), i.Counters); err != nil {
+		c.tb.Fatal(err)
+	}
+	i.serve(cfg, callers, local, peers)
+	i.Node.Start()
+	c.tb.Cleanup(i.Kill)
+	if script != nil {
+		i.startBackend(script)
+	}
+	c.instances = append(c.instances, i)
+	return i
+}
+
+func (c *Cluster) listen() net.Listener {
+	c.tb.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.tb.Fatal(err)
+	}
+	return ln
+}
+
+func (i *Instance) serve(cfg node.Config, callers, localLn, peers net.Listener) {
+	cfg.Entry.Draining = i.Node.Draining
+	i.servers = []*server{
+		serve(entry.NewServer(cfg.Entry, entry.New(cfg.Entry, i.Node)), entry.Listener(callers)),
+		serve(entry.NewServer(cfg.Entry, local.New(cfg.Entry, i.Node, i.Node)), entry.Listener(localLn)),
+		serve(&http.Server{Handler: i.Node.Peers()}, peers),
+	}
+}
+
+// server is an HTTP server whose goroutine can be waited for.
+type server struct {
+	*http.Server
+	done chan struct{}
+	once sync.Once
+}
+
+func serve(srv *http.Server, ln net.Listener) *server {
+	s := &server{Server: srv, done: make(chan struct{})}
+	go func() {
+		defer close(s.done)
+		_ = srv.Serve(ln) // ends with the server
+	}()
+	return s
+}
+
+func (s *server) close() {
+	s.once.Do(func() {
+		s.Close()
+		<-s.done
+	})
+}
+
+// State is the node's dump.
+func (i *Instance) State() node.State { return i.Node.State().(node.State) }
+
+// Kill ends the instance as a crash would: its connections break and nobody is
+// told.
+func (i *Instance) Kill() {
+	if i.stopped {
+		return
+	}
+	i.stopped = true
+	i.Node.Peers().Close()
+	i.close()
+}
+
+// Stop is the planned stop of the instance.
+func (i *Instance) Stop(ctx context.Context) error {
+	i.Node.Drain()
+	err := i.Node.Wait(ctx)
+	if closeErr := i.servers[0].Shutdown(ctx); err == nil {
+		err = closeErr
+	}
+	i.stopped = true
+	i.close()
+	return err
+}
+
+// close ends the sockets first: what runs would hold up the end of the node.
+func (i *Instance) close() {
+	if i.Backend != nil {
+		i.Backend.srv.close()
+	}
+	for _, s := range i.servers {
+		s.close()
+	}
+	i.Node.Stop()
+}
--- /dev/null
+++ b/node/main_test.go
@@ -0,0 +1,51 @@
+package node_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/node"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// text declares a request that fans out over two services and two hops.
+const text = `
+service "alertdesk" {
+  operation "issue" {
+    deadline = "10s"
+    calls    = ["plumecast.forecast", "fieldlog.file"]
+  }
+  operation "idle" {
+    deadline = "10s"
+  }
+}
+service "plumecast" {
+  operation "forecast" {
+    idempotent = true
+    deadline   = "10s"
+    calls      = ["stationlog.history"]
+  }
+}
+service "fieldlog" {
+  operation "file" {
+    deadline = "10s"
+  }
+}
+service "stationlog" {
+  operation "history" {
+    idempotent = true
+    deadline   = "10s"
+  }
+}`
+
+// start returns a cluster with the graph in force and no nodes.
+func start(t *testing.T, change func(*node.Config)) *testnode.Cluster {
+	t.Parallel()
+	cfg := testnode.DefaultConfig()
+	cfg.Graph = text
+	cfg.Change = change
+	return testnode.Start(t, cfg)
+}
