--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -58,7 +58,8 @@
 // A reply may arrive twice, or claim more than was granted. Were it believed,
 // each copy would mint attempts and the bound over the chain would be gone.
 // A grant is settled once and for no more than it held, so the sum of all
-// ledgers never grows.
+// ledgers never grows. Only a callee that spends its grant and claims that it
+// did not goes beyond the bound, by its grant.
 func (l *Ledger) Return(g Grant, unused uint32) {
 	if !l.settle(g) || l.closed {
 		return
