membership: faults found by scenarios: heal at home, storm of announcements

Needed: a heal between regions that takes nobody out of service at home, few appends when all start at once, bounds on bytes that hold.

Found and mended: - A probe begun while a member was held for dead made it suspect after it had come back.

Ruled out: counting heard duplicates as sent. It halves the bytes only by sending fewer copies, which leaves members out.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -44,9 +44,6 @@
 	m.intern(&mem.Record)
 	mem.superseded = false
 	m.moved(mem, old)
-	if r.PeerAddr == m.self.PeerAddr {
-		m.address.dispute(m)
-	}
 	if !(repair && m.joining) {
 		m.spread(mem)
 	}
@@ -202,6 +199,9 @@
 	if isGone && !wasGone && mem.State == Dead {
 		m.counters.Deaths++
 	}
+	if !isGone && mem.PeerAddr == m.self.PeerAddr {
+		m.address.dispute(m)
+	}
 	m.reindex(mem, old.Service)
 	m.touch()
 }
--- /dev/null
+++ b/membership/export_test.go
@@ -0,0 +1,7 @@
+package membership
+
+// For the test of sizes.
+var (
+	ChangeSize = changeSize
+	RecordSize = recordSize
+)
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -2,13 +2,40 @@
 
 import "math"
 
-// Sizes in CBOR, measured by a test; the bounds on messages go by them.
+// Sizes in CBOR; the bounds on messages go by them.
 const (
-	changeBytes = 26
-	entryBytes  = 22
-	recordBytes = 52 // without the strings
+	arrayHead  = 1
+	byteSize   = 1
+	idSize     = 17
+	nameHead   = 2
+	names      = 6
+	entryBytes = arrayHead + idSize + 3
 )
 
+func uintSize(n uint64) int {
+	switch {
+	case n < 24:
+		return 1
+	case n < 1<<8:
+		return 2
+	case n < 1<<16:
+		return 3
+	case n < 1<<32:
+		return 5
+	default:
+		return 9
+	}
+}
+
+func changeSize(r *Record) int {
+	return arrayHead + idSize + 2*byteSize + uintSize(r.Incarnation) + uintSize(r.Content)
+}
+
+func recordSize(r *Record) int {
+	return changeSize(r) + names*nameHead + len(r.Service) + len(r.DataCentre) + len(r.Region) +
+		len(r.PeerAddr) + len(r.OpsAddr) + len(r.CallerAddr)
+}
+
 // rumor is a place in the queue; a newer rumor about the same member makes it
 // void.
 type rumor struct {
@@ -133,15 +160,10 @@
 func (r rumor) void() bool { return r.no != r.about.rumor || !r.about.queued }
 
 func (r rumor) size() int {
-	if !r.whole {
-		return changeBytes
+	if r.whole {
+		return recordSize(&r.about.Record)
 	}
-	return recordSize(&r.about.Record)
-}
-
-func recordSize(r *Record) int {
-	return recordBytes + len(r.Service) + len(r.DataCentre) + len(r.Region) +
-		len(r.PeerAddr) + len(r.OpsAddr) + len(r.CallerAddr)
+	return changeSize(&r.about.Record)
 }
 
 func (r rumor) add(msg *Message) {
--- a/membership/join.go
+++ b/membership/join.go
@@ -84,7 +84,7 @@
 	l.readWait = firstReadWait
 	l.sayWait = m.cfg.AnnounceWithin
 	l.sayAt = l.skewed(m)
-	l.seedAt = m.within(m.cfg.Retention / announcesPerRetention)
+	l.seedAt = m.jitter(newSeedWait)
 }
 
 func (l *logReader) skewed(m *Members) time.Duration {
@@ -115,7 +115,7 @@
 	}
 	m.log.readAt = m.clock + m.jitter(m.log.readWait)
 	if m.lonely() {
-		m.log.readWait = min(m.log.readWait*3/2, maxReadWait)
+		m.log.readWait = min(m.log.readWait*5/4, maxReadWait)
 	} else {
 		m.log.readWait = m.cfg.SeedsReadInterval
 		if !m.isSeed() {
@@ -156,6 +156,7 @@
 		m.counters.Refused++
 		return
 	}
+	known := len(m.seeds.list)
 	for _, h := range a.Nodes {
 		if h.ID.IsZero() || !validAddr(h.Addr) {
 			m.counters.Refused++
@@ -165,6 +166,16 @@
 			m.seeds.add(seed{addr: h.Addr, id: h.ID}, m.cfg.MaxSeeds)
 		}
 	}
+	if len(m.seeds.list) > known && m.lonely() {
+		m.tryFirst()
+	}
+}
+
+// tryFirst dials what the log just named before this node announces itself.
+func (m *Members) tryFirst() {
+	m.seeds.next = m.rng.IntN(len(m.seeds.list))
+	m.due.join = m.clock
+	m.log.sayAt = max(m.log.sayAt, m.log.skewed(m))
 }
 
 // tickJoin tries a few addresses: any when alone, else, as a seed, those that
@@ -181,10 +192,13 @@
 	m.tryIsland()
 }
 
+// tryAlone starts at a random seed: else all nodes of a fleet that starts
+// would dial the same one.
 func (m *Members) tryAlone() {
-	for range min(m.cfg.JoinAddrs, len(m.seeds.list)) {
-		m.seeds.next = (m.seeds.next + len(m.seeds.list) - 1) % len(m.seeds.list)
-		m.contact(m.seeds.list[m.seeds.next].addr)
+	n := len(m.seeds.list)
+	for range min(m.cfg.JoinAddrs, n) {
+		m.contact(m.seeds.list[m.seeds.next%n].addr)
+		m.seeds.next++
 	}
 }
 
@@ -224,10 +238,11 @@
 	if m.clock < l.seedAt {
 		return nil, false
 	}
-	l.seedAt = m.clock + m.jitter(m.cfg.Retention/announcesPerRetention)
 	if !m.isSeed() {
+		l.seedAt = m.clock + m.jitter(newSeedWait)
 		return nil, false
 	}
+	l.seedAt = m.clock + m.jitter(m.cfg.Retention/announcesPerRetention)
 	return m.announce()
 }
 
@@ -239,6 +254,11 @@
 	m.log.sayAt = min(m.log.sayAt, again)
 }
 
+// newSeedWait is how soon a node that became a seed announces itself. An
+// island that formed while the log was out is found after that. It is long
+// enough that at a start of all nodes most know by then that others are seeds.
+const newSeedWait = time.Minute
+
 // announceAgain spreads the retries of 18 seeds while the log is out.
 const announceAgain = 30 * time.Second
 
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -10,6 +10,7 @@
 // probe is one probe in progress.
 type probe struct {
 	target   *member
+	inc      uint64
 	seq      uint64
 	indirect time.Duration
 	deadline time.Duration
@@ -96,7 +97,7 @@
 		return
 	}
 	m.seq++
-	p := &probe{target: target, seq: m.seq}
+	p := &probe{target: target, inc: target.Incarnation, seq: m.seq}
 	p.indirect = m.clock + m.stretched(m.cfg.ProbeTimeout)
 	p.deadline = p.indirect + m.stretched(m.cfg.IndirectTimeout)
 	m.probes = append(m.probes, p)
@@ -155,6 +156,11 @@
 	if mem.State != Alive && mem.State != Draining {
 		return
 	}
+	if mem.Incarnation != p.inc {
+		// It has spoken since: the probe began when it was held for dead, or
+		// was lost in a cut that is over.
+		return
+	}
 	m.counters.Suspected++
 	old := mem.Record
 	mem.State = Suspect
--- a/membership/repair.go
+++ b/membership/repair.go
@@ -96,6 +96,8 @@
 		return
 	}
 	reply.Repair = true
+	// The own record always goes along: whoever asks knows one member then.
+	reply.Records = append(reply.Records, m.self.Record)
 	if !m.repairs.allow(m) {
 		reply.Listing = &Listing{More: true}
 		return
@@ -230,9 +232,10 @@
 		m.counters.Refused++
 		return
 	}
-	if len(want) > 0 && !m.repairs.allow(m) {
+	if len(want) == 0 || !m.repairs.allow(m) {
 		return
 	}
+	reply.Repair = true
 	for _, id := range want {
 		mem := m.table[id]
 		if mem == nil || len(reply.Records) >= m.cfg.RepairRecords {
@@ -243,11 +246,8 @@
 			continue
 		}
 		reply.Records = append(reply.Records, mem.Record)
-		reply.Repair = true
-	}
-	if len(want) > 0 {
-		m.repairs.spend(recordsSize(reply.Records))
 	}
+	m.repairs.spend(recordsSize(reply.Records))
 }
 
 // tickReconnect tries one dead member in case it was only cut off.
