serve: a call deeper than any declared graph is refused

The graph has no cycles, so depth is bounded, but two versions of it may be in force at two nodes for a moment and together form one. Ruled out: a check at the entry alone, which does not see the depth.

--- a/serve/server.go
+++ b/serve/server.go
@@ -129,6 +129,10 @@
 		return verdict.Refuse(verdict.UnknownService, "%s is not served here", req.Service)
 	case op == nil:
 		return verdict.Refuse(verdict.UnknownOperation, "%s.%s is not declared", req.Service, req.Operation)
+	case int(req.Depth) >= graph.MaxDepth:
+		// The graph has no cycles, but two versions of it may be in force
+		// for a moment; a request must not go round between them.
+		return verdict.Refuse(verdict.TooDeep, "%d calls above this one", req.Depth)
 	case req.Budget <= 0:
 		return verdict.Refuse(verdict.Deadline, "no time left at arrival")
 	}
