once: state machine over several nodes, and naive versions that break

The oracle counts runs by action and keeps the requests that ever ran. Run: 400 random schedules of 300 steps each. A node's own record now counts for less than at others: with rates that differ it could outlast them. Keys of callers stay as long as a renewed binding can bring them.

--- a/once/binder.go
+++ b/once/binder.go
@@ -11,6 +11,9 @@
 	// downAfter is the number of failures in a row after which new keys are
 	// refused at once between two tries.
 	downAfter = 2
+	// ownShare of HeldFor is left out at the node of a record, so that clocks
+	// of slightly different rates do not make it outlast the others.
+	ownShare = 8
 	// fillTenths of MaxBindings are used for new keys of this node.
 	fillTenths = 9
 )
@@ -48,13 +51,14 @@
 // run it: of their two records one is first, and the node of the second has
 // read the first before its own.
 //
-// A record counts for HeldFor: at its own node from the moment the append was
-// started, at every other from the moment it was read, which is later. The log
-// keeps it at least as long. So a node that does not know the record any more,
-// or that started after it was trimmed, binds the key anew only when the first
-// holder has stopped running it. A node that falls behind by more than the
-// retention goes on at the oldest record for the same reason. All this needs of
-// clocks is their rate: HeldFor of every node must pass within the retention.
+// A record counts at every other node for HeldFor from the moment it was read.
+// At its own node it counts for less, and from the moment the append was
+// started, which is earlier. The log keeps it for HeldFor at least. So a node
+// that does not know the record any more, or that started after it was trimmed,
+// binds the key anew only when the first holder has stopped running it. A node
+// that falls behind by more than the retention goes on at the oldest record for
+// the same reason. All this needs of clocks is that their rates agree within a
+// twentieth, and that HeldFor passes within the retention on each of them.
 //
 // An append whose answer was lost may have taken effect, or may still. It is
 // made again, with the keys that still wait: a second record of the same node
--- a/once/bindlog.go
+++ b/once/bindlog.go
@@ -132,7 +132,7 @@
 	}
 	until := age + b.cfg.HeldFor
 	if r.Node == b.self {
-		until = r.Age + b.cfg.HeldFor
+		until = r.Age + b.cfg.HeldFor - b.cfg.HeldFor/ownShare
 	}
 	for _, d := range r.digests() {
 		b.claims.add(age, claim{key: d, holder: r.Node, until: until})
--- a/once/keys.go
+++ b/once/keys.go
@@ -82,6 +82,7 @@
 	waiters     []W
 	answer      A
 	stored      *list.Element // nil when the answer was dropped
+	index       int           // in the heap of ended keys
 }
 
 // NewKeys returns the memory of an incarnation that started at start, the same
@@ -138,6 +139,7 @@
 	if u.fingerprint != fingerprint {
 		return u.refuse(verdict.KeyInvalid, "key was used with another request")
 	}
+	k.extend(age, u)
 	if u.running {
 		if len(u.waiters) >= k.cfg.MaxJoined {
 			return u.refuse(verdict.Duplicate, "too many resends wait for the running request")
@@ -160,11 +162,9 @@
 		return nil
 	}
 	age := k.clock.at(now)
+	k.extend(age, u)
 	u.running = false
 	u.verdict = v
-	if !u.minted {
-		u.expires = max(u.expires, age+k.cfg.HeldFor)
-	}
 	heap.Push(&k.ended, u)
 	k.store(u, answer)
 	waiters := u.waiters
@@ -204,6 +204,18 @@
 	return s
 }
 
+// extend keeps a key of the caller's own for as long as its binding can still
+// bring it here. A binding may be renewed; the key must not be forgotten first.
+func (k *Keys[A, W]) extend(age time.Duration, u *use[A, W]) {
+	if u.minted {
+		return
+	}
+	u.expires = max(u.expires, age+k.cfg.HeldFor)
+	if !u.running {
+		heap.Fix(&k.ended, u.index)
+	}
+}
+
 func (k *Keys[A, W]) store(u *use[A, W], answer A) {
 	u.answer = answer
 	u.stored = k.answers.PushBack(u)
@@ -278,10 +290,19 @@
 
 func (h useHeap[A, W]) Len() int           { return len(h) }
 func (h useHeap[A, W]) Less(i, j int) bool { return h[i].expires < h[j].expires }
-func (h useHeap[A, W]) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Swap implements sort.Interface.
+func (h useHeap[A, W]) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
 
 // Push implements heap.Interface.
-func (h *useHeap[A, W]) Push(x any) { *h = append(*h, x.(*use[A, W])) }
+func (h *useHeap[A, W]) Push(x any) {
+	u := x.(*use[A, W])
+	u.index = len(*h)
+	*h = append(*h, u)
+}
 
 // Pop implements heap.Interface.
 func (h *useHeap[A, W]) Pop() any {
--- /dev/null
+++ b/once/naive_test.go
@@ -0,0 +1,136 @@
+package once
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// naiveVersion replaces one of the mechanisms; the zero value replaces none.
+type naiveVersion struct {
+	name       string
+	forgetful  bool
+	makeBinder func(n *node, b *Binder) binding
+}
+
+func (v naiveVersion) senders(cfg Config) accepter {
+	if v.forgetful {
+		return &forgetful{seen: make(map[forgetfulKey]bool)}
+	}
+	return NewSenders(cfg)
+}
+
+func (v naiveVersion) binder(n *node, b *Binder) binding {
+	if v.makeBinder == nil {
+		return b
+	}
+	return v.makeBinder(n, b)
+}
+
+// forgetful remembers the attempts that run, but not those that it refused.
+type forgetful struct{ seen map[forgetfulKey]bool }
+
+type forgetfulKey struct {
+	from wire.NodeID
+	seq  uint64
+}
+
+func (f *forgetful) Accept(from wire.NodeID, seq uint64) bool {
+	taken := f.seen[forgetfulKey{from, seq}]
+	f.seen[forgetfulKey{from, seq}] = true
+	return !taken
+}
+
+func (f *forgetful) forget(from wire.NodeID, seq uint64) { delete(f.seen, forgetfulKey{from, seq}) }
+
+// localCache trusts the keys that the node itself has seen.
+type localCache struct{ *Binder }
+
+func (localCache) Want(_ time.Time, key string) Resolution {
+	return Resolution{Key: key, State: BoundHere, Held: time.Hour}
+}
+
+// lastWins gives a key to the node of its latest record.
+type lastWins struct {
+	*Binder
+	holders map[digest]wire.NodeID
+}
+
+func (l *lastWins) Want(now time.Time, key string) Resolution {
+	r := l.Binder.Want(now, key)
+	if r.State != Pending {
+		l.correct(&r)
+	}
+	return r
+}
+
+func (l *lastWins) Page(now time.Time, from uint64, page platform.Page) []Resolution {
+	for _, rec := range page.Records {
+		r, _ := decodeBind(rec.Data)
+		for _, d := range r.digests() {
+			l.holders[d] = r.Node
+		}
+	}
+	out := l.Binder.Page(now, from, page)
+	for i := range out {
+		l.correct(&out[i])
+	}
+	return out
+}
+
+func (l *lastWins) correct(r *Resolution) {
+	holder, ok := l.holders[digestOf(r.Key)]
+	if !ok || r.State == Refused {
+		return
+	}
+	r.State, r.Holder = BoundTo, holder
+	if holder == l.self {
+		r.State = BoundHere
+	}
+}
+
+// leased lets a node run a key while it holds a lease on it, which others take
+// over when it has lapsed. The leases themselves are kept without any fault.
+type leased struct {
+	*Binder
+	n      *node
+	leases map[string]*lease
+}
+
+type lease struct {
+	holder wire.NodeID
+	until  time.Time
+}
+
+const leaseLife = 2 * time.Second
+
+func (l *leased) Want(_ time.Time, key string) Resolution {
+	now := l.n.w.now
+	held := l.leases[key]
+	if held == nil || !now.Before(held.until) {
+		held = &lease{holder: l.n.id}
+		l.leases[key] = held
+	}
+	if held.holder != l.n.id {
+		return Resolution{Key: key, State: BoundTo, Holder: held.holder}
+	}
+	held.until = now.Add(leaseLife)
+	return Resolution{Key: key, State: BoundHere, Held: time.Hour}
+}
+
+func naiveVersions() []naiveVersion {
+	leases := make(map[string]*lease)
+	return []naiveVersion{
+		{name: "no memory of a refusal", forgetful: true},
+		{name: "cache at the entry node", makeBinder: func(_ *node, b *Binder) binding {
+			return localCache{b}
+		}},
+		{name: "last record wins", makeBinder: func(_ *node, b *Binder) binding {
+			return &lastWins{b, make(map[digest]wire.NodeID)}
+		}},
+		{name: "ownership by lease", makeBinder: func(n *node, b *Binder) binding {
+			return &leased{b, n, leases}
+		}},
+	}
+}
--- a/once/once.go
+++ b/once/once.go
@@ -19,9 +19,13 @@
 //     one that has ended has its answer replayed.
 //
 // What is promised, and for how long: a minted key until the expiry that its
-// holder gave it; a key of the caller's own for HeldFor after its binding,
-// which must not exceed the time for which the log keeps records. Later the
-// same key is a new one. Without a key a resend is a new request.
+// holder gave it; a key of the caller's own until its binding ends, which the
+// holder's answer tells (seven eighths of HeldFor). Later the same key is a new
+// one. Without a key a resend is a new request.
+//
+// "Not run" is said of the attempt that it answers. Whoever sends a key again
+// after an attempt with an unknown end does not know from it that the earlier
+// one did not run.
 package once
 
 import (
@@ -43,8 +47,9 @@
 	// fetches keys ahead and then resends through an outage of minutes.
 	KeyTTL time.Duration
 	// HeldFor is how long a binding of a caller's own key is kept. It must
-	// not exceed the log's retention: a record that the log has dropped
-	// cannot be read by a node that starts.
+	// stay a twentieth below the log's retention: a record that the log has
+	// dropped cannot be read by a node that starts. Half an hour covers
+	// callers that resend through an outage, at a bounded memory.
 	HeldFor time.Duration
 	// MaxKeys bounds the used keys of this incarnation, about 200 bytes each.
 	// When they are all unexpired a new key is refused.
--- /dev/null
+++ b/once/prove_test.go
@@ -0,0 +1,205 @@
+package once
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cassialoom/cassialoom/internal/proptest"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+const stepsPerSchedule = 300
+
+// submit lets a caller send an action by an entry node.
+func (w *world) submit(entry int, act *action) *request {
+	r := &request{action: act}
+	w.reqs = append(w.reqs, r)
+	if !w.nodes[entry].frozen {
+		w.route(w.nodes[entry], r)
+	}
+	return r
+}
+
+func (w *world) newAction(kind int) *action {
+	act := &action{}
+	switch kind {
+	case 0:
+		act.key, act.own = fmt.Sprintf("own-%d", len(w.actions)), true
+	case 1:
+		n := w.nodes[w.choose(addresses)]
+		act.key = n.mint.Mint(n.clock(), service, operation)
+	}
+	w.actions = append(w.actions, act)
+	return act
+}
+
+// step does one thing, chosen at random.
+func (w *world) step() {
+	n := w.nodes[w.choose(addresses)]
+	kind := w.choose(32)
+	if len(w.net) > 0 && kind < 14 {
+		w.netStep(kind)
+		return
+	}
+	if n.frozen {
+		n.frozen = w.choose(4) != 3
+		w.now = w.now.Add(time.Duration(w.choose(1000)) * time.Millisecond)
+		return
+	}
+	switch kind {
+	case 14, 15:
+		w.submit(n.address, w.newAction(w.choose(3)))
+	case 16, 17, 18:
+		w.resend(n.address)
+	case 19, 20:
+		w.now = w.now.Add(time.Duration(1+w.choose(200)) * time.Millisecond)
+	case 21:
+		w.now = w.now.Add(time.Duration(1+w.choose(5)) * time.Second)
+	case 22:
+		w.faultStep(n)
+	case 23:
+		w.giveUp(n)
+	case 24:
+		n.appended(n.append, false)
+		n.readDone(n.read, 0, noPage, errTimeout)
+	default:
+		n.workStep(w.choose(8))
+	}
+}
+
+func (w *world) netStep(kind int) {
+	i := w.choose(len(w.net))
+	switch kind {
+	case 12:
+		w.deliver(i, true)
+	case 13:
+		w.drop(i)
+	default:
+		w.deliver(i, false)
+	}
+}
+
+// resend sends a keyed action again; without a key it would be a new one.
+func (w *world) resend(entry int) {
+	if len(w.actions) == 0 {
+		return
+	}
+	act := w.actions[len(w.actions)-1-w.choose(min(4, len(w.actions)))]
+	if act.key != "" {
+		w.submit(entry, act)
+	}
+}
+
+func (w *world) faultStep(n *node) {
+	switch w.choose(4) {
+	case 0:
+		n.frozen = true
+	case 1:
+		w.start(n.address) // the old incarnation is gone with all that it had
+	case 2:
+		w.log.Outage(w.now.Add(time.Duration(w.choose(15)) * time.Second))
+	case 3:
+		w.log.LoseAnswers(1 + w.choose(2))
+	}
+}
+
+// giveUp ends the wait for an attempt, with a cancellation or without.
+func (w *world) giveUp(n *node) {
+	for seq := uint64(1); seq <= n.seq; seq++ {
+		a := n.sent[seq]
+		if a == nil || w.choose(2) == 1 {
+			continue
+		}
+		if w.choose(2) == 0 {
+			target := w.find(a.to)
+			if target != nil {
+				w.post(target.address, false, func() { w.nodes[target.address].cancel(a) })
+			}
+			return
+		}
+		w.answer(a.req, verdict.MayHaveRun)
+		return
+	}
+}
+
+func (n *node) workStep(kind int) {
+	switch {
+	case kind < 3:
+		n.poll()
+	case kind < 5 && len(n.queue) > 0:
+		n.exec(n.w.choose(len(n.queue)))
+	case kind == 5 && len(n.queue) > 0:
+		n.shed(n.w.choose(len(n.queue)))
+	case kind == 6 && len(n.running) > 0:
+		n.finish(n.w.choose(len(n.running)), verdict.Ran)
+	case kind == 7 && len(n.running) > 0:
+		n.finish(n.w.choose(len(n.running)), verdict.MayHaveRun)
+	}
+}
+
+func (w *world) run(steps int) {
+	for i := 0; i < steps && w.broken == ""; i++ {
+		w.step()
+	}
+}
+
+// even draws numbers evenly; rapid's own integers are mostly small.
+var even = rapid.Custom(func(t *rapid.T) int {
+	v := 0
+	for range 9 {
+		v <<= 1
+		if rapid.Bool().Draw(t, "bit") {
+			v++
+		}
+	}
+	return v
+})
+
+// Callers send notices through any node and send them again; messages come
+// late, twice or never; nodes freeze, wake, crash and come back empty; the log
+// has outages, loses answers and forgets. No action runs twice, and no request
+// that was answered "not run" ever runs.
+func TestAtMostOnceAndNotRunUnderRandomFaults(t *testing.T) {
+	proptest.Check(t, func(t *rapid.T) {
+		w := newWorld(naiveVersion{}, func(n int) int { return even.Draw(t, "choice") % n })
+		w.run(stepsPerSchedule)
+		if w.broken != "" {
+			t.Fatal(w.broken)
+		}
+	})
+}
+
+func randomWorld(v naiveVersion, seed uint64) *world {
+	r := rand.New(rand.NewPCG(seed, 4))
+	w := newWorld(v, r.IntN)
+	w.run(stepsPerSchedule)
+	return w
+}
+
+// The same random schedules break each naive version, and not ours: the oracle
+// is able to see what the naive ones do wrong.
+func TestRandomSchedulesBreakEachNaiveVersion(t *testing.T) {
+	const seeds = 400
+	for _, v := range append([]naiveVersion{{name: "ours"}}, naiveVersions()...) {
+		broken, ran, notRun := 0, 0, 0
+		for seed := range uint64(seeds) {
+			w := randomWorld(v, seed)
+			if w.broken != "" {
+				broken++
+			}
+			ran += len(w.execs)
+			for _, r := range w.reqs {
+				if r.answered && r.verdict == verdict.NotRun {
+					notRun++
+				}
+			}
+		}
+		t.Logf("%s: broken in %d of %d schedules; %d runs, %d answers not run", v.name, broken, seeds, ran, notRun)
+		is.New(t).Equal(broken > 0, v.name != "ours")
+	}
+}
