--- /dev/null
+++ b/cmd/measure/run.go
@@ -0,0 +1,239 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cassialoom/cassialoom/internal/rig"
+	"github.com/cassialoom/cassialoom/internal/rig/load"
+	"github.com/cassialoom/cassialoom/internal/standin/backend"
+)
+
+// The times of a run. Before the trigger: long enough for cold starts and for
+// a level to compare with; after it: three times the recovery that is aimed at.
+const (
+	warmFor    = coldFor + time.Second
+	beforeFor  = 4 * time.Second
+	triggerFor = 6 * time.Second
+	afterFor   = 8 * time.Second
+
+	// baseLoad is the load but for the trigger, as a multiple of what fills
+	// the system.
+	baseLoad = 0.7
+	// stallLimit is how long the machine may stand still in a valid run.
+	stallLimit = 100 * time.Millisecond
+	stopLimit  = 10 * time.Second
+	startLimit = 60 * time.Second
+	// supervisePoll is how often crashed backend servers are started again.
+	supervisePoll = 200 * time.Millisecond
+)
+
+// system is a running system under load.
+type system struct {
+	user    *user
+	cluster *rig.Cluster
+	// mu keeps the supervisor away while a trigger changes the processes.
+	mu sync.Mutex
+}
+
+// outcome is what one run gave.
+type outcome struct {
+	run     *load.Run
+	figures load.Figures
+	stall   time.Duration
+}
+
+func runOnce(ctx context.Context, opts options, u *user, s scenario, policy string, seed uint64) (out outcome, err error) {
+	bin := opts.Bin
+	if policy == policyEarlier {
+		bin = opts.Earlier
+	}
+	r, err := rig.New(bin)
+	if err != nil {
+		return outcome{}, err
+	}
+	defer func() {
+		err = errors.Join(err, r.Close(stopLimit))
+		if err != nil {
+			err = fmt.Errorf("%w (logs: %s)", err, r.Dir())
+			return
+		}
+		err = r.RemoveLogs()
+	}()
+	sys, err := startSystem(ctx, r, u, policy, seed)
+	if err != nil {
+		return outcome{}, err
+	}
+	return sys.observe(ctx, s, seed)
+}
+
+func startSystem(ctx context.Context, r *rig.Rig, u *user, policy string, seed uint64) (*system, error) {
+	ctx, cancel := context.WithTimeout(ctx, startLimit)
+	defer cancel()
+	cluster, err := r.StartCluster(ctx, u.shape, rig.Options{
+		Seed:     seed,
+		NodeArgs: func(s rig.ServiceShape) []string { return nodeArgs(s, policy) },
+	})
+	if err != nil {
+		return nil, err
+	}
+	if _, err := cluster.Publish(ctx, u.file); err != nil {
+		return nil, err
+	}
+	if err := cluster.Await(ctx, "/readyz", cluster.Instances); err != nil {
+		return nil, err
+	}
+	return &system{user: u, cluster: cluster}, cluster.AwaitView(ctx, cluster.Instances)
+}
+
+// nodeArgs gives the baseline with a fixed limit the right one: the slots.
+func nodeArgs(s rig.ServiceShape, policy string) []string {
+	switch policy {
+	case policyNone:
+		return []string{"--policy", "none"}
+	case policyFixed:
+		return []string{"--policy", "fixed", "--initial-limit", fmt.Sprint(s.Slots)}
+	default:
+		return nil
+	}
+}
+
+// observe puts the system under load, with the trigger on for its time.
+func (s *system) observe(ctx context.Context, sc scenario, seed uint64) (outcome, error) {
+	callers, hard := sc.callers()
+	arrivals := load.Schedule(s.phases(sc), s.user.mix, len(s.cluster.Instances), hard, seed)
+	g := s.generator(sc, callers)
+	stalls := rig.WatchStalls()
+	defer stalls.Stop()
+	start := time.Now()
+	triggerFrom := start.Add(warmFor + beforeFor)
+	run := &load.Run{
+		Mix:     s.user.mix,
+		Before:  load.Span{From: start.Add(warmFor), To: triggerFrom},
+		Trigger: load.Span{From: triggerFrom, To: triggerFrom.Add(triggerFor)},
+		End:     triggerFrom.Add(triggerFor + afterFor),
+		Best:    s.user.model(sc).Best(s.user.full * sc.load()),
+	}
+	supervised, stop := context.WithCancel(ctx)
+	var supervisor sync.WaitGroup
+	supervisor.Go(func() { s.supervise(supervised, sc) })
+	triggered := make(chan error, 1)
+	go func() { triggered <- s.trigger(ctx, sc, run.Trigger) }()
+	run.Results = g.Run(ctx, start, arrivals)
+	err := <-triggered
+	stop()
+	supervisor.Wait()
+	if err = errors.Join(err, ctx.Err()); err != nil {
+		return outcome{}, err
+	}
+	out := outcome{run: run, stall: stalls.Longest()}
+	if run.Executions, err = s.executions(ctx); err != nil {
+		return outcome{}, err
+	}
+	out.figures = run.Figures()
+	return out, nil
+}
+
+func (s scenario) load() float64 {
+	if s.surge > 0 {
+		return s.surge
+	}
+	return baseLoad
+}
+
+func (s *system) phases(sc scenario) []load.Phase {
+	return []load.Phase{
+		{Length: warmFor + beforeFor, Rate: s.user.full * baseLoad},
+		{Length: triggerFor, Rate: s.user.full * sc.load()},
+		{Length: afterFor, Rate: s.user.full * baseLoad},
+	}
+}
+
+func (s *system) generator(sc scenario, callers load.Callers) *load.Generator {
+	return &load.Generator{
+		Nodes:     s.cluster.CallerAddrs(),
+		Mix:       s.user.mix,
+		Callers:   callers,
+		Mark:      "crash:" + s.user.deep,
+		MarkShare: sc.poison,
+		MarkFrom:  warmFor + beforeFor,
+		MarkTo:    warmFor + beforeFor + triggerFor,
+	}
+}
+
+func (s *system) trigger(ctx context.Context, sc scenario, span load.Span) error {
+	for _, step := range []struct {
+		at time.Time
+		do func(context.Context, *system) error
+	}{{span.From, sc.begin}, {span.To, sc.end}} {
+		select {
+		case <-time.After(time.Until(step.at)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		if step.do == nil {
+			continue
+		}
+		if err := s.locked(ctx, step.do); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *system) locked(ctx context.Context, do func(context.Context, *system) error) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return do(ctx, s)
+}
+
+// supervise starts crashed backend servers again, as a platform would.
+func (s *system) supervise(ctx context.Context, sc scenario) {
+	if sc.poison == 0 {
+		return
+	}
+	ticker := time.NewTicker(supervisePoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.restartEnded()
+		}
+	}
+}
+
+func (s *system) restartEnded() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, i := range s.cluster.Instances {
+		if i.Backend.Running() {
+			continue
+		}
+		if err := s.cluster.RestartBackend(i); err != nil {
+			fmt.Println("restart of", i.Name, "failed:", err)
+		}
+	}
+}
+
+// executions collects the logs of all backend servers. What ran in a process
+// that was killed is lost with it; the share of wasted work then speaks of the
+// others alone.
+func (s *system) executions(ctx context.Context) ([]backend.Execution, error) {
+	var all []backend.Execution
+	for _, i := range s.cluster.Instances {
+		if !i.Backend.Running() {
+			continue
+		}
+		list, err := i.Executions(ctx)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, list...)
+	}
+	return all, nil
+}
--- a/internal/rig/cluster.go
+++ b/internal/rig/cluster.go
@@ -25,8 +25,8 @@
 
 // Options are what all nodes of a cluster share besides the shape.
 type Options struct {
-	// NodeArgs are added to the arguments of every node.
-	NodeArgs []string
+	// NodeArgs returns further arguments of a service's nodes; nil for none.
+	NodeArgs func(ServiceShape) []string
 	// Seed of the backend servers' service times.
 	Seed uint64
 	// Journals lets every backend server keep one.
@@ -123,7 +123,10 @@
 			args = append(args, "--seed", seed.PeerAddr)
 		}
 	}
-	return append(args, c.opts.NodeArgs...)
+	if c.opts.NodeArgs == nil {
+		return args
+	}
+	return append(args, c.opts.NodeArgs(c.service(i.Service))...)
 }
 
 func (c *Cluster) backendArgs(n int, i *Instance) []string {
@@ -279,3 +282,8 @@
 	}
 	return out, nil
 }
+
+// LogOutage makes the log fail for a time.
+func (c *Cluster) LogOutage(ctx context.Context, d time.Duration) error {
+	return post(ctx, c.LogURL+"/control/outage?for="+d.String(), nil)
+}
--- a/internal/rig/load/send.go
+++ b/internal/rig/load/send.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -154,6 +156,9 @@
 	req.Header.Set(backend.HeaderDeadline, strconv.FormatInt(left, 10))
 	res, err := g.client.Do(req)
 	if err != nil {
+		if unreachable(err) {
+			a.Verdict = verdict.NotRun
+		}
 		return 0
 	}
 	defer res.Body.Close()
@@ -171,6 +176,12 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
+// unreachable reports whether there was no connection: nothing was sent.
+func unreachable(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func (r *Result) judge(c Class, raw, body []byte) {
 	var answer backend.Answer
 	err := json.Unmarshal(raw, &answer)
