measure: what two nodes add to a call, and a node's memory and processor time

Direct calls and calls through two nodes to the same backend server go out in turn in the same run, open-loop, so that the machine's slow moments fall on both.

Ruled out: a Go benchmark alone; it runs both nodes and both ends in one process and shares one scheduler.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -24,10 +24,11 @@
 	Out       string   `long:"out" env:"MEASURE_OUT" required:"true" description:"folder for tables and plots"`
 	Graphs    string   `long:"graphs" env:"MEASURE_GRAPHS" default:"examples" description:"folder with the graph texts of the users"`
 	Users     []string `long:"user" env:"MEASURE_USERS" env-delim:"," default:"savukartta" choice:"savukartta" choice:"hallwyl" description:"whose system to measure; may be repeated"`
-	Scenarios []string `long:"scenario" env:"MEASURE_SCENARIOS" env-delim:"," description:"scenario to run; may be repeated; default: all but latency"`
+	Scenarios []string `long:"scenario" env:"MEASURE_SCENARIOS" env-delim:"," description:"scenario to run; may be repeated; default: all"`
 	Policies  []string `long:"policy" env:"MEASURE_POLICIES" env-delim:"," description:"policy to run: full, none, fixed, earlier; may be repeated; default: all that there are"`
 	Repeats   int      `long:"repeats" env:"MEASURE_REPEATS" default:"3" description:"runs of each scenario and policy"`
 	Seed      uint64   `long:"seed" env:"MEASURE_SEED" default:"1" description:"seed of arrivals and service times"`
+	Latency   bool     `long:"latency" description:"only measure what two nodes add to a call, and a node's memory"`
 	List      bool     `long:"list" description:"list the scenarios and end"`
 }
 
@@ -96,6 +97,9 @@
 	if err := os.MkdirAll(opts.Out, 0o755); err != nil {
 		return fmt.Errorf("setting --out: %w", err)
 	}
+	if opts.Latency {
+		return measureLatency(ctx, opts)
+	}
 	rep := newReport(opts.Out)
 	for _, name := range opts.Users {
 		u, err := loadUser(name, opts.Graphs)
