membership: newcomers hear of drains, restarts make no burst; measured scenarios

- A drain reached one node only after 11 to 22 s.
The node was two seconds old and in nobody's list of recent peers.
- When a process ended, all its peers probed its address in one tick and each opened a repair with the successor: 315 connections in one second at 200 nodes, 725 at 500 (trials).
Probes after a broken connection are spread over two seconds, and the successor is only asked for its record.
- Addresses of unknown peers that dialled could fill the list of seeds and keep out what the log names.
They have half of it now.

--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -111,9 +111,3 @@
 	return count
 }
 
-// ResetStats starts the counts of all nodes anew.
-func (s *Sim) ResetStats() {
-	for _, n := range s.Nodes {
-		n.Stats = Stats{}
-	}
-}
--- a/internal/capacity/network.go
+++ b/internal/capacity/network.go
@@ -72,6 +72,7 @@
 		s.dialFailed(from, send)
 		return
 	}
+	peer.Stats.Accepts.add(s.at, time.Second, 1)
 	trip := 2 * delay(from, peer)
 	to, addr := send.To, send.Addr
 	s.deliver(from, 2*trip, func() {
@@ -147,6 +148,7 @@
 		return
 	}
 	n.Stats.Appends++
+	s.appends.add(s.at, time.Second, 1)
 	if _, err := s.Log.Append(ctx, membership.Stream, data); err != nil {
 		n.M.AnnounceFailed(s.clock(n))
 	}
--- a/internal/capacity/sim.go
+++ b/internal/capacity/sim.go
@@ -77,30 +77,6 @@
 	Elsewhere bool
 }
 
-// Stats of one node since the last ResetStats.
-type Stats struct {
-	Messages uint64
-	Bytes    uint64
-	Dials    uint64
-	Appends  uint64
-	Reads    uint64
-	// PeakBytes is the most that it sent in one second.
-	PeakBytes uint64
-	second    int64
-	inSecond  uint64
-}
-
-func (s *Stats) sent(at time.Duration, n int) {
-	s.Messages++
-	s.Bytes += uint64(n)
-	if sec := int64(at / time.Second); sec != s.second {
-		s.second = sec
-		s.inSecond = 0
-	}
-	s.inSecond += uint64(n)
-	s.PeakBytes = max(s.PeakBytes, s.inSecond)
-}
-
 type event struct {
 	at  time.Duration
 	seq uint64
@@ -137,6 +113,8 @@
 	// Nodes are all processes that were ever started.
 	Nodes []*Node
 	Log   *fakelog.Log
+	// appends counts those of all nodes.
+	appends Peak
 }
 
 // New returns a simulation without nodes.
--- /dev/null
+++ b/internal/capacity/stats.go
@@ -0,0 +1,77 @@
+package capacity
+
+import "time"
+
+// Stats of one node since the last ResetStats.
+type Stats struct {
+	Messages uint64
+	Bytes    uint64
+	Dials    uint64
+	Appends  uint64
+	Reads    uint64
+	// Second, TenSeconds and Accepts are the most that it sent in one second
+	// and in ten, and the most connections that it took in one second.
+	Second     Peak
+	TenSeconds Peak
+	Accepts    Peak
+}
+
+func (s *Stats) sent(at time.Duration, n int) {
+	s.Messages++
+	s.Bytes += uint64(n)
+	s.Second.add(at, time.Second, uint64(n))
+	s.TenSeconds.add(at, 10*time.Second, uint64(n))
+}
+
+// Peak is the most that was counted in one window of time.
+type Peak struct {
+	Most   uint64
+	window int64
+	count  uint64
+}
+
+func (p *Peak) add(at, window time.Duration, n uint64) {
+	if w := int64(at / window); w != p.window {
+		p.window = w
+		p.count = 0
+	}
+	p.count += n
+	p.Most = max(p.Most, p.count)
+}
+
+// Total is what a fleet did in some time.
+type Total struct {
+	Nodes   int
+	Seconds float64
+	Stats
+}
+
+// Total adds up the nodes' counts since the last ResetStats, which was d ago;
+// of the peaks it keeps the worst node's.
+func (s *Sim) Total(d time.Duration) Total {
+	t := Total{Nodes: len(s.Live()), Seconds: d.Seconds()}
+	for _, n := range s.Nodes {
+		t.Messages += n.Stats.Messages
+		t.Bytes += n.Stats.Bytes
+		t.Dials += n.Stats.Dials
+		t.Appends += n.Stats.Appends
+		t.Reads += n.Stats.Reads
+		t.Second.Most = max(t.Second.Most, n.Stats.Second.Most)
+		t.TenSeconds.Most = max(t.TenSeconds.Most, n.Stats.TenSeconds.Most)
+		t.Accepts.Most = max(t.Accepts.Most, n.Stats.Accepts.Most)
+	}
+	return t
+}
+
+// PerNodeSecond divides a count by nodes and seconds.
+func (t Total) PerNodeSecond(count uint64) float64 {
+	return float64(count) / float64(t.Nodes) / t.Seconds
+}
+
+// ResetStats starts the counts of all nodes anew.
+func (s *Sim) ResetStats() {
+	for _, n := range s.Nodes {
+		n.Stats = Stats{}
+	}
+	s.appends = Peak{}
+}
--- a/membership/address.go
+++ b/membership/address.go
@@ -64,7 +64,7 @@
 		return
 	}
 	if m.table[id] == nil && id != m.self.ID {
-		m.send(id, addr, m.opening())
+		m.send(id, addr, Message{Want: []wire.NodeID{id}})
 	}
 }
 
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -75,6 +75,10 @@
 // in twenty.
 const minRetransmits = 6
 
+// urgentFactor doubles the copies of a drain: the one node in thousands that
+// missed it would send work to a server that stops, until its next repair.
+const urgentFactor = 2
+
 // retransmits is how often one piece of news is passed on.
 func (m *Members) retransmits() int {
 	digits := math.Ceil(math.Log10(float64(len(m.roster) + 2)))
@@ -104,7 +108,7 @@
 // fill adds the news that was sent least, up to a size.
 func (m *Members) fill(msg *Message, bytes int) {
 	limit := m.retransmits()
-	bytes = m.urgent.take(msg, bytes, limit)
+	bytes = m.urgent.take(msg, bytes, urgentFactor*limit)
 	m.normal.take(msg, bytes, limit)
 }
 
--- a/membership/join.go
+++ b/membership/join.go
@@ -37,7 +37,10 @@
 	next int
 }
 
+// add keeps room for what the log names: addresses of peers that are not
+// members yet come in as fixed ones, too.
 func (s *seedList) add(n seed, limit int) {
+	n.fixed = n.fixed && s.fixedCount() < limit/2
 	for i, have := range s.list {
 		if have.addr == n.addr {
 			n.fixed = n.fixed || have.fixed
@@ -48,14 +51,20 @@
 	}
 	if len(s.list) >= limit {
 		i := slices.IndexFunc(s.list, func(have seed) bool { return !have.fixed })
-		if i < 0 {
-			return
-		}
 		s.list = slices.Delete(s.list, i, i+1)
 	}
 	s.list = append(s.list, n)
 }
 
+func (s *seedList) fixedCount() (count int) {
+	for _, have := range s.list {
+		if have.fixed {
+			count++
+		}
+	}
+	return count
+}
+
 // logReader plans reading the log and announcing in it.
 type logReader struct {
 	known    bool
--- a/membership/members.go
+++ b/membership/members.go
@@ -73,10 +73,15 @@
 
 	due     schedule
 	joining bool
-	repairs repairBudget
-	seeds   seedList
-	log     logReader
-	address addressCheck
+	// young is when the node has enough peers that send it news. Until then
+	// it is in few nodes' lists of recent peers and would miss a drain: it
+	// probes faster and repairs more often.
+	young      time.Duration
+	repairWait time.Duration
+	repairs    repairBudget
+	seeds      seedList
+	log        logReader
+	address    addressCheck
 
 	version  uint64
 	view     []Record
@@ -101,7 +106,6 @@
 		table:    make(map[wire.NodeID]*member),
 		services: make(map[string]*serviceIndex),
 		names:    make(map[string]string),
-		joining:  true,
 		repairs:  repairBudget{bytes: float64(cfg.RepairBurst)},
 	}
 	self.State = Alive
@@ -116,9 +120,9 @@
 	m.due = schedule{
 		probe:     m.within(cfg.ProbeInterval),
 		gossip:    m.within(cfg.GossipInterval),
-		repair:    m.within(cfg.RepairInterval),
 		reconnect: m.within(cfg.ReconnectInterval),
 	}
+	m.join()
 	return m
 }
 
@@ -161,8 +165,14 @@
 	if step < m.cfg.TombstoneFor/2 {
 		return
 	}
+	m.join()
+}
+
+func (m *Members) join() {
 	m.joining = true
-	m.due.repair = m.clock
+	m.young = m.clock + m.cfg.RecentFor
+	m.repairWait = m.cfg.RepairAgain
+	m.due.repair = m.clock + m.within(m.cfg.RepairAgain)
 }
 
 // Tick does what is due and returns what has to be sent.
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -31,8 +31,14 @@
 type doubted struct {
 	about *member
 	claim Change
+	at    time.Duration
 }
 
+// verifyWithin spreads the extra probes. When a process ends, all its peers
+// lose their connections in one moment; its successor would get a hundred
+// connections in the next. Most hear that it left before they probe.
+const verifyWithin = 2 * time.Second
+
 // contact is a peer heard from lately.
 type contact struct {
 	peer *member
@@ -46,6 +52,9 @@
 	maxVerify = 512
 )
 
+// youngProbes is how many times as fast a young node probes.
+const youngProbes = 4
+
 func (m *Members) stretched(d time.Duration) time.Duration {
 	return d * time.Duration(1+m.penalty)
 }
@@ -67,7 +76,11 @@
 	if m.clock < m.due.probe {
 		return
 	}
-	m.due.probe = max(m.due.probe+m.cfg.ProbeInterval, m.clock)
+	interval := m.cfg.ProbeInterval
+	if m.clock < m.young {
+		interval /= youngProbes
+	}
+	m.due.probe = max(m.due.probe+interval, m.clock)
 	if target := m.nextTarget(); target != nil {
 		m.startProbe(target)
 	}
@@ -262,7 +275,7 @@
 		return
 	}
 	mem.verifying = true
-	m.verify = append(m.verify, doubted{mem, claim})
+	m.verify = append(m.verify, doubted{mem, claim, m.clock + m.within(verifyWithin)})
 }
 
 func (m *Members) tickVerify() {
@@ -271,6 +284,9 @@
 	}
 	m.due.verify = m.clock + time.Second/time.Duration(m.cfg.VerifyPerSecond)
 	d := m.verify[0]
+	if m.clock < d.at {
+		return
+	}
 	m.verify = m.verify[1:]
 	d.about.verifying = false
 	if d.about.State.Gone() {
--- a/membership/repair.go
+++ b/membership/repair.go
@@ -59,9 +59,9 @@
 	if m.clock < m.due.repair || len(m.roster) == 0 {
 		return
 	}
-	m.due.repair = m.clock + m.jitter(m.cfg.RepairInterval)
-	if m.joining {
-		m.due.repair = m.clock + m.jitter(m.cfg.RepairAgain)
+	m.due.repair = m.clock + m.jitter(m.repairWait)
+	if !m.joining {
+		m.repairWait = min(2*m.repairWait, m.cfg.RepairInterval)
 	}
 	for _, peer := range m.pickPeers(1, nil) {
 		m.counters.Repairs++
@@ -220,11 +220,7 @@
 		m.due.repair = m.clock + m.jitter(m.cfg.RepairAgain)
 		return
 	}
-	if !m.joining {
-		return
-	}
 	m.joining = false
-	m.due.repair = m.clock + m.within(m.cfg.RepairInterval)
 }
 
 func (m *Members) takeWant(want []wire.NodeID, reply *Message) {
--- a/membership/scenario_test.go
+++ b/membership/scenario_test.go
@@ -62,7 +62,7 @@
 	}
 	is.True(s.Converged())
 	for _, n := range fleet {
-		is.True(n.Stats.PeakBytes < 50_000)
+		is.True(n.Stats.Second.Most < 50_000)
 	}
 }
 
