--- a/once/binder.go
+++ b/once/binder.go
@@ -38,7 +38,9 @@
 	Key    string
 	State  BindState
 	Holder wire.NodeID
-	// Held is how long a resend stays safe, for BoundHere.
+	// Held is how long a resend stays safe, for BoundHere. A request that
+	// still waits for its run after that must be abandoned: another node may
+	// bind the key by then.
 	Held time.Duration
 	Err  *verdict.Error
 }
--- a/once/bindlog.go
+++ b/once/bindlog.go
@@ -130,10 +130,7 @@
 		b.counts.Skipped++
 		return out
 	}
-	until := age + b.cfg.HeldFor
-	if r.Node == b.self {
-		until = r.Age + b.cfg.HeldFor - b.cfg.HeldFor/ownShare
-	}
+	until := b.until(age, r)
 	for _, d := range r.digests() {
 		b.claims.add(age, claim{key: d, holder: r.Node, until: until})
 		out = b.resolve(age, d, out)
@@ -141,6 +138,14 @@
 	return out
 }
 
+// until is the age at which the record ends for this node.
+func (b *Binder) until(age time.Duration, r bindRecord) time.Duration {
+	if r.Node == b.self {
+		return r.Age + b.cfg.HeldFor - b.cfg.HeldFor/ownShare
+	}
+	return age + b.cfg.HeldFor
+}
+
 // resolve settles a key that waits, if a claim for it is known now.
 func (b *Binder) resolve(age time.Duration, key digest, out []Resolution) []Resolution {
 	p, ok := b.pending[key]
