measure: leave the latency of two nodes to the loopback benchmark

The benchmark also covers peers' connections, so it stays. Ruled out: keeping both and comparing; they share the rig and would share its errors.

--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -28,7 +28,6 @@
 	Policies  []string `long:"policy" env:"MEASURE_POLICIES" env-delim:"," description:"policy to run: full, none, fixed, earlier; may be repeated; default: all that there are"`
 	Repeats   int      `long:"repeats" env:"MEASURE_REPEATS" default:"3" description:"runs of each scenario and policy"`
 	Seed      uint64   `long:"seed" env:"MEASURE_SEED" default:"1" description:"seed of arrivals and service times"`
-	Latency   bool     `long:"latency" description:"only measure what two nodes add to a call, and a node's memory"`
 	List      bool     `long:"list" description:"list the scenarios and end"`
 }
 
@@ -97,9 +96,6 @@
 	if err := os.MkdirAll(opts.Out, 0o755); err != nil {
 		return fmt.Errorf("setting --out: %w", err)
 	}
-	if opts.Latency {
-		return measureLatency(ctx, opts)
-	}
 	rep := newReport(opts.Out)
 	for _, name := range opts.Users {
 		u, err := loadUser(name, opts.Graphs)
