config: what a joining reader reads is no news; no offers to other data centres

A reader that is replaced learned the state from the log and pushed all of it down the tree, to nodes that have it. A test of a newcomer saw one push where none is due; what is read until the tail is reached for the first time is now left to the repair.

Offers between random peers do the same.

--- a/config/fixed_test.go
+++ b/config/fixed_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -76,18 +77,18 @@
 func TestUpdatesLeadToTheFoldedState(t *testing.T) {
 	is := is.New(t)
 	f := folder{assemble: testAssemble}
-	states := []*State{emptyState()}
+	w := newWorld(DefaultConfig(), 0, 1)
 	for i := range 2 * memory {
-		service, last := testServices[i%3], states[i]
-		current, exists := last.Section(service)
-		change := set(service, fmt.Sprint(i), current.Version)
-		if exists && i%5 == 0 {
-			change = unset(service, current.Version)
+		truth := w.truth()
+		change := set(testServices[i%3], fmt.Sprint(i), truth.sections[testServices[i%3]].version)
+		if change.Base > 0 && i%5 == 0 {
+			change = unset(change.Service, change.Base)
 		}
-		p := publication(fmt.Sprint(i), uint64(i), change)
-		data, err := p.Encode()
-		is.NoErr(err)
-		next := f.fold(last, data)
+		w.append(publication(fmt.Sprint(i), truth.end(), change))
+	}
+	states := []*State{emptyState()}
+	for i, r := range w.log.History(Stream) {
+		next := f.fold(states[i], r.Data)
 		next.seal()
 		states = append(states, next)
 	}
@@ -125,40 +126,68 @@
 
 // The log is down for longer than it keeps records. Nodes serve what they
 // have, give it to one that starts meanwhile, and afterwards judge what is
-// published, although the log has forgotten all that it was based on.
+// published, although the log has forgotten all that it was based on. A fleet
+// that starts anew then finds in the log alone what it needs.
 func TestOutageLongerThanRetention(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(testConfig(), time.Minute, 1)
+	w := newWorld(DefaultConfig(), 15*time.Minute, 1)
 	for i := range 6 {
 		w.start(testCentres[i%2])
 	}
 	w.meet()
 	w.change("a", "x")
 	w.run(10 * time.Second)
-	w.log.Outage(w.now.Add(5 * time.Minute))
+	w.log.Outage(w.now.Add(40 * time.Minute))
 	for range w.nodes {
 		w.restart(0)
 		w.meet()
 		w.run(10 * time.Second)
 		is.Equal(w.late(), 0) // the newcomer has it from its peers
 	}
-	w.run(5 * time.Minute)
-	page, err := w.log.Read(ctx, Stream, 0, 0)
-	is.NoErr(err)
-	is.True(page.Oldest > 0)
+	w.run(40 * time.Minute)
 	w.change("a", "y")
 	w.run(10 * time.Second)
-	is.NoErr(w.broken)
 	is.Equal(w.late(), 0)
 	is.Equal(w.oracle.sections["a"].text, "y")
-
-	// The log alone is enough again: a fleet that starts anew finds it there.
 	for range w.nodes {
 		w.restart(0)
 	}
 	w.meet()
 	w.run(10 * time.Second)
+	is.NoErr(w.broken)
+	is.Equal(w.late(), 0)
+}
+
+// The log has trimmed a record between its oldest one and what the newest
+// checkpoint holds. A newcomer must not fold on from that checkpoint: the
+// missing record may have changed what comes after. It has nothing in force
+// until a replacement comes, and starts from there as everyone else does.
+func TestStaleCheckpointIsNoBase(t *testing.T) {
+	is := is.New(t)
+	o := newOperators(nil, time.Minute)
+	w := o.world
+	w.cfg = DefaultConfig()
+	w.change("a", "x")
+	stale := o.checkpoint()
+	w.change("a", "y")
+	w.now = w.now.Add(2 * time.Minute)
+	_, _ = w.log.Append(ctx, Stream, stale)
+	n := w.start("north")
+	w.run(5 * time.Second)
+	is.True(n.state() == nil)
+	p := publication("all", 0, set("a", "z", 0))
+	_, err := o.run(p, 9)
+	is.True(errors.Is(err, ErrNothingWritten) && errors.Is(err, ErrNoBase))
+	p.Whole = true
+	outcome, err := o.run(p, 9)
+	is.NoErr(err)
+	is.Equal(outcome.Status, Accepted)
+	w.run(5 * time.Second)
+	is.NoErr(w.broken)
 	is.Equal(w.late(), 0)
+	is.Equal(n.sections()[0].Text, "z")
+	w.run(5 * time.Minute) // the log keeps less than checkpoints are planned for
+	is.True(n.member.(*Spread).Dump().Counters.Checkpoints >= 3)
 }
 
 // A real text goes through the log to another node and into its graph.
@@ -178,4 +207,8 @@
 		_, ok := n.state().Graph().Operation("plumecast", "forecast")
 		is.True(ok)
 	}
+	newcomer := w.restart(0)
+	w.meet()
+	w.run(5 * time.Second)
+	is.Equal(newcomer.member.(*Spread).Dump().Counters.Pushes, uint64(0)) // what it learns is no news
 }
--- a/config/publish_test.go
+++ b/config/publish_test.go
@@ -10,8 +10,8 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/cassialoom/cassialoom/internal/fakelog"
 	"github.com/cassialoom/cassialoom/internal/proptest"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -19,29 +19,31 @@
 // others publish, records expire, answers are lost and writes are delayed.
 type operators struct {
 	*world
-	rt *rapid.T // nil when all is calm
+	rt   *rapid.T
+	busy bool // in what happens between requests
 }
 
-func (o *operators) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
-	o.between()
-	return o.log.Append(ctx, stream, data)
-}
-
-func (o *operators) Read(ctx context.Context, stream string, from uint64, max int) (platform.Page, error) {
-	o.between()
-	return o.log.Read(ctx, stream, from, max)
+func newOperators(rt *rapid.T, retention time.Duration) *operators {
+	o := &operators{world: newWorld(testConfig(), retention, 1), rt: rt}
+	if rt != nil {
+		cfg := fakelog.Config{Retention: retention, KeepHistory: true, Before: o.between}
+		o.log = fakelog.New(cfg, func() time.Time { return o.now })
+	}
+	return o
 }
 
 func (o *operators) between() {
-	if o.rt == nil {
+	if o.busy {
 		return
 	}
+	o.busy = true
+	defer func() { o.busy = false }()
 	seconds := time.Duration(rapid.IntRange(1, 20).Draw(o.rt, "s")) * time.Second
 	switch rapid.IntRange(0, 9).Draw(o.rt, "between") {
 	case 0, 1:
 		o.append(o.draw())
 	case 2:
-		o.checkpoint()
+		_, _ = o.log.Append(ctx, Stream, o.checkpoint())
 	case 3:
 		o.log.LoseAnswers(1)
 	case 4, 5:
@@ -61,7 +63,7 @@
 	return publication(fmt.Sprint("p", end), end, set(service, text, o.oracle.sections[service].version))
 }
 
-func (o *operators) checkpoint() {
+func (o *operators) checkpoint() []byte {
 	s := emptyState()
 	for _, r := range o.log.History(Stream) {
 		s = folder{assemble: testAssemble}.fold(s, r.Data)
@@ -71,15 +73,15 @@
 	if err != nil {
 		panic(err)
 	}
-	_, _ = o.log.Append(ctx, Stream, data)
+	return data
 }
 
 // run publishes once, with patience for some waits.
 func (o *operators) run(p Publication, patience int) (Outcome, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	pub := newPublisher(o, func(ctx context.Context, d time.Duration) error {
-		o.now = o.now.Add(d)
+	pub := newPublisher(o.log, func(ctx context.Context, d time.Duration) error {
+		o.world.run(d)
 		if patience--; patience < 0 {
 			cancel()
 		}
@@ -97,17 +99,18 @@
 	outcomes := map[Status]int{}
 	proptest.Check(t, func(rt *rapid.T) {
 		retention := time.Duration(rapid.SampledFrom([]int{0, 30}).Draw(rt, "retention")) * time.Second
-		o := &operators{world: newWorld(testConfig(), retention, 1), rt: rt}
+		o := newOperators(rt, retention)
 		o.append(o.draw())
-		o.checkpoint()
+		_, _ = o.log.Append(ctx, Stream, o.checkpoint())
 		p := o.draw()
 		p.ID = "mine"
-		p.Whole = rapid.IntRange(0, 4).Draw(rt, "whole") == 0
+		p.Whole = rapid.IntRange(0, 2).Draw(rt, "whole") == 0
 		var told Outcome
 		for i := 0; i < 4 && told.Status == Unsettled; i++ {
 			told, _ = o.run(p, rapid.IntRange(0, 15).Draw(rt, "patience"))
 		}
 		outcomes[told.Status]++
+		o.busy = true // from here on nothing happens any more
 		o.log.Outage(o.now)
 		page, err := o.log.Read(ctx, Stream, 0, 0)
 		if err != nil {
@@ -115,14 +118,14 @@
 		}
 		o.now = o.now.Add(20 * time.Second) // delayed copies arrive
 		counted := o.truth().counted[p.ID]
-		if p.Whole && len(counted) > 1 && counted[len(counted)-2] <= page.Oldest {
-			// A replacement that the log has forgotten may be made again.
-			counted = counted[len(counted)-1:]
+		last := len(counted) - 1
+		if p.Whole && last > 0 && counted[last-1] <= page.Oldest {
+			counted = counted[last:] // a replacement that the log has forgotten may be made again
 		}
 		truthful := len(counted) <= 1
 		switch told.Status {
 		case Accepted:
-			truthful = len(counted) == 1 && counted[0] == told.Version
+			truthful = truthful && len(counted) == 1 && counted[0] == told.Version
 		case Rejected:
 			truthful = len(counted) == 0
 		}
@@ -137,7 +140,7 @@
 // command may not claim a failure: the record can still arrive, and did.
 func TestPublishSaysUnknownAndSettlesWhenRunAgain(t *testing.T) {
 	is := is.New(t)
-	o := &operators{world: newWorld(testConfig(), 0, 1)}
+	o := newOperators(nil, 0)
 	p := publication("one", 0, set("a", "x", 0))
 	o.log.DelayAppends(1, time.Minute)
 	_, err := o.run(p, 2)
@@ -150,13 +153,19 @@
 	is.NoErr(err)
 	is.Equal(outcome, Outcome{Status: Accepted, Version: 1, Repeated: true})
 	is.Equal(o.truth().end(), uint64(1))
+	for i := range memory + 1 { // the verdict is forgotten, the section stands
+		o.append(publication(fmt.Sprint(i), uint64(i), set("b", "bad", 0)))
+	}
+	outcome, err = o.run(p, 2)
+	is.NoErr(err)
+	is.Equal(outcome, Outcome{Status: Accepted, Version: 1, Repeated: true})
 }
 
 // Two operators change the same version. Both records are in the log; the one
 // who comes second must hear who won, not just that it failed.
 func TestPublishTellsTheLoserWhoWon(t *testing.T) {
 	is := is.New(t)
-	o := &operators{world: newWorld(testConfig(), 0, 1)}
+	o := newOperators(nil, 0)
 	first := publication("one", 0, set("a", "x", 0))
 	first.Operator = "aino"
 	_, err := o.run(first, 2)
--- a/config/push.go
+++ b/config/push.go
@@ -25,17 +25,16 @@
 }
 
 // startPush sends what is new since the last push down the tree.
-func (s *Spread) startPush(a *Actions) bool {
+func (s *Spread) startPush(a *Actions) {
 	st := s.State()
 	if st.AsOf() <= s.pushed {
-		return false
+		return
 	}
 	update := st.since(s.pushed)
 	s.pushed = st.AsOf()
 	s.counters.Pushes++
 	m := Message{AsOf: st.AsOf(), Sum: st.Sum(), AgeMillis: s.age(), Update: update}
 	s.pushDown(a, m, Push{Source: s.ring.self, Until: s.ring.self})
-	return true
 }
 
 func (s *Spread) pushDown(a *Actions, m Message, p Push) {
@@ -81,6 +80,7 @@
 func (s *Spread) install(a *Actions, st *State) {
 	if s.State() == nil {
 		s.pushed = max(s.pushed, st.AsOf())
+		s.joining = false
 	}
 	s.follower.install(st)
 	s.confirmed = never
--- a/config/ring.go
+++ b/config/ring.go
@@ -21,12 +21,10 @@
 	local      []wire.NodeID // the data centre's, self too, by identity
 	pos        int           // of self in local
 	readers    []wire.NodeID // of the data centre, by rank
-	remote     []wire.NodeID // the first reader of each other data centre
 }
 
 func newRing(self wire.NodeID, dataCentre string, members []Peer, readers int) ring {
 	r := ring{self: self, dataCentre: dataCentre, local: []wire.NodeID{self}}
-	first := map[string]wire.NodeID{}
 	for _, m := range members {
 		if m.ID == self {
 			continue
@@ -34,10 +32,6 @@
 		r.all = append(r.all, m.ID)
 		if m.DataCentre == dataCentre {
 			r.local = append(r.local, m.ID)
-			continue
-		}
-		if best, ok := first[m.DataCentre]; !ok || rank(m.ID) < rank(best) {
-			first[m.DataCentre] = m.ID
 		}
 	}
 	slices.SortFunc(r.local, compareIDs)
@@ -45,10 +39,6 @@
 	r.readers = slices.Clone(r.local)
 	slices.SortFunc(r.readers, compareRanks)
 	r.readers = slices.Clip(r.readers[:min(readers, len(r.readers))])
-	for _, id := range first {
-		r.remote = append(r.remote, id)
-	}
-	slices.SortFunc(r.remote, compareIDs)
 	return r
 }
 
--- a/config/scale_test.go
+++ b/config/scale_test.go
@@ -52,6 +52,9 @@
 	}
 	w.append(p)
 	w.run(20 * time.Second)
+	for _, n := range w.nodes {
+		n.sent, n.sentBytes = 0, 0
+	}
 	return w
 }
 
@@ -76,18 +79,25 @@
 
 // A caller whose request meets the old graph for more than 10 s after the
 // change was accepted counts as a failure. Changes come at the design rate to
-// 3,500 nodes; what each node sends for it is counted.
+// 3,500 nodes, of which one reader is replaced, and each message arrives twice;
+// what each node sends is counted.
 func TestDesignSizeInForceAndBytes(t *testing.T) {
+	const (
+		changes     = 7
+		pushedIn    = 350 * time.Millisecond // without faults
+		maxMessages = 1.3                    // a second and node: an offer a second, 0.11 pushes
+	)
 	w := designWorld()
-	for _, n := range w.nodes {
-		n.sent, n.sentBytes = 0, 0
-	}
+	w.repeats = 100
 	var took []time.Duration
 	start := w.now
-	const changes = 7
 	for i := range changes {
 		w.run(designGap/2 + time.Duration(w.rng.Int64N(int64(designGap))))
 		took = append(took, w.inForce(i, everyNode))
+		if i == changes/2 {
+			w.restart(slices.IndexFunc(w.nodes, reads))
+			w.meet()
+		}
 	}
 	seconds := w.now.Sub(start).Seconds()
 	var messages, bytes, most int
@@ -97,15 +107,18 @@
 		most = max(most, n.sentBytes)
 	}
 	slices.Sort(took)
+	perNode := designNodes * seconds
 	t.Logf("%d nodes, %d changes in %.0f s: in force everywhere after %v (median), %v (most)",
 		designNodes, changes, seconds, took[changes/2], took[changes-1])
 	t.Logf("sent by a node in a second: %.2f messages, %.0f bytes (mean), %.0f bytes (most)",
-		float64(messages)/designNodes/seconds, float64(bytes)/designNodes/seconds, float64(most)/seconds)
-	if w.broken != nil || took[changes-1] > inForceWithin || float64(most)/seconds > controlBytes {
-		t.Fatal("beyond what the users ask for", w.broken)
+		float64(messages)/perNode, float64(bytes)/perNode, float64(most)/seconds)
+	if w.broken != nil || took[changes-1] > pushedIn || float64(messages)/perNode > maxMessages || float64(most)/seconds > controlBytes {
+		t.Fatal("beyond the bounds", w.broken)
 	}
 }
 
+func reads(n *node) bool { return n.member.(*Spread).ring.isReader() }
+
 // The caller sees the old graph at nodes that a fault keeps from the push:
 // inner nodes of the tree that are frozen but not yet suspected, a data centre
 // without its way to the log, one whose readers are all frozen, a region cut
@@ -113,25 +126,28 @@
 func TestDesignSizeInForceDespiteFaults(t *testing.T) {
 	w := designWorld()
 	one := w.nodes[0]
+	local := func(n *node) bool { return n.dataCentre == one.dataCentre }
 	faults := []struct {
-		name string
-		hit  func(*node)
+		name   string
+		within time.Duration
+		hit    func(*node)
 	}{
-		{"5 in 100 nodes frozen", func(n *node) { n.frozen = w.rng.IntN(100) < 5 }},
-		{"no log in a data centre", func(n *node) { n.noLog = n.dataCentre == one.dataCentre }},
-		{"all readers of a data centre frozen", func(n *node) {
-			n.frozen = n.dataCentre == one.dataCentre && n.member.(*Spread).ring.isReader()
-		}},
-		{"a region cut off", func(n *node) {
+		{"5 in 100 nodes frozen", inForceWithin, func(n *node) { n.frozen = w.rng.IntN(100) < 5 }},
+		{"no log in a data centre", time.Second, func(n *node) { n.noLog = local(n) }},
+		{"first readers frozen", 2 * time.Second, func(n *node) { n.frozen = n.id == n.member.(*Spread).ring.readers[0] }},
+		{"all readers of a data centre frozen", inForceWithin, func(n *node) { n.frozen = local(n) && reads(n) }},
+		{"a region cut off", time.Second, func(n *node) {
 			n.noLog = region(n) == region(one)
 			w.cut[n.dataCentre] = n.noLog
 		}},
-		{"15 in 100 messages lost", func(*node) { w.loss = 15 }},
+		{"15 in 100 messages lost", inForceWithin, func(*node) { w.loss = 15 }},
+		{"all clocks set back by a day", time.Second, func(n *node) { n.skew = -24 * time.Hour }},
 	}
 	for i, fault := range faults {
 		for _, n := range w.nodes {
 			fault.hit(n)
 		}
+		w.run(time.Second)
 		took := w.inForce(i, func(n *node) bool { return !n.frozen && !w.cut[n.dataCentre] })
 		w.loss = 0
 		clear(w.cut)
@@ -141,8 +157,8 @@
 		}
 		healed := w.caughtUp(everyNode)
 		t.Logf("%s: in force at all others after %v, everywhere %v after its end", fault.name, took, healed)
-		if w.broken != nil || took > inForceWithin || healed > inForceWithin {
-			t.Error("beyond what the users ask for", w.broken)
+		if w.broken != nil || took > fault.within || healed > inForceWithin {
+			t.Error("beyond the bounds", w.broken)
 		}
 	}
 }
--- a/config/spread.go
+++ b/config/spread.go
@@ -15,10 +15,10 @@
 //
 // A few nodes of each data centre poll the log; who does follows from a hash
 // of the identities that a node believes alive, and one too many is harmless.
-// A reader that learns something pushes it down a tree of its data centre and
-// offers it to one reader of each other one. What that misses (a frozen node
-// in the tree, a lost message, a data centre cut off the log) is repaired by
-// offers to random peers, which pull or are served what they lack.
+// A reader that learns something pushes it down a tree of its data centre.
+// What that misses (a frozen node in the tree, a lost message, a data centre
+// cut off the log) is repaired by offers to random peers, which pull or are
+// served what they lack.
 type Spread struct {
 	cfg      Config
 	follower follower
@@ -36,6 +36,7 @@
 	// pushed is the highest as-of offset that went through a push tree of
 	// this data centre, as far as this node knows.
 	pushed   uint64
+	joining  bool // reading on from a base to the tail
 	seen     [seenPushes]pushKey
 	seenNext int
 
@@ -119,14 +120,11 @@
 	before := s.State()
 	moved := s.follower.page(page)
 	a.Changed = s.State() != before
-	if before == nil && a.Changed {
-		s.pushed = s.State().AsOf()
-	}
+	s.joining = s.joining || before == nil && a.Changed
 	atTail := s.State() != nil && s.State().AsOf() == s.follower.tail
 	if atTail {
 		s.confirm(s.readStarted)
-		s.pushNews(&a)
-		s.checkpoint(&a)
+		s.atTail(&a)
 	}
 	if moved && !atTail {
 		s.read(&a)
@@ -142,14 +140,16 @@
 	s.nextPoll = s.clock.elapsed + mean/2 + s.jitter(mean)
 }
 
-// pushNews starts a push of what this data centre has not seen a push of, and
-// tells the other data centres.
-func (s *Spread) pushNews(a *Actions) {
-	if s.startPush(a) {
-		for _, reader := range s.ring.remote {
-			s.send(a, reader, s.offer())
-		}
+// atTail acts on a state that is the newest. What a node without one reads
+// until it gets here is no news: a push would send the whole state to nodes
+// that have it, each time that a reader is replaced.
+func (s *Spread) atTail(a *Actions) {
+	if s.joining {
+		s.joining = false
+		s.pushed = s.State().AsOf()
 	}
+	s.startPush(a)
+	s.checkpoint(a)
 }
 
 // Receive takes in a message from a peer.
--- a/config/world_test.go
+++ b/config/world_test.go
@@ -66,6 +66,7 @@
 	cfg.CheckpointRecords = 6
 	cfg.CheckpointSpread = 3 * time.Second
 	cfg.PageRecords = 4
+	cfg.ReadTimeout = 3 * time.Second
 	return cfg
 }
 
@@ -188,6 +189,9 @@
 		if n.noLog {
 			err = platform.ErrUnavailable
 		}
+		if w.rng.IntN(100) < w.loss {
+			return // never answered
+		}
 		w.after(w.latency(n, n), func() {
 			w.reach(n, func() {
 				if err != nil {
--- a/internal/fakelog/fakelog.go
+++ b/internal/fakelog/fakelog.go
@@ -30,6 +30,8 @@
 	MaxPageBytes int
 	// KeepHistory keeps trimmed records for History.
 	KeepHistory bool
+	// Before runs before each request: a test lets others write there.
+	Before func()
 }
 
 // ErrOutage marks what fails because of Outage. To an append's caller it says
@@ -115,6 +117,7 @@
 
 // Append implements platform.Log.
 func (l *Log) Append(ctx context.Context, name string, data []byte) (uint64, error) {
+	l.before()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
@@ -143,6 +146,7 @@
 
 // Read implements platform.Log.
 func (l *Log) Read(ctx context.Context, name string, from uint64, max int) (platform.Page, error) {
+	l.before()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
@@ -158,6 +162,12 @@
 	return l.page(s, from, max), nil
 }
 
+func (l *Log) before() {
+	if l.cfg.Before != nil {
+		l.cfg.Before()
+	}
+}
+
 func (l *Log) page(s *stream, from uint64, max int) platform.Page {
 	page := platform.Page{Oldest: s.oldest, Next: s.next()}
 	if from < s.oldest {
