--- a/cmd/measure/plot.go
+++ b/cmd/measure/plot.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"html"
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
@@ -43,7 +44,7 @@
 	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="12">`+"\n",
 		marginLeft+panelWidth+gap, height)
 	fmt.Fprintln(&b, `<rect width="100%" height="100%" fill="white"/>`)
-	fmt.Fprintf(&b, `<text x="%d" y="20" font-size="15">%s</text>`+"\n", marginLeft, p.title)
+	fmt.Fprintf(&b, `<text x="%d" y="20" font-size="15">%s</text>`+"\n", marginLeft, html.EscapeString(p.title))
 	p.legend(&b)
 	top := p.top()
 	for i, panel := range p.panels {
--- a/cmd/measure/scenarios.go
+++ b/cmd/measure/scenarios.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/cassialoom/cassialoom/internal/rig"
@@ -78,7 +79,7 @@
 	},
 	{
 		name: "restart", title: "every backend server of the deep service restarted, cold",
-		begin: restartDeep,
+		begin: restartDeep, capacity: coldDeep,
 	},
 	{
 		name: "load-zero", title: "1.5x load, load endpoints stuck at zero", surge: 1.5,
@@ -249,6 +250,17 @@
 	return nil
 }
 
+// coldDeep is the mean capacity over the trigger's time: service times fall
+// linearly from the factor to 1 during the cold start.
+func coldDeep(u *user, shape rig.ServiceShape) float64 {
+	if shape.Name != u.deep {
+		return 1
+	}
+	cold := math.Log(coldFactor) / (coldFactor - 1)
+	share := float64(coldFor) / float64(triggerFor)
+	return share*cold + 1 - share
+}
+
 // restartCrashed waits until the supervisor has seen the last crash.
 func restartCrashed(ctx context.Context, _ *system) error {
 	select {
