--- a/internal/testnode/backend.go
+++ b/internal/testnode/backend.go
@@ -35,8 +35,14 @@
 
 // Call makes a call to another service through the backend server's own node.
 func (w *Work) Call(ctx context.Context, service, operation string, body []byte) (Answer, error) {
-	return w.instance.cluster.exchange(ctx, "http://"+w.instance.Local+"/call/"+service+"/"+operation, body,
-		headers.Call, w.Header.Get(headers.Call))
+	return w.instance.CallAs(ctx, w.Header.Get(headers.Call), service, operation, body)
+}
+
+// CallAs makes a call as the backend server for the running call that the
+// token names.
+func (i *Instance) CallAs(ctx context.Context, token, service, operation string, body []byte) (Answer, error) {
+	url := "http://" + i.Local + "/call/" + service + "/" + operation
+	return i.cluster.exchange(ctx, url, body, headers.Call, token)
 }
 
 // Backend is a scripted backend server.
--- a/internal/testnode/peer.go
+++ b/internal/testnode/peer.go
@@ -92,6 +92,25 @@
 	}
 }
 
+// Keys asked for and their answers, as nodes encode them.
+type (
+	mintRequest struct {
+		Seq uint64 `cbor:"1,keyasint"`
+	}
+	mintReply struct {
+		Seq uint64 `cbor:"1,keyasint"`
+	}
+)
+
+// Sync returns when the node has handled all that was sent before, by asking
+// for a key that it refuses. Other messages that come meanwhile are dropped.
+func (p *Peer) Sync() error {
+	if err := p.Send(wire.KindMint, mintRequest{Seq: 1}); err != nil {
+		return err
+	}
+	return p.NextOf(wire.KindMinted, &mintReply{})
+}
+
 // Join makes the node believe that a ready backend server of the service is
 // beside this peer.
 func (p *Peer) Join(service string) error {
--- /dev/null
+++ b/node/drain_test.go
@@ -0,0 +1,65 @@
+package node_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// One of two nodes is drained while a request runs there. Its own callers are
+// sent elsewhere, the other nodes send it nothing more, a peer that did not
+// hear of it is refused, the request that runs gets its answer, and then the
+// node stops.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	c := start(t, nil)
+	release := make(chan struct{})
+	held := func(ctx context.Context, w *testnode.Work) testnode.Answer {
+		if string(w.Body) == "held" {
+			<-release
+		}
+		return testnode.OK(w.Body)
+	}
+	desk := c.Add("alertdesk", testnode.Echo)
+	leaving := c.Add("fieldlog", held)
+	c.AwaitWhole()
+	answer := make(chan testnode.Answer, 1)
+	go func() { answer <- desk.Must(t, "fieldlog", "file", "held") }()
+	testnode.Await(t, "the request runs", func() bool { return leaving.Backend.Runs("held") == 1 })
+	c.Add("fieldlog", held)
+	c.AwaitWhole()
+	deaf := leaving.Dial(t, wire.NewNodeID())
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaving.Stop(t.Context()) }()
+	testnode.Await(t, "the drain has begun", leaving.Node.Draining)
+	a := leaving.Must(t, "fieldlog", "file", "entering")
+	is.Equal(a.Verdict(), verdict.NotRun)
+	is.Equal(a.Reason(), verdict.Draining)
+	is.True(a.RetryAfter() > 0)
+
+	testnode.Await(t, "no new work is taken", func() bool { return leaving.State().Serve.Draining })
+	for i := range 20 {
+		is.Equal(desk.Must(t, "fieldlog", "file", fmt.Sprint(i)).Verdict(), verdict.Ran)
+		is.Equal(leaving.Backend.Runs(fmt.Sprint(i)), 0)
+	}
+	is.NoErr(deaf.Send(wire.KindCall, request(deaf, leaving, 1, "deaf")))
+	var reply call.Reply
+	is.NoErr(deaf.NextOf(wire.KindReply, &reply))
+	is.Equal(reply.Verdict, verdict.NotRun)
+	is.Equal(reply.Reason, verdict.Draining)
+	is.Equal(leaving.Backend.Runs("deaf"), 0)
+
+	close(release)
+	a = <-answer
+	is.Equal(a.Verdict(), verdict.Ran)
+	is.Equal(string(a.Body), "held")
+	is.NoErr(<-stopped)
+}
--- /dev/null
+++ b/node/hostile_test.go
@@ -0,0 +1,212 @@
+package node_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// request is a call as a node sends it.
+func request(from *testnode.Peer, to *testnode.Instance, seq uint64, body string) call.Request {
+	return call.Request{
+		From: from.ID, Seq: seq, To: to.Node.ID(),
+		RequestID: "r", Service: "fieldlog", Operation: "file",
+		Budget: 10 * time.Second, Body: []byte(body),
+	}
+}
+
+// A peer answers calls that it was never asked, in its own name and in that of
+// the node that was asked, while a request is under way. The caller gets the
+// answer of its backend server.
+func TestForgedRepliesReachNoCaller(t *testing.T) {
+	is := is.New(t)
+	c := start(t, nil)
+	release := make(chan struct{})
+	desk := c.Add("alertdesk", testnode.Echo)
+	file := c.Add("fieldlog", func(_ context.Context, w *testnode.Work) testnode.Answer {
+		<-release
+		return testnode.OK(w.Body)
+	})
+	c.AwaitWhole()
+	answer := make(chan testnode.Answer, 1)
+	go func() { answer <- desk.Must(t, "fieldlog", "file", "true") }()
+	testnode.Await(t, "the request runs", func() bool { return file.Backend.Runs("true") == 1 })
+
+	forger := desk.Dial(t, wire.NewNodeID())
+	const guesses = 100
+	for seq := range uint64(guesses) {
+		forged := call.Reply{To: desk.Node.ID(), Seq: seq, Verdict: verdict.Ran, Status: 200, Body: []byte("forged")}
+		for _, forged.From = range []wire.NodeID{forger.ID, file.Node.ID()} {
+			is.NoErr(forger.Send(wire.KindReply, forged))
+		}
+	}
+	is.NoErr(forger.Sync())
+	close(release)
+
+	is.Equal(string((<-answer).Body), "true")
+	is.Equal(desk.State().Dispatch.Counts.Unmatched, uint64(2*guesses))
+}
+
+// A peer sends calls and cancels in another node's name, a forged key, a call
+// that is not for this node, and one copy of a call after another.
+func TestForgedCallsDoNotRun(t *testing.T) {
+	is := is.New(t)
+	c := start(t, nil)
+	file := c.Add("fieldlog", testnode.Echo)
+	c.AwaitWhole()
+	p := file.Dial(t, wire.NewNodeID())
+
+	forged := request(p, file, 1, "forged")
+	forged.From = wire.NewNodeID()
+	is.NoErr(p.Send(wire.KindCall, forged))
+	is.NoErr(p.Send(wire.KindCancel, call.Cancel{From: forged.From, Seq: 2, To: forged.To}))
+	astray := request(p, file, 3, "forged")
+	astray.To = wire.NewNodeID()
+	is.NoErr(p.Send(wire.KindCall, astray))
+	is.NoErr(p.Sync())
+	is.Equal(file.State().Serve.Senders.Windows, 0) // nobody's numbers are used up
+
+	keyed := request(p, file, 4, "forged")
+	key := file.MintKey(t, "fieldlog", "file")
+	keyed.Key = key[:len(key)-1] + map[bool]string{true: "Q", false: "A"}[key[len(key)-1] == 'A']
+	is.NoErr(p.Send(wire.KindCall, keyed))
+	var reply call.Reply
+	is.NoErr(p.NextOf(wire.KindReply, &reply))
+	is.Equal(reply.Verdict, verdict.NotRun)
+	is.Equal(reply.Reason, verdict.KeyInvalid)
+
+	for range 3 {
+		is.NoErr(p.Send(wire.KindCall, request(p, file, 5, "copied")))
+	}
+	is.NoErr(p.NextOf(wire.KindReply, &reply))
+	is.NoErr(p.Sync())
+	is.Equal(file.Backend.Runs("copied"), 1)
+	is.Equal(file.Backend.Runs("forged"), 0)
+	is.Equal(file.State().Serve.Counts.Duplicates, uint64(2))
+}
+
+// What cannot be a message ends the connection that it came by. A kind of a
+// later release is passed over. Others are served all the while.
+func TestMalformedFramesEndTheConnection(t *testing.T) {
+	is := is.New(t)
+	c := start(t, nil)
+	file := c.Add("fieldlog", testnode.Echo)
+	c.AwaitWhole()
+	raw := func(kind wire.Kind, body ...byte) []byte { return append([]byte{0x82, byte(kind)}, body...) }
+	deep := make([]byte, 1000)
+	for i := range deep {
+		deep[i] = 0x81 // an array of one
+	}
+	huge := []byte{0xa1, 0x05, 0x9a, 0xff, 0xff, 0xff, 0xff} // an array of 2^32-1, in field 5
+	for name, data := range map[string][]byte{
+		"no frame":   {0x01},
+		"nested":     raw(wire.KindMembership, deep...),
+		"huge count": raw(wire.KindMembership, huge...),
+		"endless":    raw(wire.KindConfig, 0xbf),
+		"other type": raw(wire.KindCall, 0x63, 'a', 'b', 'c'),
+		"doubled":    raw(wire.KindCancel, 0xa2, 0x02, 0x01, 0x02, 0x01),
+		"oversized":  make([]byte, wire.MaxMessageBytes+1),
+	} {
+		p := file.Dial(t, wire.NewNodeID())
+		if err := p.SendRaw(data); err == nil && p.Sync() == nil {
+			t.Errorf("%s: the connection goes on", name)
+		}
+		p.Close()
+	}
+	p := file.Dial(t, wire.NewNodeID())
+	is.NoErr(p.Send(wire.KindHello, 1)) // passed over, as what is not expected
+	is.NoErr(p.Send(wire.Kind(99), 1))  // of a later release
+	is.NoErr(p.Sync())
+	is.Equal(file.Must(t, "fieldlog", "file", "x").Verdict(), verdict.Ran)
+	is.Equal(file.State().Serve.Senders.Windows, 1) // the node's own call alone
+}
+
+// A peer floods a node with calls, senders, keys and members, and reads none
+// of the answers. What the node holds stays within its bounds, and it serves
+// others afterwards.
+func TestFloodIsBounded(t *testing.T) {
+	is := is.New(t)
+	const bound = 16
+	c := start(t, func(cfg *node.Config) {
+		cfg.Serve.Queue.MaxItems = bound
+		cfg.Serve.Once.MaxSenders = bound
+		cfg.Serve.Once.MaxFloors = 16 * bound // one for every sender
+		cfg.Serve.Once.MaxPending = bound
+		cfg.Serve.Once.MaxBindings = bound
+		cfg.Serve.Once.MaxKeys = bound
+		cfg.Membership.MaxMembers = bound
+		cfg.Membership.MaxSeeds = bound
+	})
+	release := make(chan struct{})
+	file := c.Add("fieldlog", func(ctx context.Context, w *testnode.Work) testnode.Answer {
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		return testnode.OK(w.Body)
+	})
+	c.AwaitWhole()
+	for range 3 * bound {
+		p := file.Dial(t, wire.NewNodeID())
+		seq := uint64(0)
+		flood := func(key string) {
+			for range 3 * bound {
+				seq++
+				req := request(p, file, seq, "flood")
+				if key != "" {
+					req.Key = key + wire.NewNodeID().String()
+				}
+				is.NoErr(p.Send(wire.KindCall, req))
+			}
+		}
+		flood("")
+		flood("own")
+		var table membership.Message
+		for range 3 * bound {
+			table.Records = append(table.Records, membership.Record{ID: wire.NewNodeID(), Service: wire.NewNodeID().Short(),
+				PeerAddr: testnode.Nowhere, Incarnation: 1, Content: 1})
+			table.Want = append(table.Want, wire.NewNodeID())
+		}
+		is.NoErr(p.Send(wire.KindMembership, table))
+		is.NoErr(p.Sync())
+		checkBounds(t, file.State(), bound)
+		p.Close()
+	}
+	close(release)
+	testnode.Await(t, "others are served", func() bool {
+		return file.Must(t, "fieldlog", "file", "x").Verdict() == verdict.Ran
+	})
+}
+
+// checkBounds fails the test if the node holds more than it may.
+func checkBounds(t testing.TB, s node.State, bound int) {
+	t.Helper()
+	members := 0
+	for _, n := range s.Membership.States {
+		members += n.Count
+	}
+	for _, held := range []struct {
+		what string
+		n    int
+	}{
+		{"queue", s.Serve.Queue.Waiting},
+		{"windows", s.Serve.Senders.Windows},
+		{"keys", s.Serve.Keys.Used},
+		{"bindings", s.Serve.Bindings.Claims},
+		{"pending keys", s.Serve.Bindings.Pending},
+		{"members", members},
+	} {
+		if held.n > bound {
+			t.Errorf("%s: %d held, at most %d allowed", held.what, held.n, bound)
+		}
+	}
+}
--- a/node/main_test.go
+++ b/node/main_test.go
@@ -42,10 +42,10 @@
 }`
 
 // start returns a cluster with the graph in force and no nodes.
-func start(t *testing.T, change func(*node.Config)) *testnode.Cluster {
+func start(t *testing.T, change func(*node.Config)) *cluster {
 	t.Parallel()
 	cfg := testnode.DefaultConfig()
 	cfg.Graph = text
 	cfg.Change = change
-	return testnode.Start(t, cfg)
+	return &cluster{Cluster: testnode.Start(t, cfg)}
 }
