--- a/once/keys.go
+++ b/once/keys.go
@@ -53,7 +53,7 @@
 
 	used    map[string]*use[A, W]
 	ended   useHeap[A, W]
-	answers *list.List // of *use, the oldest in front
+	answers *list.List // of stored[A, W], the oldest in front
 	bytes   int
 	counts  KeysState
 }
@@ -80,11 +80,17 @@
 	verdict     verdict.Verdict
 	expires     time.Duration
 	waiters     []W
-	answer      A
-	stored      *list.Element // nil when the answer was dropped
+	stored      *list.Element // of its answer, nil when that was dropped
 	index       int           // in the heap of ended keys
 }
 
+// stored is the answer of an ended key. It is apart from the key, which stays
+// longer.
+type stored[A, W any] struct {
+	use    *use[A, W]
+	answer A
+}
+
 // NewKeys returns the memory of an incarnation that started at start, the same
 // time as for its Mint. size gives the bytes that a stored answer holds.
 func NewKeys[A, W any](cfg Config, start time.Time, size func(A) int) *Keys[A, W] {
@@ -150,7 +156,8 @@
 	if u.stored == nil {
 		return u.refuse(verdict.AnswerDropped, "the answer is not kept any more")
 	}
-	return Decision[A]{Action: Replay, Answer: u.answer, Held: u.held(age)}
+	answer := u.stored.Value.(stored[A, W]).answer
+	return Decision[A]{Action: Replay, Answer: answer, Held: u.held(age)}
 }
 
 // Finish ends a run that was handed to the backend server and returns the
@@ -217,21 +224,18 @@
 }
 
 func (k *Keys[A, W]) store(u *use[A, W], answer A) {
-	u.answer = answer
-	u.stored = k.answers.PushBack(u)
+	u.stored = k.answers.PushBack(stored[A, W]{u, answer})
 	k.bytes += k.size(answer)
 	for k.bytes > k.cfg.MaxAnswerBytes {
-		k.drop(k.answers.Front().Value.(*use[A, W]))
+		k.drop(k.answers.Front().Value.(stored[A, W]).use)
 		k.counts.AnswersDropped++
 	}
 }
 
 func (k *Keys[A, W]) drop(u *use[A, W]) {
-	k.answers.Remove(u.stored)
-	k.bytes -= k.size(u.answer)
+	old := k.answers.Remove(u.stored).(stored[A, W])
+	k.bytes -= k.size(old.answer)
 	u.stored = nil
-	var none A
-	u.answer = none
 }
 
 // forget removes the ended keys that have expired. A running one is not among
--- a/once/once.go
+++ b/once/once.go
@@ -35,12 +35,12 @@
 
 // Config of the three duties.
 type Config struct {
-	// MaxSenders bounds the senders with a full window, 1 KB each. 4096 is
+	// MaxSenders bounds the senders with a full window, 1.3 KB each. 4096 is
 	// above the 3,500 nodes that could send to one node.
 	MaxSenders int
 	// MaxFloors bounds the senders of which only the highest number is kept,
-	// about 100 bytes each. 32768 is a month's worth of replaced nodes at
-	// 1,200 a day, if every one of them sends here.
+	// 55 bytes each. 32768 is a month's worth of replaced nodes at 1,200 a
+	// day, if every one of them sends here.
 	MaxFloors int
 
 	// KeyTTL is the life of a minted key. Ten minutes cover a caller that
@@ -51,19 +51,22 @@
 	// dropped cannot be read by a node that starts. Half an hour covers
 	// callers that resend through an outage, at a bounded memory.
 	HeldFor time.Duration
-	// MaxKeys bounds the used keys of this incarnation, about 200 bytes each.
-	// When they are all unexpired a new key is refused.
+	// MaxKeys bounds the used keys of this incarnation, 300 bytes each. When
+	// they are all unexpired a new key is refused: over KeyTTL that is 80 keyed
+	// requests a second at one node.
 	MaxKeys int
 	// MaxAnswerBytes bounds the stored answers. The oldest are dropped first;
-	// their keys stay.
+	// their keys stay. 4 MB hold some seconds of answers of a few KB, which
+	// is when most resends come, and leave room in the node's 64 MB.
 	MaxAnswerBytes int
 	// MaxJoined bounds the resends that wait for one running request, so
 	// that a caller that resends in a loop cannot fill the memory.
 	MaxJoined int
 
-	// MaxBindings bounds the folded bindings of the node's service, about 100
-	// bytes each. New keys are refused from nine tenths of it, so that the
-	// records of other nodes still find room.
+	// MaxBindings bounds the folded bindings of the node's service, 110 bytes
+	// each. New keys are refused from nine tenths of it, so that the records
+	// of other nodes still find room: over HeldFor that is 25 new keys a
+	// second for the service.
 	MaxBindings int
 	// MaxPending bounds the keys that wait for their binding at this node.
 	MaxPending int
@@ -89,8 +92,8 @@
 	return Config{
 		MaxSenders: 4096, MaxFloors: 32768,
 		KeyTTL: 10 * time.Minute, HeldFor: 30 * time.Minute,
-		MaxKeys: 50_000, MaxAnswerBytes: 8 << 20, MaxJoined: 16,
-		MaxBindings: 100_000, MaxPending: 4096,
+		MaxKeys: 50_000, MaxAnswerBytes: 4 << 20, MaxJoined: 16,
+		MaxBindings: 50_000, MaxPending: 4096,
 		BatchEvery: 20 * time.Millisecond, MaxBatch: 256,
 		PendingFor: 2 * time.Second, RetryEvery: 250 * time.Millisecond,
 		ReadEvery: 5 * time.Second,
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -40,8 +40,8 @@
 	// traffic can make an extra attempt too. At 0.1 a quiet node makes one in
 	// ten seconds, which loads nobody.
 	MinPerSecond float64
-	// MaxRequests bounds the requests remembered for their resends, about 60
-	// bytes each. 16384 are 40 s of entries at 400 a second.
+	// MaxRequests bounds the requests remembered for their resends.
+	// 16384 are 40 s of entries at 400 a second.
 	MaxRequests int
 	// RequestMemory is how long a request is remembered. A minute is longer
 	// than callers go on resending one request.
