--- a/limit/config.go
+++ b/limit/config.go
@@ -33,11 +33,16 @@
 	// added to it, over the square root of the calls in the window, so that
 	// a few slow calls at a small backend server are not taken for a queue.
 	Tolerance, Noise float64
-	// CutTo is the least share of the limit that one cut leaves.
+	// Jump is the ratio of latency to floor from which the limit is not
+	// trimmed but an experiment decides between a queue and a new floor.
+	Jump float64
+	// CutTo is the share of the calls in flight that an experiment leaves: the
+	// difference must stand out from the noise of TestCalls calls.
 	CutTo float64
-	// Elasticity is the share of the expected fall in latency from which a
-	// cut is held to have shortened a queue.
-	Elasticity float64
+	// Unqueued is the elasticity of the latency up to which no call queued
+	// before an experiment, Queued that from which calls still queue after
+	// it.
+	Unqueued, Queued float64
 	// TestCalls is the number of calls after a cut that decide.
 	TestCalls int
 	// RecheckAfter is how long the limit may be in use before the floor is
@@ -53,10 +58,12 @@
 	// Classes bounds the number of classes with a floor of their own; the
 	// rest share one.
 	Classes int
-	// ShedShare is the share of refused calls that counts as overload.
-	ShedShare float64
+	// RefusedShare is the share of refused calls that counts as overload, and
+	// RefusedTo the share of the calls in flight without them that is left.
+	RefusedShare, RefusedTo float64
 	// HoldMin and HoldMax bound the time for which the limit does not grow
-	// after the backend server refused calls; it doubles with each refusal.
+	// after the backend server refused calls; it doubles each time and is
+	// halved by each growth that leads to no refusal.
 	HoldMin, HoldMax time.Duration
 }
 
@@ -75,15 +82,18 @@
 		MaxGrowth:       2,
 		Tolerance:       0.15,
 		Noise:           1.5,
+		Jump:            1.6,
 		CutTo:           0.7,
-		Elasticity:      0.5,
-		TestCalls:       150,
+		Unqueued:        0.3,
+		Queued:          0.8,
+		TestCalls:       100,
 		RecheckAfter:    2 * time.Second,
 		RecheckMax:      16 * time.Second,
 		LowUse:          0.5,
 		FloorCalls:      200,
 		Classes:         256,
-		ShedShare:       0.01,
+		RefusedShare:    0.01,
+		RefusedTo:       0.95,
 		HoldMin:         500 * time.Millisecond,
 		HoldMax:         4 * time.Second,
 	}
--- a/limit/floor.go
+++ b/limit/floor.go
@@ -6,8 +6,9 @@
 const sharedClass = ^uint32(0)
 
 // knownCalls is how many calls make the floor of a class known. Until then all
-// its calls are averaged and none counts for the ratio.
-const knownCalls = 30
+// its calls are averaged and none counts for the ratio. Of the calls that begin
+// together the short ones end first, so a few would give too low a floor.
+const knownCalls = 60
 
 // floor is the mean own latency of one class of calls without queueing.
 type floor struct {
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -18,10 +18,7 @@
 // calls are judged in the same way.
 package limit
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Outcome of a call, as far as it says something about load.
 type Outcome uint8
@@ -51,26 +48,6 @@
 	Class uint32
 }
 
-// startStreak lets a new limit grow at full speed.
-const startStreak = 10
-
-type phase uint8
-
-const (
-	steady phase = iota
-	// settling waits for the calls that began under the old limit.
-	settling
-	// testing measures the effect of a decrease.
-	testing
-)
-
-// reference is what a decrease is judged against.
-type reference struct {
-	measure
-	limit   float64
-	recheck bool
-}
-
 // Limiter is the adaptive limit of one backend server. It is not safe for
 // concurrent use.
 type Limiter struct {
@@ -81,29 +58,26 @@
 	last     time.Time
 	win      window
 	floors   floors
-	phase    phase
-	settled  time.Time
-	ref      reference
-	streak   float64
-	ratio    float64
-	latency  time.Duration
-	checked  time.Time
-	recheck  time.Duration
-	hold     time.Duration
-	holdTill time.Time
-	deafTill time.Time
+	// ratio and latency are those of recent windows.
+	ratio   float64
+	latency time.Duration
+	phase   phase
+	settled time.Time
+	ref     reference
+	growth  growth
+	check   check
+	refusal refusal
 }
 
 // New returns a Limiter at its initial limit.
 func New(cfg Config) *Limiter {
 	return &Limiter{
-		cfg:     cfg,
-		limit:   float64(cfg.Initial),
-		floors:  newFloors(cfg),
-		streak:  startStreak,
-		ratio:   1,
-		hold:    cfg.HoldMin,
-		recheck: cfg.RecheckAfter,
+		cfg:    cfg,
+		limit:  float64(cfg.Initial),
+		floors: newFloors(cfg),
+		ratio:  1,
+		growth: growth{streak: startStreak},
+		check:  check{after: cfg.RecheckAfter},
 	}
 }
 
@@ -156,11 +130,11 @@
 	l.win.ended += own
 	switch s.Outcome {
 	case Success:
-		l.win.useful += s.Latency.Seconds()
 		l.win.finished++
 		l.succeed(s, own)
 	case Overload:
 		l.win.refused++
+		l.win.lost += s.Latency.Seconds()
 		l.win.finished++
 		l.cutShort(s, own)
 	default:
@@ -200,7 +174,8 @@
 	if l.last.IsZero() {
 		l.last = now
 		l.win.start = now
-		l.checked = now
+		l.growth.used = now
+		l.check.at = now
 	}
 	dt := now.Sub(l.last).Seconds()
 	if dt <= 0 {
@@ -221,10 +196,7 @@
 		return
 	}
 	span := now.Sub(l.win.start)
-	if span < l.cfg.Window || span < l.windowLatencies() {
-		return
-	}
-	if l.win.finished < l.windowCalls() && span < l.cfg.WindowMax {
+	if !l.full(span) {
 		return
 	}
 	m, ok := l.win.measure(now, float64(l.cfg.WindowCalls)/2)
@@ -238,8 +210,22 @@
 	l.restart(now)
 }
 
+// full reports whether the window is long enough. Refusals end it early: a
+// refused call makes room for the next in no time, so that a limit that is too
+// high by one has most calls refused.
+func (l *Limiter) full(span time.Duration) bool {
+	const refusals = 10
+	if l.phase == steady && l.win.refused >= refusals && span >= l.latency {
+		return true
+	}
+	if span < l.cfg.Window || span < l.windowLatencies() {
+		return false
+	}
+	return l.win.finished >= l.windowCalls() || span >= l.cfg.WindowMax
+}
+
 func (l *Limiter) windowCalls() int {
-	if l.phase == testing {
+	if l.phase == measuring {
 		return l.cfg.TestCalls
 	}
 	return l.cfg.WindowCalls
@@ -247,7 +233,7 @@
 
 func (l *Limiter) windowLatencies() time.Duration {
 	latencies := l.cfg.WindowLatencies
-	if l.streak >= startStreak {
+	if l.growth.streak >= startStreak {
 		latencies = 1
 	}
 	d := time.Duration(latencies * float64(l.latency))
@@ -259,177 +245,6 @@
 	l.floors.restart()
 }
 
-// settle ends the wait after a decrease: the surplus has left and the calls
-// that began beside it have ended.
-func (l *Limiter) settle(now time.Time) {
-	if l.inFlight > l.Limit() {
-		l.settled = now.Add(l.latency)
-	}
-	if now.Before(l.settled) {
-		return
-	}
-	l.phase = testing
-	l.restart(now)
-}
-
-func (l *Limiter) decide(now time.Time, m measure) {
-	if l.phase == testing {
-		l.phase = steady
-		m.ratio = m.ended
-		l.judge(now, m)
-		return
-	}
-	if l.refusals(now, m) {
-		return
-	}
-	const smoothing = 0.5
-	l.ratio += smoothing * (m.ratio - l.ratio)
-	if !m.inUse {
-		l.checked = now
-	}
-	slack := l.slack(m)
-	switch {
-	case m.ratio > 1+slack && (m.inUse || l.standing(m, slack)):
-		l.ratio = m.ratio
-		l.cut(now, m, l.target(m), false)
-	case m.ended < 1-slack:
-		// Calls became faster, which no queue explains.
-		l.floors.scale(m.ended)
-		l.ratio = 1
-	case !m.inUse:
-		// Nothing asks for a higher limit.
-		l.floors.balance(m.ended)
-	case now.Sub(l.checked) >= l.recheck:
-		m.ratio = l.ratio
-		l.cut(now, m, 0, true)
-	default:
-		l.floors.balance(m.ended)
-		l.grow(now)
-	}
-}
-
-// nearlyInUse is the share of the limit from which calls in flight count as
-// many.
-const nearlyInUse = 0.8
-
-// standing reports whether calls queue although the limit is not in use, as
-// when the callers themselves are limited to less. With few calls in flight it
-// is the floor that is wrong, which the calls themselves correct.
-func (l *Limiter) standing(m measure, slack float64) bool {
-	return l.ratio > 1+slack && m.inFlight > nearlyInUse*l.limit
-}
-
-// slack is by how much a ratio may differ from one and mean nothing.
-func (l *Limiter) slack(m measure) float64 {
-	return l.cfg.Tolerance + l.cfg.Noise/math.Sqrt(max(m.calls, 1))
-}
-
-// target is the limit that the measured concurrency asks for.
-func (l *Limiter) target(m measure) float64 {
-	return m.slots() + l.room(m.slots())
-}
-
-func (l *Limiter) room(slots float64) float64 {
-	return max(1, l.cfg.Headroom*math.Sqrt(slots))
-}
-
-// grow looks for more slots: in steps that double while the latency shows
-// nothing, and that shrink the more it shows.
-func (l *Limiter) grow(now time.Time) {
-	if now.Before(l.holdTill) {
-		return
-	}
-	felt := min(max((l.ratio-1)/l.cfg.Tolerance, 0), 1)
-	step := l.room(l.limit) * math.Exp2(l.streak) * (1 - felt)
-	l.set(l.limit + min(step, l.limit*(l.cfg.MaxGrowth-1)))
-	l.streak++
-	if felt > 0.5 {
-		l.streak = 0
-	}
-}
-
-// cut decreases the limit and starts to observe what that does.
-func (l *Limiter) cut(now time.Time, m measure, to float64, recheck bool) {
-	l.ref = reference{measure: m, limit: l.limit, recheck: recheck}
-	used := min(l.limit, m.inFlight)
-	l.set(max(to, used*l.cfg.CutTo))
-	l.streak = 0
-	l.phase = settling
-	l.settled = now.Add(l.latency)
-}
-
-// judge compares the measurement after a cut with the one before.
-func (l *Limiter) judge(now time.Time, m measure) {
-	l.checked = now
-	if l.ref.refused > l.cfg.ShedShare {
-		l.judgeRefusals(now, m)
-		return
-	}
-	slack := l.slack(m)
-	surprise := math.Abs(m.ratio-1) > slack
-	l.ratio = m.ratio
-	switch {
-	case !l.followed(m):
-		// The latency did not follow: the backend server is slower, not
-		// queueing. Without this, each further cut would be answered by
-		// the same latency until the limit is at its least.
-		if !surprise {
-			m.ratio = 1
-		}
-		l.floors.adopt(m.ratio)
-		l.ratio = 1
-		l.set(l.ref.limit)
-	case m.ratio > 1+slack:
-		l.cut(now, m, l.target(m), false)
-	case l.ref.recheck && surprise:
-		// There was a queue when the floor was measured.
-		l.floors.adopt(m.ratio)
-		m.ratio, l.ratio = 1, 1
-		l.cut(now, m, 0, true)
-	default:
-		l.set(min(l.ref.limit, l.target(l.ref.measure)))
-	}
-	l.recheck = min(2*l.recheck, l.cfg.RecheckMax)
-	if surprise {
-		l.recheck = l.cfg.RecheckAfter
-	}
-}
-
-// followed reports whether the latency fell with the calls in flight.
-func (l *Limiter) followed(m measure) bool {
-	fell := math.Log(l.ref.ratio / m.ratio)
-	expected := math.Log(l.ref.inFlight / m.inFlight)
-	return fell >= l.cfg.Elasticity*expected
-}
-
-// refusals reacts to calls that the backend server refused, and reports
-// whether it did.
-func (l *Limiter) refusals(now time.Time, m measure) bool {
-	if m.refused <= l.cfg.ShedShare || now.Before(l.deafTill) {
-		return false
-	}
-	l.streak = 0
-	l.hold = min(2*l.hold, l.cfg.HoldMax)
-	l.holdTill = now.Add(l.hold)
-	l.cut(now, m, m.succeeding, false)
-	return true
-}
-
-// judgeRefusals tells a backend server that is full from one that refuses
-// whatever the number in flight: the latter must not close the limit.
-func (l *Limiter) judgeRefusals(now time.Time, m measure) {
-	if m.refused <= l.ref.refused/2 {
-		return
-	}
-	l.deafTill = now.Add(l.cfg.RecheckAfter)
-	l.set(l.ref.limit)
-}
-
-func (l *Limiter) set(to float64) {
-	least := float64(max(l.cfg.Min, 1))
-	l.limit = min(max(to, least), float64(l.cfg.Max))
-}
-
 // State is the state dump of a Limiter.
 type State struct {
 	Limit    int     `json:"limit"`
--- a/limit/window.go
+++ b/limit/window.go
@@ -17,8 +17,8 @@
 	ended, known, credit float64
 	// calls is the number of the latter.
 	calls float64
-	// useful is the sum of the latencies of the successful calls.
-	useful float64
+	// lost is the sum of the latencies of the refused calls.
+	lost float64
 	// finished counts successes and refusals, refused only the latter.
 	finished, refused int
 }
@@ -29,11 +29,11 @@
 	inFlight float64
 	// waiting is the mean number of those that waited for others.
 	waiting float64
-	// ended is own latency to floor over the calls that ended. ratio is the
-	// same, or by Little's law for those in flight if that is less: one call
-	// that was stuck for long, or a queue that has just gone, is no reason
-	// to cut.
-	ended, ratio float64
+	// ended is own latency to floor over the calls that ended, little the
+	// same by Little's law for those in flight. ratio is the lesser of both:
+	// one call that was stuck for long, or a queue that has just gone, is no
+	// reason to cut.
+	ended, little, ratio float64
 	// succeeding is the mean number of calls in flight that succeeded.
 	succeeding float64
 	refused    float64
@@ -58,9 +58,10 @@
 	m := measure{
 		inFlight:   w.total / span,
 		waiting:    (w.total - w.own) / span,
-		ratio:      ended * min(1, w.own/w.ended),
 		ended:      ended,
-		succeeding: w.useful / span,
+		little:     ended * w.own / w.ended,
+		ratio:      ended * min(1, w.own/w.ended),
+		succeeding: max(0, w.total-w.lost) / span,
 		refused:    float64(w.refused) / float64(w.finished),
 		calls:      w.calls,
 		inUse:      w.full/span >= inUseShare,
@@ -69,7 +70,10 @@
 	return m, true
 }
 
+// own is the mean number of calls at the backend server itself.
+func (m measure) own() float64 { return m.inFlight - m.waiting }
+
 // slots estimates how many calls the backend server works on at once.
 func (m measure) slots() float64 {
-	return m.waiting + (m.inFlight-m.waiting)/max(m.ratio, 1)
+	return m.waiting + m.own()/max(m.ratio, 1)
 }
