queue: state machine against a slice, and the schedule that breaks plain order

The queue's promises (order, bound, expiry, nothing lost or served twice) had no test. Random operations run against a slice that is searched from end to end; a kept schedule shows what a first-in-first-out queue of the same bound gets wrong; refusal of what cannot be served in time has its own test. Ruled out: the rate in the state machine (the oracle would copy its code).

--- /dev/null
+++ b/queue/queue_test.go
@@ -0,0 +1,220 @@
+package queue
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cassialoom/cassialoom/internal/proptest"
+)
+
+var start = time.Unix(1_000_000_000, 0)
+
+// naive holds the same items in a slice and looks through all of them.
+type naive struct {
+	cfg   Config
+	items []Item[int]
+	since time.Time
+}
+
+func (n *naive) push(now time.Time, item Item[int]) (dropped []uint64) {
+	if !item.Deadline.IsZero() && !now.Before(item.expiry()) {
+		return []uint64{item.ID}
+	}
+	if len(n.items) == 0 {
+		n.since = now
+	}
+	n.items = append(n.items, item)
+	for len(n.items) > n.cfg.MinItems {
+		least := 0
+		for i := range n.items {
+			if n.items[i].Priority < n.items[least].Priority {
+				least = i
+			}
+		}
+		dropped = append(dropped, n.items[least].ID)
+		n.items = slices.Delete(n.items, least, least+1)
+	}
+	return dropped
+}
+
+func (n *naive) pop(now time.Time) (uint64, bool) {
+	newest := now.Sub(n.since) >= n.cfg.OverloadAfter
+	best := -1
+	for i := range n.items {
+		if best < 0 {
+			best = i
+			continue
+		}
+		a, b := n.items[i].Priority>>n.cfg.ImportanceShift, n.items[best].Priority>>n.cfg.ImportanceShift
+		if a > b || a == b && newest {
+			best = i
+		}
+	}
+	if best < 0 {
+		return 0, false
+	}
+	id := n.items[best].ID
+	n.items = slices.Delete(n.items, best, best+1)
+	return id, true
+}
+
+func (n *naive) remove(match func(Item[int]) bool) (ids []uint64) {
+	n.items = slices.DeleteFunc(n.items, func(item Item[int]) bool {
+		if match(item) {
+			ids = append(ids, item.ID)
+			return true
+		}
+		return false
+	})
+	return ids
+}
+
+func ids(items []Item[int]) (out []uint64) {
+	for _, item := range items {
+		out = append(out, item.ID)
+	}
+	return out
+}
+
+// The caller sees: its call is served in another order than promised, is lost,
+// or is answered twice. Random pushes, pops, removals, expiries and level rises
+// run against a slice that is searched from end to end; both must agree on
+// every item that leaves and why. The rate is kept unknown here, as it has its
+// own test.
+func TestQueueAgainstSlice(t *testing.T) {
+	proptest.Check(t, func(r *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.MinItems = rapid.IntRange(1, 30).Draw(r, "bound")
+		cfg.RateCalls = 1 << 30
+		q := New[int](cfg)
+		n := &naive{cfg: cfg}
+		now := start
+		next := uint64(0)
+		var late []uint64
+		expire := func() {
+			late = append(late, n.remove(func(i Item[int]) bool {
+				return !i.Deadline.IsZero() && !now.Before(i.expiry())
+			})...)
+		}
+		r.Repeat(map[string]func(*rapid.T){
+			"wait": func(r *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(r, "ms")) * time.Millisecond)
+			},
+			"push": func(r *rapid.T) {
+				next++
+				item := Item[int]{ID: next, Priority: rapid.Uint16().Draw(r, "priority")}
+				if rapid.Bool().Draw(r, "expires") {
+					item.Deadline = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(r, "deadline")) * time.Millisecond)
+					item.Need = time.Duration(rapid.IntRange(0, 50).Draw(r, "need")) * time.Millisecond
+				}
+				expire()
+				want := n.push(now, item)
+				if got := ids(q.Push(now, item)); !slices.Equal(got, want) {
+					r.Fatalf("push dropped %v, want %v", got, want)
+				}
+			},
+			"pop": func(r *rapid.T) {
+				expire()
+				want, ok := n.pop(now)
+				got, gotOK := q.Pop(now)
+				if got.ID != want || gotOK != ok {
+					r.Fatalf("popped %d %v, want %d %v", got.ID, gotOK, want, ok)
+				}
+			},
+			"remove": func(r *rapid.T) {
+				id := rapid.Uint64Range(0, next+1).Draw(r, "id")
+				want := n.remove(func(i Item[int]) bool { return i.ID == id })
+				_, ok := q.Remove(id)
+				if ok != (len(want) == 1) {
+					r.Fatalf("removed %d: %v, want %v", id, ok, want)
+				}
+			},
+			"shed": func(r *rapid.T) {
+				below := rapid.Uint16().Draw(r, "below")
+				want := n.remove(func(i Item[int]) bool { return i.Priority < below })
+				got := ids(q.Shed(below))
+				slices.Sort(got)
+				if !slices.Equal(got, want) {
+					r.Fatalf("shed %v, want %v", got, want)
+				}
+			},
+			"expire": func(r *rapid.T) {
+				expire()
+				got := ids(q.Expire(now))
+				slices.Sort(got)
+				slices.Sort(late)
+				if !slices.Equal(got, late) {
+					r.Fatalf("expired %v, want %v", got, late)
+				}
+				late = nil
+			},
+			"": func(r *rapid.T) {
+				if q.Len() != len(n.items) {
+					r.Fatalf("holds %d, want %d", q.Len(), len(n.items))
+				}
+			},
+		})
+	})
+}
+
+// The caller sees: its rescue crew's call is shed and an archive read is not.
+// The schedule that broke a first-in-first-out queue of the same bound: three
+// lesser calls fill it, an important one comes, and one call is served. The
+// plain queue turns the newcomer away; this one drops the least of the lesser.
+func TestFullQueueKeepsTheImportant(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.MinItems = 3
+	q := New[int](cfg)
+	for id, priority := range []uint16{100, 90, 110} {
+		is.Equal(len(q.Push(start, Item[int]{ID: uint64(id), Priority: priority})), 0)
+	}
+	dropped := q.Push(start, Item[int]{ID: 9, Priority: 3 << cfg.ImportanceShift})
+	is.Equal(ids(dropped), []uint64{1})
+	first, ok := q.Pop(start)
+	is.True(ok)
+	is.Equal(first.ID, uint64(9))
+	lesser := q.Push(start, Item[int]{ID: 10, Priority: 5})
+	is.Equal(len(lesser), 0) // there is room again
+	is.Equal(ids(q.Push(start, Item[int]{ID: 11, Priority: 4})), []uint64{11})
+}
+
+// The caller sees: its call waits for its whole deadline and is then told that
+// it expired. Items are served every 10 ms; one that would need 50 ms of
+// waiting but has 40 is refused when it comes, one with 100 ms waits. Then the
+// backend server stops for a second: that counts too, so that 100 ms are no longer
+// enough although nothing was served more slowly.
+func TestRefusesWhatCannotBeServedInTime(t *testing.T) {
+	is := is.New(t)
+	q := New[int](DefaultConfig())
+	now := start
+	push := func(id uint64, left time.Duration) int {
+		return len(q.Push(now, Item[int]{ID: id, Deadline: now.Add(left)}))
+	}
+	for id := range uint64(16) {
+		is.Equal(push(id, time.Hour), 0)
+	}
+	for id := range uint64(200) {
+		now = now.Add(10 * time.Millisecond)
+		_, ok := q.Pop(now)
+		is.True(ok)
+		is.Equal(push(100+id, time.Hour), 0)
+	}
+	is.Equal(q.Bound(), DefaultConfig().MinItems) // 100 per second within 100 ms
+	for q.Len() > 0 {
+		now = now.Add(10 * time.Millisecond)
+		q.Pop(now)
+	}
+	for id := range uint64(6) {
+		important := Item[int]{ID: 1000 + id, Priority: 1 << 15}
+		is.Equal(len(q.Push(now, important)), 0)
+	}
+	is.Equal(push(2000, 50*time.Millisecond), 1)
+	is.Equal(push(2001, 100*time.Millisecond), 0)
+	now = now.Add(time.Second)
+	is.Equal(push(2002, 100*time.Millisecond), 1)
+}
