admission: silent nodes count, levels step down, what callers still go by

Cause, three of them. One straggler closed its service, because nodes without a level are not named in replies and so were not known: Heard notes them. A level that fell through several importances in one step let in the least of them a moment after refusing the most important: it now falls by one importance per interval, and the node's own level too. Arrivals under a level that callers' nodes had not yet heard of counted as few, so that the level fell too far in turns: they are counted above the highest level of the last two intervals. A refused call gets its time to come back from the measured recovery.

--- a/admission/config.go
+++ b/admission/config.go
@@ -14,6 +14,9 @@
 	// Settle is the number of intervals in which the queue is brought to its
 	// target.
 	Settle float64
+	// Lag is the number of intervals after which callers' nodes have surely
+	// heard of a new level.
+	Lag int
 	// Surplus is how much more the node itself admits than it tells callers'
 	// nodes to send, so that a request admitted there on slightly old news
 	// is not refused here after work was spent on it.
@@ -25,6 +28,8 @@
 	Fade float64
 	// Memory is the half-life of the arrival rates of closed importances.
 	Memory time.Duration
+	// RetryMin and RetryMax bound the time to come back that is proposed.
+	RetryMin, RetryMax time.Duration
 }
 
 // DefaultGateConfig is what the policy bench was tuned to.
@@ -33,10 +38,13 @@
 		Interval: 100 * time.Millisecond,
 		Queue:    1,
 		Settle:   3,
+		Lag:      2,
 		Surplus:  0.15,
 		Probe:    2,
 		Fade:     0.6,
 		Memory:   time.Second,
+		RetryMin: 200 * time.Millisecond,
+		RetryMax: 10 * time.Second,
 	}
 }
 
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -2,6 +2,8 @@
 
 import (
 	"math"
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
@@ -23,8 +25,10 @@
 	Event Event
 	// Queued is the number of calls that still wait.
 	Queued int
-	// InFlight and Limit are those of the backend server.
-	InFlight, Limit int
+	// InFlight counts the calls at the backend server without this one.
+	InFlight int
+	// Limit is what InFlight is kept below.
+	Limit int
 }
 
 // Gate sets the level of one node. Within an importance the hash is uniform, so
@@ -41,6 +45,10 @@
 	capacity  float64
 	published float64
 	admit     float64
+	// told holds the levels of the last intervals, known the highest of them.
+	told     []float64
+	known    float64
+	recovery recovery
 }
 
 // counts of one interval.
@@ -61,11 +69,11 @@
 func (g *Gate) Admit(now time.Time, priority uint16) bool {
 	g.roll(now)
 	imp := Importance(priority)
-	if float64(priority) >= g.published {
+	if float64(priority) >= g.known {
 		g.seen.open[imp]++
-		return true
+	} else {
+		g.seen.closed[imp]++
 	}
-	g.seen.closed[imp]++
 	return float64(priority) >= g.admit
 }
 
@@ -83,7 +91,7 @@
 	g.seen.queued += float64(s.Queued)
 	g.seen.limit += float64(s.Limit)
 	g.seen.inFlight += float64(s.InFlight)
-	if s.InFlight >= s.Limit {
+	if s.InFlight+1 >= s.Limit {
 		g.seen.full++
 	}
 }
@@ -101,6 +109,13 @@
 	return toLevel(g.admit)
 }
 
+// RetryAfter is when a refused caller should come back. The source of random
+// numbers spreads them out.
+func (g *Gate) RetryAfter(now time.Time, rng *rand.Rand) time.Duration {
+	g.roll(now)
+	return g.recovery.retryAfter(now, g.cfg.RetryMin, g.cfg.RetryMax, rng)
+}
+
 func toLevel(v float64) uint16 { return uint16(min(math.Ceil(v), math.MaxUint16)) }
 
 // roll sets the level at the end of an interval.
@@ -114,14 +129,28 @@
 	}
 	part := float64(span) / float64(g.cfg.Interval)
 	for i := range g.arrivals {
-		open := openShare(g.published, i)
+		open := openShare(g.known, i)
 		g.arrivals[i].learn(&g.cfg, part, open, g.seen.open[i], g.seen.closed[i])
 	}
 	g.set(part)
+	g.remember()
+	g.recovery.follow(now, g.published > 0)
 	g.start = now
 	g.seen = counts{}
 }
 
+// remember keeps the levels that callers' nodes may still go by. Calls that a
+// level lets in since a moment ago have not come yet: counted as seen, they
+// would make arrivals look few, and the level would fall too far, again and
+// again.
+func (g *Gate) remember() {
+	g.told = append(g.told, g.published)
+	if len(g.told) > g.cfg.Lag {
+		g.told = slices.Delete(g.told, 0, 1)
+	}
+	g.known = slices.Max(g.told)
+}
+
 // openShare is the share of an importance's hashes above a level.
 func openShare(level float64, imp int) float64 {
 	low := float64(imp * band)
@@ -169,19 +198,26 @@
 
 func (g *Gate) raise(target float64) {
 	g.published = max(g.published, g.levelFor(target))
-	own := g.levelFor(target * (1 + g.cfg.Surplus))
-	g.admit = min(g.published, own)
+	g.setOwn(target)
 }
 
-// lower opens up. It stops at the lower end of an importance, so that the next
-// one is only admitted once nothing of this one has been refused for a whole
-// interval.
 func (g *Gate) lower(target float64) {
-	floor := math.Floor((g.published-1)/band) * band
-	to := max(g.levelFor(target), floor, 0)
-	g.published = min(g.published, to)
-	own := max(g.levelFor(target*(1+g.cfg.Surplus)), floor)
-	g.admit = min(g.admit, g.published, own)
+	g.published = min(g.published, stepDown(g.published, g.levelFor(target)))
+	g.setOwn(target)
+}
+
+func (g *Gate) setOwn(target float64) {
+	own := g.levelFor(target * (1 + g.cfg.Surplus))
+	g.admit = min(g.published, stepDown(g.admit, own))
+}
+
+// stepDown lowers a level, at most to the lower end of its importance: the next
+// one is admitted only once nothing of this one has been refused for a whole
+// interval. Without it a level that falls through several importances at once
+// admits the least of them a moment after it refused the most important.
+func stepDown(from, to float64) float64 {
+	end := math.Floor((from-1)/band) * band
+	return max(to, end, 0)
 }
 
 // levelFor is the level above which arrives the given number of calls per
@@ -203,6 +239,7 @@
 	Own      uint16                    `json:"own_level"`
 	Capacity float64                   `json:"served_per_interval"`
 	Arrivals [importance.Count]float64 `json:"arrivals_per_interval"`
+	Recovery string                    `json:"mean_recovery"`
 }
 
 // Dump returns the state for people.
@@ -211,6 +248,7 @@
 		Level:    toLevel(g.published),
 		Own:      toLevel(g.admit),
 		Capacity: g.capacity,
+		Recovery: g.recovery.mean.String(),
 	}
 	for i := range g.arrivals {
 		s.Arrivals[i] = g.arrivals[i].rate()
--- /dev/null
+++ b/admission/gate_test.go
@@ -0,0 +1,124 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/internal/proptest"
+)
+
+var start = time.Unix(1_000_000_000, 0)
+
+const step = time.Millisecond
+
+// drive offers perMS calls of each importance every millisecond to a gate whose
+// backend server serves served of them, and reports each decision.
+func drive(g *Gate, rng *rand.Rand, now time.Time, perMS [importance.Count]int, served, queued int, decided func(uint16, bool)) {
+	full := queued > 0
+	for imp, n := range perMS {
+		for range n {
+			p := uint16(imp)<<HashBits | uint16(rng.IntN(band))
+			ok := g.Admit(now, p)
+			if decided != nil {
+				decided(p, ok)
+			}
+			if !ok {
+				continue
+			}
+			if served == 0 {
+				g.Observe(now, Sample{Event: Shed})
+				continue
+			}
+			served--
+			inFlight := 4
+			if full {
+				inFlight = 9
+			}
+			g.Observe(now, Sample{Event: Served, Queued: queued, InFlight: inFlight, Limit: 10})
+		}
+	}
+}
+
+// The caller sees: a rescue crew's request refused, and an archive read let in,
+// at one node within a moment. Random load with random queues goes through the
+// gate: at one time it must admit everything above the least refused priority,
+// and within one interval after a refusal nothing of a lesser importance.
+func TestGateKeepsTheOrder(t *testing.T) {
+	proptest.Check(t, func(r *rapid.T) {
+		cfg := DefaultGateConfig()
+		g := NewGate(cfg)
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(r, "seed"), 0))
+		var refused [importance.Count]time.Time
+		now := start
+		for range rapid.IntRange(1, 8).Draw(r, "phases") {
+			var load [importance.Count]int
+			for i := range load {
+				load[i] = rapid.IntRange(0, 6).Draw(r, "load")
+			}
+			served := rapid.IntRange(0, 8).Draw(r, "served")
+			queued := rapid.IntRange(0, 40).Draw(r, "queued")
+			for range rapid.IntRange(50, 400).Draw(r, "ms") {
+				now = now.Add(step)
+				least, most := uint16(1<<16-1), uint16(0)
+				drive(g, rng, now, load, served, queued, func(p uint16, ok bool) {
+					imp := Importance(p)
+					if !ok {
+						refused[imp] = now
+						most = max(most, p)
+						return
+					}
+					least = min(least, p)
+					for more := imp + 1; more < importance.Count; more++ {
+						if since := now.Sub(refused[more]); since < cfg.Interval {
+							r.Fatalf("admitted %v %v after %v was refused", imp, since, more)
+						}
+					}
+				})
+				if least < most {
+					r.Fatalf("admitted %d and refused %d at one time", least, most)
+				}
+				if g.Own(now) > g.Level(now) {
+					r.Fatalf("own level %d above the published %d", g.Own(now), g.Level(now))
+				}
+			}
+		}
+	})
+}
+
+// The caller sees: a second of refusals after the surge has ended, or a second
+// of useless waiting after it began. Ten times what can be served arrives; two
+// intervals later the level must let in about what is served. Then the surge
+// ends, and each importance may take two intervals to open.
+func TestGateFindsTheLevelInOneStep(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultGateConfig()
+	g := NewGate(cfg)
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := start
+	surge := [importance.Count]int{40, 40, 15, 5}
+	for range 2 * cfg.Interval / step {
+		now = now.Add(step)
+		drive(g, rng, now, surge, 10, 30, nil)
+	}
+	level := float64(g.Level(now))
+	want := float64(2*band) + (1-5.0/15)*band // critical and a third of high
+	is.True(level > want-0.15*band)
+	is.True(level < want+0.25*band)
+
+	calm := [importance.Count]int{1, 1, 1, 1}
+	took := time.Duration(0)
+	for g.Level(now) > 0 {
+		now = now.Add(step)
+		took += step
+		drive(g, rng, now, calm, 10, 0, nil)
+	}
+	is.True(took <= 2*importance.Count*cfg.Interval)
+	after := g.RetryAfter(now, rng)
+	is.True(after >= cfg.RetryMin/2)
+	is.True(after < 2*time.Second)
+}
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -12,18 +12,17 @@
 
 // learned is one node's word about one service.
 type learned struct {
-	node  wire.NodeID
-	level uint16
-	at    time.Time
+	node wire.NodeID
+	// speaker is the service that the node belongs to.
+	speaker string
+	level   uint16
+	at      time.Time
 }
 
 // service is what is known about one service.
 type service struct {
-	nodes []learned
-	// raised is since when its level has been above zero.
-	raised time.Time
-	// recovery is the mean time for which it stayed so.
-	recovery time.Duration
+	nodes    []learned
+	recovery recovery
 }
 
 // Levels holds the levels of other services as learned from replies. A node has
@@ -57,31 +56,38 @@
 	l.passOn = slices.Clone(services)
 }
 
-// Learn notes the level of a service as told by a node: its own, or one that it
-// passes on.
+// Learn notes the level of a service as told by one of its nodes.
 func (l *Levels) Learn(now time.Time, name string, node wire.NodeID, level uint16) {
+	l.learn(now, name, learned{node: node, speaker: name, level: level, at: now})
+}
+
+func (l *Levels) learn(now time.Time, name string, word learned) {
 	s, ok := l.services[name]
 	if !ok {
-		if level == 0 {
-			return
-		}
 		s = &service{}
 		l.services[name] = s
 	}
-	s.learn(now, learned{node: node, level: level, at: now}, l.cfg.Nodes)
+	s.learn(now, word, l.cfg.Nodes)
 	l.follow(now, s)
 }
 
-// LearnReply notes all levels of one reply. A service that the node named
-// before and does not name now has no level there any more.
-func (l *Levels) LearnReply(now time.Time, node wire.NodeID, levels []call.Level) {
+// Heard notes all levels of one reply of a node of the given service. What the
+// reply does not name is admitted: the node's own service, and the services
+// that this or another node of that service has named before. Without the
+// nodes that have nothing to say, one straggler would speak for all.
+func (l *Levels) Heard(now time.Time, speaker string, node wire.NodeID, levels []call.Level) {
+	word := learned{node: node, speaker: speaker, at: now}
+	if speaker != "" && !names(levels, speaker) {
+		l.learn(now, speaker, word)
+	}
 	for name, s := range l.services {
-		if s.knows(node) && !names(levels, name) {
-			l.Learn(now, name, node, 0)
+		if name != speaker && s.spokenBy(speaker) && !names(levels, name) {
+			l.learn(now, name, word)
 		}
 	}
 	for _, lv := range levels {
-		l.Learn(now, lv.Service, node, lv.Priority)
+		word.level = lv.Priority
+		l.learn(now, lv.Service, word)
 	}
 }
 
@@ -89,8 +95,8 @@
 	return slices.ContainsFunc(levels, func(lv call.Level) bool { return lv.Service == name })
 }
 
-func (s *service) knows(node wire.NodeID) bool {
-	return slices.ContainsFunc(s.nodes, func(n learned) bool { return n.node == node })
+func (s *service) spokenBy(speaker string) bool {
+	return slices.ContainsFunc(s.nodes, func(n learned) bool { return n.speaker == speaker })
 }
 
 func (s *service) learn(now time.Time, word learned, most int) {
@@ -142,20 +148,10 @@
 	return l.scratch[int(l.cfg.Quantile*float64(len(l.scratch)-1))]
 }
 
-// follow measures how long levels stay above zero.
+// follow is level, and keeps count of how long it stays above zero.
 func (l *Levels) follow(now time.Time, s *service) uint16 {
 	level := l.level(now, s)
-	switch {
-	case level > 0 && s.raised.IsZero():
-		s.raised = now
-	case level == 0 && !s.raised.IsZero():
-		took := now.Sub(s.raised)
-		s.raised = time.Time{}
-		if s.recovery == 0 {
-			s.recovery = took
-		}
-		s.recovery += (took - s.recovery) / 4
-	}
+	s.recovery.follow(now, level > 0)
 	return level
 }
 
@@ -180,17 +176,8 @@
 	if blockedBy == "" {
 		return "", 0, true
 	}
-	return blockedBy, l.retryAfter(now, l.services[blockedBy]), false
-}
-
-// retryAfter is the time that recovery took before, less what has passed of it;
-// beyond that, half as long again as it has already lasted. The jitter keeps
-// refused callers from coming back together.
-func (l *Levels) retryAfter(now time.Time, s *service) time.Duration {
-	lasted := now.Sub(s.raised)
-	left := max(s.recovery-lasted, lasted/2)
-	left = min(max(left, l.cfg.RetryMin), l.cfg.RetryMax)
-	return left/2 + time.Duration(l.rng.Int64N(int64(left)))
+	r := &l.services[blockedBy].recovery
+	return blockedBy, r.retryAfter(now, l.cfg.RetryMin, l.cfg.RetryMax, l.rng), false
 }
 
 // Report lists the levels to pass on, the highest first if there are too many.
@@ -223,9 +210,14 @@
 			Service:  name,
 			Level:    l.level(now, s),
 			Nodes:    len(s.nodes),
-			Recovery: s.recovery.String(),
+			Recovery: s.recovery.mean.String(),
 		})
 	}
 	slices.SortFunc(out, func(a, b LevelState) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
+
+// LearnReply is Heard for a node whose service is not known.
+func (l *Levels) LearnReply(now time.Time, node wire.NodeID, levels []call.Level) {
+	l.Heard(now, "", node, levels)
+}
--- /dev/null
+++ b/admission/levels_test.go
@@ -0,0 +1,111 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/internal/proptest"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+func node(i int) wire.NodeID { return wire.NodeID{byte(i)} }
+
+// The caller sees: whether its request is let in depends on the order of other
+// requests instead of on its worth. Random words of random nodes are learned;
+// at any time the oracle sorts all priorities that are offered, and those let
+// in must be exactly the upper end.
+func TestLevelsKeepTheOrder(t *testing.T) {
+	services := []string{"a", "b", "c"}
+	proptest.Check(t, func(r *rapid.T) {
+		l := NewLevels(DefaultLevelsConfig(), 1)
+		now := start
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(r, "ms")) * time.Millisecond)
+			name := rapid.SampledFrom(services).Draw(r, "service")
+			word := rapid.Uint16().Draw(r, "level")
+			l.Learn(now, name, node(rapid.IntRange(1, 4).Draw(r, "node")), word)
+
+			reach := services[:rapid.IntRange(1, len(services)).Draw(r, "reach")]
+			offered := rapid.SliceOfN(rapid.Uint16(), 1, 20).Draw(r, "priorities")
+			least, most := uint16(1<<16-1), -1
+			for _, p := range offered {
+				_, after, ok := l.Admit(now, reach, p)
+				if ok {
+					least = min(least, p)
+					continue
+				}
+				most = max(most, int(p))
+				if after <= 0 {
+					r.Fatalf("refused without a time to come back")
+				}
+			}
+			if int(least) < most {
+				r.Fatalf("admitted %d and refused %d at one time", least, most)
+			}
+		}
+	})
+}
+
+// The caller sees: all of a service refused because one of its five backend
+// servers is slow, or refused for good because nothing is admitted that could
+// bring better news. One straggler of five must not close the service; when all
+// five are closed it must be; and without news it must open within a second.
+func TestLevelsStragglerAndSilence(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultLevelsConfig()
+	l := NewLevels(cfg, 1)
+	low := Priority(importance.Low, "r1")
+	closed := []call.Level{{Service: "plumecast", Priority: 60000}}
+	l.Heard(start, "plumecast", node(0), closed)
+	for i := range 5 {
+		l.Heard(start, "plumecast", node(i), nil)
+	}
+	l.Heard(start, "plumecast", node(0), closed)
+	_, _, ok := l.Admit(start, []string{"plumecast"}, low)
+	is.True(ok)
+
+	for i := range 5 {
+		l.Heard(start, "plumecast", node(i), closed)
+	}
+	blockedBy, after, ok := l.Admit(start, []string{"plumecast"}, low)
+	is.True(!ok)
+	is.Equal(blockedBy, "plumecast")
+	is.True(after >= cfg.RetryMin/2)
+
+	later := start.Add(cfg.Fresh + cfg.Decay/2)
+	is.True(l.Level(later, "plumecast") < 31000) // half way down
+	_, _, ok = l.Admit(start.Add(cfg.Fresh+cfg.Decay), []string{"plumecast"}, low)
+	is.True(ok)
+}
+
+// The caller sees: requests refused for a service that has recovered, because
+// the node at the entry keeps hearing its own old word. A reply that no longer
+// names a service takes its level back, and only services below are passed on.
+func TestLevelsForgetAndPassOn(t *testing.T) {
+	is := is.New(t)
+	l := NewLevels(DefaultLevelsConfig(), 1)
+	l.PassOn([]string{"fieldlog", "stationlog"})
+	l.Heard(start, "plumecast", node(1), []call.Level{{Service: "stationlog", Priority: 50}, {Service: "alertdesk", Priority: 70}})
+	is.Equal(l.Report(start), []call.Level{{Service: "stationlog", Priority: 50}})
+	is.Equal(l.Level(start, "alertdesk"), uint16(70))
+	l.Heard(start, "plumecast", node(1), []call.Level{{Service: "fieldlog", Priority: 9}})
+	is.Equal(l.Report(start), []call.Level{{Service: "fieldlog", Priority: 9}})
+	is.Equal(l.Level(start, "alertdesk"), uint16(0))
+}
+
+// The caller sees: a node out of memory after a day of replaced instances. Each
+// new node of a service says something once; only the latest are kept.
+func TestLevelsStayBounded(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultLevelsConfig()
+	l := NewLevels(cfg, 1)
+	for i := range 200 {
+		l.Learn(start.Add(time.Duration(i)*time.Second), "dossier-svc", node(i), 10)
+	}
+	is.Equal(l.Dump(start)[0].Nodes, cfg.Nodes)
+}
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -253,7 +253,7 @@
 	a.current = nil
 	m := a.model
 	if m.policy.Admission {
-		a.levels.LearnReply(m.sim.now, c.node.id, r.levels)
+		a.levels.Heard(m.sim.now, c.node.backend.service.Name, c.node.id, r.levels)
 	}
 	if !r.ok && a.left > 0 && m.sim.now.Before(a.deadline) {
 		a.left--
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -128,9 +128,6 @@
 func (n *node) start(c *call) {
 	now := n.model.sim.now
 	n.place.start(now, c)
-	n.running++
-	c.begun = now
-	c.inFlight = n.limit.Begin(now)
 	if n.policy.Admission {
 		n.gate.Observe(now, admission.Sample{
 			Event:    admission.Served,
@@ -140,6 +137,9 @@
 		})
 		n.shedBelow()
 	}
+	n.running++
+	c.begun = now
+	c.inFlight = n.limit.Begin(now)
 	c.job = &job{run: func() { n.run(c) }}
 	if !n.backend.submit(c.job) {
 		n.model.sim.after(time.Millisecond, func() { n.complete(c, limit.Overload) })
