caller: check the bounds on resends with the other settings

A wrong share of resends was taken as it was. The error now names the setting. Ruled out: mending the value silently, which hides a typing error.

--- a/caller/config.go
+++ b/caller/config.go
@@ -72,7 +72,9 @@
 		return fmt.Errorf("settings Keys, KeyMargin: values %d, %v: want 0 or more", c.Keys, c.KeyMargin)
 	case c.MaxAnswer < 1:
 		return fmt.Errorf("setting MaxAnswer: value %d: want at least 1 byte", c.MaxAnswer)
-	default:
-		return nil
 	}
+	if err := c.Retry.Check(); err != nil {
+		return fmt.Errorf("setting Retry: %w", err)
+	}
+	return nil
 }
