transport: what a connection reports as not written never is

Cause: Close closed Done first and the socket afterwards, and the writer chose at random between Done and its queue. In between, a caller's node could see Done, find that nothing was written and say "not run", while the writer took the call up and wrote it. An outbox now marks a message as written under the lock that also closes it. Ruled out: waiting for the writer's end before Done is closed; a frozen peer would hold up the news by the write timeout.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -19,29 +19,13 @@
 // ErrBusy is returned when too many messages wait for the peer.
 var ErrBusy = errors.New("too many messages wait for peer")
 
-// Delivery tells what became of one message.
-type Delivery struct {
-	written atomic.Bool
-}
-
-// Written reports whether the message may have reached the peer. It is set
-// just before the first byte is written: a false is certain once the
-// connection is done, a true is not. Only with a false may a caller be told
-// "not run".
-func (d *Delivery) Written() bool { return d.written.Load() }
-
-type outgoing struct {
-	data     []byte
-	delivery *Delivery
-}
-
 // Conn is one connection to one incarnation of a peer. Safe for concurrent
 // use.
 type Conn struct {
 	peer   Hello
 	dialed string
 	ws     *websocket.Conn
-	out    chan outgoing
+	out    *outbox
 	done   chan struct{}
 	once   sync.Once
 	holds  atomic.Int64
@@ -53,7 +37,7 @@
 	c := &Conn{
 		peer: peer,
 		ws:   ws,
-		out:  make(chan outgoing, cfg.Outbound),
+		out:  newOutbox(cfg.Outbound),
 		done: make(chan struct{}),
 		cfg:  cfg,
 	}
@@ -67,8 +51,8 @@
 // Dialed returns the address that this end dialled, empty if the peer did.
 func (c *Conn) Dialed() string { return c.dialed }
 
-// Done is closed when the connection has ended; no message is written and
-// none handed to the Handler after that.
+// Done is closed when the connection has ended: what is not Written by then
+// never is. One message that had arrived may still be handed to the Handler.
 func (c *Conn) Done() <-chan struct{} { return c.done }
 
 // Hold keeps the connection from being closed as idle while an answer is
@@ -98,23 +82,17 @@
 	if len(data) > wire.MaxMessageBytes {
 		return nil, fmt.Errorf("message of %d bytes: at most %d", len(data), wire.MaxMessageBytes)
 	}
-	select {
-	case <-c.done:
-		return nil, ErrClosed
-	default:
-	}
 	d := &Delivery{}
-	select {
-	case c.out <- outgoing{data: data, delivery: d}:
-		return d, nil
-	default:
-		return nil, ErrBusy
+	if err := c.out.put(outgoing{data: data, delivery: d}); err != nil {
+		return nil, err
 	}
+	return d, nil
 }
 
 // Close ends the connection at once.
 func (c *Conn) Close() {
 	c.once.Do(func() {
+		c.out.close()
 		close(c.done)
 		c.ws.CloseNow()
 	})
@@ -133,23 +111,18 @@
 func (c *Conn) writeLoop() {
 	defer c.Close()
 	for {
-		select {
-		case <-c.done:
+		m, ok := c.out.next()
+		if !ok || c.write(m.data) != nil {
 			return
-		case m := <-c.out:
-			if c.write(m) != nil {
-				return
-			}
 		}
 	}
 }
 
-func (c *Conn) write(m outgoing) error {
+func (c *Conn) write(data []byte) error {
 	ctx, cancel := context.WithTimeout(context.Background(), c.cfg.WriteTimeout)
 	defer cancel()
-	m.delivery.written.Store(true)
 	c.touch()
-	return c.ws.Write(ctx, websocket.MessageBinary, m.data)
+	return c.ws.Write(ctx, websocket.MessageBinary, data)
 }
 
 func (c *Conn) readLoop(h Handler) {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -115,6 +115,52 @@
 	is.Equal(err, ErrClosed)
 }
 
+// A connection is closed while a call waits to be written. The caller's node
+// sees the end of the connection, finds that nothing was written and tells its
+// caller "not run"; a writer that takes the call up only then would make it
+// run at the peer all the same.
+func TestNothingIsWrittenAfterDone(t *testing.T) {
+	is := is.New(t)
+	b := startPeer(t, "c")
+	cfg := DefaultConfig()
+	for range 32 { // a writer that chooses at random must be caught
+		ws, _, err := websocket.Dial(t.Context(), "ws://"+b.addr+Path, nil)
+		is.NoErr(err)
+		c := newConn(&cfg, ws, Hello{})
+		d, err := c.Send(wire.KindCall, call.Request{Seq: 1})
+		is.NoErr(err)
+
+		c.Close()
+		<-c.Done()
+		c.writeLoop()
+
+		is.True(!d.Written())
+		_, err = c.Send(wire.KindCall, call.Request{Seq: 2})
+		is.Equal(err, ErrClosed)
+	}
+}
+
+// A frozen peer takes nothing: what waits for it is bounded, the order stays,
+// and the room is there again once it takes messages.
+func TestOutboxIsBoundedAndOrdered(t *testing.T) {
+	is := is.New(t)
+	const limit = 3
+	o := newOutbox(limit)
+	next := byte(0) // oldest that was not taken
+	for n := range byte(100) {
+		d := &Delivery{}
+		for o.put(outgoing{data: []byte{n}, delivery: d}) != nil {
+			m, ok := o.next()
+			is.True(ok)
+			is.True(m.delivery.Written())
+			is.Equal(m.data[0], next)
+			next++
+		}
+		is.True(!d.Written())
+		is.Equal(int(n+1-next), min(int(n)+1, limit))
+	}
+}
+
 // A hostile peer sends a message above the limit, noise, or no hello at all.
 // Its connection is ended; nothing reaches the duties, others are served on.
 func TestHostilePeerIsDisconnected(t *testing.T) {
