membership: storms end soon and repair follows; configuration, heap, connections measured

Answers to repairs are smaller and asked for twice as often, from more peers.

The simulation can run the spread of the configuration beside the membership; heap and connections are measured on one node alone.

--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -138,3 +138,89 @@
 		b.ReportMetric(float64(after.Appends), "log-back-appends")
 	})
 }
+
+// BenchmarkConfiguration: single changes, and 200 sections in one publication,
+// through members that found their peers themselves. Each node holds its own
+// graph, which bounds the sizes that fit this machine's memory.
+func BenchmarkConfiguration(b *testing.B) {
+	const changes = 10
+	eachSize(b, []int{100, 200, 400, 800}, func(b *testing.B, s *Sim, size int) {
+		s.cfg.Spread = true
+		s.StartFleet(size)
+		s.Run(settle)
+		publish := func(first, last, change int) (time.Duration, time.Duration) {
+			if err := s.Publish(first, last, change); err != nil {
+				b.Fatal(err)
+			}
+			before := cpuTime()
+			took, ok := s.InForce(time.Minute)
+			if state := s.Live()[0].C.State(); !ok || len(state.Sections()) != designServices {
+				b.Errorf("change %d not in force after %v", change, took)
+			}
+			return took, (cpuTime() - before) / time.Duration(size)
+		}
+		publish(0, designServices-1, 0)
+		var most, used time.Duration
+		for i := range changes {
+			s.Run(time.Second)
+			took, cpu := publish(i, i, i+1)
+			most = max(most, took)
+			used += cpu / changes
+		}
+		seconds(b, most, "one-section-most-s")
+		b.ReportMetric(float64(used.Microseconds()), "one-section-cpu-µs")
+		s.ResetStats()
+		all, cpu := publish(0, designServices-1, changes+1)
+		burst := s.Total(all)
+		seconds(b, all, "all-sections-s")
+		b.ReportMetric(float64(cpu.Microseconds()), "all-sections-cpu-µs")
+		b.ReportMetric(float64(burst.Bytes)/float64(size), "all-sections-B")
+		b.ReportMetric(float64(burst.Second.Most), "all-sections-most-B/1s")
+		s.Run(settle)
+		rest := s.MeasureRest(30 * time.Second)
+		b.ReportMetric(rest.PerNodeSecond(rest.Messages), "rest-msg/s")
+		b.ReportMetric(rest.PerNodeSecond(rest.Bytes), "rest-B/s")
+		b.ReportMetric(rest.PerNodeSecond(rest.Dials), "rest-dial/s")
+		b.ReportMetric(rest.Connections, "conns")
+		b.ReportMetric(float64(rest.CPU.Microseconds()), "rest-cpu-µs/s")
+		b.ReportMetric(float64(rest.Reads)/rest.Seconds, "log-reads/s")
+	})
+}
+
+// BenchmarkHeap: the memory of one node's tables, decoded from messages.
+func BenchmarkHeap(b *testing.B) {
+	for _, size := range []int{500, 1000, 2000, 3500, 7000} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			for range b.N {
+				table, views := MeasureTable(size)
+				b.ReportMetric(float64(table), "table-B")
+				b.ReportMetric(float64(views), "views-B")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+	b.Run("configuration", func(b *testing.B) {
+		for range b.N {
+			b.ReportMetric(float64(MeasureConfiguration()), "configuration-B")
+		}
+		b.ReportMetric(0, "ns/op")
+	})
+}
+
+// BenchmarkConnections: what an idle connection between two nodes costs each
+// of them over loopback, the operating system's part left out.
+func BenchmarkConnections(b *testing.B) {
+	for _, count := range []int{100, 200, 400, 800} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			for range b.N {
+				c, err := MeasureConnections(count)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(c.Bytes, "B/conn")
+				b.ReportMetric(float64(c.CPU.Microseconds()), "open-cpu-µs/conn")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
--- a/internal/capacity/fleet.go
+++ b/internal/capacity/fleet.go
@@ -110,4 +110,3 @@
 	}
 	return count
 }
-
--- /dev/null
+++ b/internal/capacity/memory.go
@@ -0,0 +1,154 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime"
+	"time"
+
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/transport"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// memory is the live heap and the stacks.
+func memory() int64 {
+	runtime.GC()
+	runtime.GC()
+	var st runtime.MemStats
+	runtime.ReadMemStats(&st)
+	return int64(st.HeapAlloc + st.StackInuse)
+}
+
+// MeasureTable returns the bytes of one node's membership of that size, and
+// of the views that the daemon asks it for. The records are decoded from
+// messages, as a node gets them: it shares no string with another.
+func MeasureTable(size int) (table, views int64) {
+	const perMessage = 100
+	s := New(DefaultConfig())
+	var messages [][]byte
+	var records []membership.Record
+	for i := range size {
+		records = append(records, s.Start(FleetSpec(i, size)).M.Self())
+		if len(records) == perMessage || i == size-1 {
+			messages = append(messages, encode(wire.KindMembership, &membership.Message{Records: records, Repair: true}))
+			records = nil
+		}
+	}
+	s = nil
+	before := memory()
+	m := fill(messages)
+	table = memory() - before
+	m.View()
+	for i := range designServices {
+		m.OfService(serviceName(i))
+	}
+	views = memory() - before - table
+	runtime.KeepAlive(m)
+	runtime.KeepAlive(messages)
+	return table, views
+}
+
+func fill(messages [][]byte) *membership.Members {
+	self := membership.Record{ID: wire.NewNodeID(), PeerAddr: "10.255.0.1:7400"}
+	m := membership.New(membership.DefaultConfig(), self, 1)
+	for _, data := range messages {
+		frame, err := wire.Decode(data)
+		if err != nil {
+			panic(err)
+		}
+		var msg membership.Message
+		if err := wire.Unmarshal(frame.Body, &msg); err != nil {
+			panic(err)
+		}
+		m.Receive(time.Unix(0, 0), wire.NodeID{1}, msg)
+	}
+	return m
+}
+
+// MeasureConfiguration returns the bytes of one node's configuration of 200
+// services, the checked graph included.
+func MeasureConfiguration() int64 {
+	p := config.Publication{ID: "all", Whole: true}
+	for i := range designServices {
+		p.Sections = append(p.Sections, config.SectionChange{Service: serviceName(i), Text: sectionText(i, 0)})
+	}
+	data, err := p.Encode()
+	if err != nil {
+		panic(err)
+	}
+	before := memory()
+	c := config.NewSpread(config.DefaultConfig(), wire.NodeID{1}, "dc-0", 1)
+	now := time.Unix(0, 0)
+	for c.State().Graph() == nil {
+		now = now.Add(time.Second)
+		if a := c.Tick(now); a.Read == nil {
+			continue
+		}
+		page := platform.Page{Next: 1}
+		page.Records = []platform.Record{{Data: append([]byte(nil), data...)}}
+		c.LogPage(now, page)
+	}
+	used := memory() - before
+	runtime.KeepAlive(c)
+	runtime.KeepAlive(data)
+	return used
+}
+
+// Connection is what one connection costs one of its two ends.
+type Connection struct {
+	Bytes float64
+	// CPU is for opening it, on one end.
+	CPU time.Duration
+}
+
+type idleHandler struct{}
+
+func (idleHandler) Handle(*transport.Conn, wire.Frame) {}
+func (idleHandler) Up(*transport.Conn)                 {}
+func (idleHandler) Down(*transport.Conn)               {}
+func (idleHandler) Busy(wire.NodeID) bool              { return false }
+
+// MeasureConnections opens count connections to one node, each from a node of
+// its own, over loopback.
+func MeasureConnections(count int) (Connection, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return Connection{}, err
+	}
+	addr := listener.Addr().String()
+	hub := newTransport(addr)
+	defer hub.Close()
+	mux := http.NewServeMux()
+	mux.Handle(transport.Path, hub)
+	server := &http.Server{Handler: mux}
+	go server.Serve(listener)
+	defer server.Close()
+	ends := make([]*transport.Transport, count)
+	for i := range ends {
+		ends[i] = newTransport(fmt.Sprintf("127.0.0.2:%d", i+1))
+		defer ends[i].Close()
+	}
+	before, used := memory(), cpuTime()
+	for _, end := range ends {
+		if _, err := end.Connect(context.Background(), wire.NodeID{}, addr); err != nil {
+			return Connection{}, err
+		}
+	}
+	used = cpuTime() - used
+	grown := memory() - before
+	both := 2 * count
+	return Connection{Bytes: float64(grown) / float64(both), CPU: used / time.Duration(both)}, nil
+}
+
+func newTransport(addr string) *transport.Transport {
+	cfg := transport.DefaultConfig()
+	cfg.Cluster = "capacity"
+	cfg.ID = wire.NewNodeID()
+	cfg.Addr = addr
+	return transport.New(cfg, idleHandler{})
+}
--- a/internal/capacity/network.go
+++ b/internal/capacity/network.go
@@ -26,24 +26,36 @@
 	}
 }
 
+// letter is a message on its way to the node to, or to whoever answers.
+type letter struct {
+	to   wire.NodeID
+	addr string
+	data []byte
+}
+
 // Dispatch does what a shell does with the messages of a machine.
 func (s *Sim) Dispatch(from *Node, sends []membership.Send) {
 	for i := range sends {
-		s.transmit(from, &sends[i])
+		send := &sends[i]
+		s.transmit(from, letter{send.To, send.Addr, encode(wire.KindMembership, &send.Msg)})
 	}
 }
 
-func (s *Sim) transmit(from *Node, send *membership.Send) {
-	data, err := wire.Encode(wire.KindMembership, &send.Msg)
+func encode(kind wire.Kind, msg any) []byte {
+	data, err := wire.Encode(kind, msg)
 	if err != nil {
 		panic(err)
 	}
-	from.Stats.sent(s.at, len(data))
-	if peer := s.connected(from, send.To); peer != nil {
-		s.carry(from, peer, delay(from, peer), data)
+	return data
+}
+
+func (s *Sim) transmit(from *Node, l letter) {
+	from.Stats.sent(s.at, len(l.data))
+	if peer := s.connected(from, l.to); peer != nil {
+		s.carry(from, peer, delay(from, peer), l.data)
 		return
 	}
-	s.dial(from, send, data)
+	s.dial(from, l)
 }
 
 // connected returns the peer if a connection is open, whoever opened it.
@@ -62,38 +74,36 @@
 	return peer
 }
 
-func (s *Sim) dial(from *Node, send *membership.Send, data []byte) {
-	if send.Addr == "" {
+func (s *Sim) dial(from *Node, l letter) {
+	if l.addr == "" {
 		return
 	}
 	from.Stats.Dials++
-	peer := s.byAddr[send.Addr]
+	peer := s.byAddr[l.addr]
 	if peer == nil || peer.Cut != from.Cut || peer.Frozen {
-		s.dialFailed(from, send)
+		s.dialFailed(from, l)
 		return
 	}
 	peer.Stats.Accepts.add(s.at, time.Second, 1)
 	trip := 2 * delay(from, peer)
-	to, addr := send.To, send.Addr
 	s.deliver(from, 2*trip, func() {
-		from.M.Answered(s.clock(from), addr, peer.ID)
-		if !to.IsZero() && to != peer.ID {
-			from.M.Failed(s.clock(from), to)
+		from.M.Answered(s.clock(from), l.addr, peer.ID)
+		if !l.to.IsZero() && l.to != peer.ID {
+			from.M.Failed(s.clock(from), l.to)
 		}
 	})
-	if to.IsZero() || to == peer.ID {
-		s.carry(from, peer, 2*trip+trip/2, data)
+	if l.to.IsZero() || l.to == peer.ID {
+		s.carry(from, peer, 2*trip+trip/2, l.data)
 	}
 }
 
-func (s *Sim) dialFailed(from *Node, send *membership.Send) {
-	to, addr := send.To, send.Addr
+func (s *Sim) dialFailed(from *Node, l letter) {
 	s.deliver(from, s.cfg.DialTimeout, func() {
-		if to.IsZero() {
-			from.M.FailedAddr(s.clock(from), addr)
+		if l.to.IsZero() {
+			from.M.FailedAddr(s.clock(from), l.addr)
 			return
 		}
-		from.M.Failed(s.clock(from), to)
+		from.M.Failed(s.clock(from), l.to)
 	})
 }
 
@@ -115,6 +125,10 @@
 	if err != nil {
 		panic(err)
 	}
+	if frame.Kind == wire.KindConfig {
+		s.receiveConfig(from, to, frame)
+		return
+	}
 	var msg membership.Message
 	if err := wire.Unmarshal(frame.Body, &msg); err != nil {
 		panic(err)
--- a/internal/capacity/sim.go
+++ b/internal/capacity/sim.go
@@ -14,6 +14,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/internal/fakelog"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/wire"
@@ -32,6 +33,8 @@
 	DialTimeout time.Duration
 	IdleTimeout time.Duration
 	Log         fakelog.Config
+	// Spread runs the spread of the configuration too.
+	Spread bool
 }
 
 // DefaultConfig returns the daemon's own values.
@@ -48,9 +51,11 @@
 
 // Node is one process.
 type Node struct {
-	ID     wire.NodeID
-	Spec   Spec
-	M      *membership.Members
+	ID   wire.NodeID
+	Spec Spec
+	M    *membership.Members
+	// C is nil unless Config.Spread is set.
+	C      *config.Spread
 	Up     bool
 	Frozen bool
 	// Skew is what the node's clock is ahead of the true time.
@@ -61,6 +66,8 @@
 
 	waiting []*event
 	conns   map[*Node]time.Duration
+	// members is the version of the membership that C knows.
+	members uint64
 	Stats   Stats
 }
 
@@ -181,6 +188,9 @@
 		PeerAddr: spec.Addr, OpsAddr: spec.Addr, CallerAddr: spec.Addr, Ready: spec.Ready,
 	}, s.rng.Uint64())
 	n.M.Seeds(spec.Seeds)
+	if s.cfg.Spread {
+		n.C = config.NewSpread(config.DefaultConfig(), n.ID, spec.DataCentre, s.rng.Uint64())
+	}
 	s.Nodes = append(s.Nodes, n)
 	if !spec.Elsewhere {
 		s.byAddr[spec.Addr] = n
@@ -259,6 +269,7 @@
 	if !n.Frozen {
 		s.Dispatch(n, n.M.Tick(s.clock(n)))
 		s.useLog(n)
+		s.tickConfig(n)
 	}
 	s.After(s.cfg.TickEvery, func() { s.tick(n) })
 }
--- a/membership/config.go
+++ b/membership/config.go
@@ -49,12 +49,12 @@
 	// random peer. RepairAgain follows one that left differences.
 	RepairInterval time.Duration
 	RepairAgain    time.Duration
-	// RepairEntries and RepairRecords bound one answer (22 and about 110
-	// bytes each). A node that joins 3,500 members needs eight answers.
+	// RepairEntries and RepairRecords bound one answer: 22 and about 110
+	// bytes each.
 	RepairEntries int
 	RepairRecords int
 	// RepairBytesPerSecond and RepairBurst bound the answers of one node.
-	// The burst is one answer to a node that joins.
+	// The burst is one answer: a node that joins takes its table from many.
 	RepairBytesPerSecond int
 	RepairBurst          int
 
@@ -118,12 +118,12 @@
 		MaxRecent:        48,
 
 		RepairInterval: 30 * time.Second,
-		RepairAgain:    time.Second,
+		RepairAgain:    500 * time.Millisecond,
 		RepairEntries:  256,
-		RepairRecords:  450,
+		RepairRecords:  180,
 
-		RepairBytesPerSecond: 5000,
-		RepairBurst:          50000,
+		RepairBytesPerSecond: 4000,
+		RepairBurst:          20000,
 
 		ReconnectInterval: 5 * time.Second,
 		ReconnectFor:      30 * time.Minute,
--- a/membership/gossip.go
+++ b/membership/gossip.go
@@ -81,15 +81,45 @@
 
 // retransmits is how often one piece of news is passed on.
 func (m *Members) retransmits() int {
+	if m.storm {
+		return stormRetransmits
+	}
 	digits := math.Ceil(math.Log10(float64(len(m.roster) + 2)))
 	return max(minRetransmits, m.cfg.RetransmitFactor*int(digits))
 }
 
+// Of much news at once some is missed: each piece by one member in ten
+// thousand. After more than busyNews a repair follows at once.
+//
+// A storm is more than goes out in a few seconds, for example when two regions
+// find each other again. To pass on all of it as often as a single change
+// would take minutes at the bounded rate, and most copies would say what the
+// receiver knows. So each piece goes out less often, and the one in fifty that
+// is missed comes by the repair.
+const (
+	busyNews         = 24
+	stormNews        = 256
+	calmNews         = 8
+	stormRetransmits = 4
+)
+
+func (m *Members) watchNews() {
+	news := m.urgent.count + m.normal.count
+	m.busy = m.busy || news > busyNews
+	m.storm = m.storm || news > stormNews
+	if m.busy && news < calmNews {
+		m.busy = false
+		m.storm = false
+		m.repairSoon()
+	}
+}
+
 func (m *Members) tickGossip() {
 	if m.clock < m.due.gossip {
 		return
 	}
 	m.due.gossip = max(m.due.gossip+m.cfg.GossipInterval, m.clock)
+	m.watchNews()
 	if m.urgent.count == 0 && m.normal.count == 0 {
 		return
 	}
--- a/membership/members.go
+++ b/membership/members.go
@@ -67,6 +67,8 @@
 	penalty  int
 	recent   []contact
 
+	busy    bool
+	storm   bool
 	urgent  rumors
 	normal  rumors
 	buckets [bucketCount]uint32
@@ -171,6 +173,11 @@
 func (m *Members) join() {
 	m.joining = true
 	m.young = m.clock + m.cfg.RecentFor
+	m.repairSoon()
+}
+
+// repairSoon repairs at once and then less and less often.
+func (m *Members) repairSoon() {
 	m.repairWait = m.cfg.RepairAgain
 	m.due.repair = m.clock + m.within(m.cfg.RepairAgain)
 }
--- a/membership/probe.go
+++ b/membership/probe.go
@@ -52,8 +52,13 @@
 	maxVerify = 512
 )
 
-// youngProbes is how many times as fast a young node probes.
-const youngProbes = 4
+// youngProbes is how many times as fast a young node probes. It waits until it
+// knows youngRoster members: at a start of all nodes the few that are known
+// first would get everybody's probes.
+const (
+	youngProbes = 4
+	youngRoster = 32
+)
 
 func (m *Members) stretched(d time.Duration) time.Duration {
 	return d * time.Duration(1+m.penalty)
@@ -77,7 +82,7 @@
 		return
 	}
 	interval := m.cfg.ProbeInterval
-	if m.clock < m.young {
+	if m.clock < m.young && len(m.roster) >= youngRoster {
 		interval /= youngProbes
 	}
 	m.due.probe = max(m.due.probe+interval, m.clock)
--- a/membership/repair.go
+++ b/membership/repair.go
@@ -33,10 +33,10 @@
 	b.bytes += (m.clock - b.at).Seconds() * perSecond
 	b.bytes = min(b.bytes, float64(m.cfg.RepairBurst))
 	b.at = m.clock
-	return b.bytes > 0
+	return b.bytes >= float64(m.cfg.RepairBurst)/2
 }
 
-// spend may overdraw by one answer, which delays the next.
+// spend may overdraw by half an answer, which delays the next.
 func (b *repairBudget) spend(n int) { b.bytes -= float64(n) }
 
 func recordsSize(rs []Record) int {
