serve, settings: a request must start before its key's binding ends

Cause: a caller's own key is bound for a limited time; a request that waited past its end could run here while the same key was bound and run at another node. Its deadline now ends with the binding. The setting's bound leaves a twentieth of the log's retention for clocks of different rates; the test's border moved with it and is as tight. Ruled out: binding again before the start, which waits for the log twice.

--- a/serve/key.go
+++ b/serve/key.go
@@ -64,6 +64,11 @@
 		s.parked[t.Request.Key] = append(s.parked[t.Request.Key], t)
 	case once.BoundHere:
 		t.heldUntil = now.Add(r.Held)
+		// After its end the key may be bound to another node, which would
+		// run the action again: this one must have started it by then.
+		if t.heldUntil.Before(t.Deadline) {
+			t.Deadline = t.heldUntil
+		}
 		s.begin(now, t, e)
 	case once.BoundTo:
 		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key is bound to another node"), r.Holder, e)
--- a/serve/prove_test.go
+++ b/serve/prove_test.go
@@ -11,6 +11,7 @@
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/importance"
 	"github.com/cassialoom/cassialoom/internal/proptest"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -244,6 +245,30 @@
 	is.Equal(m.oracle.runs[first.action], 1)
 }
 
+// A caller's own key is bound to a node, and the request then waits behind
+// another until the binding has ended. By then a resend may be bound to another
+// node, which knows of no earlier one: starting the first now could run the
+// action twice. It is refused instead.
+func TestQueuedPastTheEndOfItsBindingDoesNotRun(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(t, 1)
+	m.servers[0].cfg.Policy = PolicyFixed
+	m.servers[0].cfg.Limit.Initial = 1
+	m.send(m.newAction(), 0, "", importance.Normal)
+	is.NoErr(m.deliver(0))
+	a := m.send(m.newAction(), 0, "own", importance.Normal)
+	m.wires[1].Budget = 2 * once.DefaultConfig().HeldFor
+	is.NoErr(m.deliver(1))
+	is.NoErr(m.bind(0, false, false))
+	is.NoErr(m.bind(0, false, false))
+	is.Equal(m.servers[0].queue.Len(), 1)
+
+	is.NoErr(m.tick(once.DefaultConfig().HeldFor + time.Second))
+
+	is.Equal(a.verdict, verdict.NotRun)
+	is.Equal(m.oracle.runs[a.action], 0)
+}
+
 // Callers' own keys while the log is down: the node cannot bind the key, so
 // nothing runs and the caller is told "not run" and when to come back.
 func TestOwnKeyInALogOutageIsNotRun(t *testing.T) {
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -20,9 +20,12 @@
 	maxDrainGrace = 3 * time.Second
 	minKeyHeld    = time.Second
 	maxKeyHeld    = 24 * time.Hour
-	minRetention  = time.Second
-	maxRetention  = 365 * 24 * time.Hour
-	maxStop       = time.Hour
+	// maxHeldPercent of the log's retention leaves room for clocks of
+	// different rates: a binding must end before the log drops its record.
+	maxHeldPercent = 95
+	minRetention   = time.Second
+	maxRetention   = 365 * 24 * time.Hour
+	maxStop        = time.Hour
 )
 
 // rule says what is allowed for one setting.
@@ -60,8 +63,10 @@
 	// A binding of a caller's own key lives in the log: one that was promised
 	// for longer than the log keeps it would be forgotten, and a resend would
 	// run a second time.
-	{"key-held-for", "a duration from 1s to 24h, at most the value of --log-retention", func(s Settings) any { return s.KeyHeldFor },
-		func(s Settings) bool { return within(s.KeyHeldFor, minKeyHeld, min(maxKeyHeld, s.LogRetention)) }},
+	{"key-held-for", "a duration from 1s to 24h, at most 95% of --log-retention", func(s Settings) any { return s.KeyHeldFor },
+		func(s Settings) bool {
+			return within(s.KeyHeldFor, minKeyHeld, min(maxKeyHeld, s.LogRetention/100*maxHeldPercent))
+		}},
 	{"max-body", wantPayload, func(s Settings) any { return s.MaxBody }, func(s Settings) bool { return within(s.MaxBody, 1, maxPayload) }},
 	{"max-answer", wantPayload, func(s Settings) any { return s.MaxAnswer }, func(s Settings) bool { return within(s.MaxAnswer, 1, maxPayload) }},
 	{"max-limit", wantSlots, func(s Settings) any { return s.MaxLimit }, func(s Settings) bool { return within(s.MaxLimit, 1, maxSlots) }},
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -97,9 +97,9 @@
 // A key must not be promised for longer than the log keeps its binding.
 func TestKeysNeverOutliveTheLog(t *testing.T) {
 	is := is.New(t)
-	_, err := parse(nil, "--log-retention=5m", "--key-held-for=6m")
+	_, err := parse(nil, "--log-retention=5m", "--key-held-for=4m50s")
 	is.True(err != nil && strings.Contains(err.Error(), "--key-held-for"))
-	_, err = parse(nil, "--log-retention=5m", "--key-held-for=5m")
+	_, err = parse(nil, "--log-retention=5m", "--key-held-for=4m45s")
 	is.NoErr(err)
 }
 
