prove: at-most-once and "not run" over real processes

The promises were only checked by state machines inside one process. Here nodes, backend servers and the log run as processes on loopback; they are killed, frozen, cut off from each other by a relay that knows both ends of each connection, and started again on the same address, while callers send and resend requests with minted keys, keys of their own and none. An oracle compares what callers were told with the journals of all backend servers.

Cutting connections by SIGSTOP alone was ruled out: it freezes what the process decides too, and delivers nothing late.

The oracle itself has a test for each lie that it must find.

--- /dev/null
+++ b/internal/prove/programs.go
@@ -0,0 +1,28 @@
+package prove
+
+import (
+	"context"
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"strings"
+
+	"github.com/cassialoom/cassialoom/internal/rig"
+)
+
+// module is the path of this module: commands are built by import path, so
+// that the folder of the test does not matter.
+const module = "github.com/cassialoom/cassialoom"
+
+// Build builds the programs into the folder.
+func Build(ctx context.Context, folder string) error {
+	args := []string{"build", "-o", folder + string(filepath.Separator)}
+	for _, name := range []string{rig.NodeProgram, rig.BackendProgram, rig.LogProgram, rig.OperatorsProgram} {
+		args = append(args, module+"/cmd/"+name)
+	}
+	out, err := exec.CommandContext(ctx, "go", args...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("go %s: %w: %s", strings.Join(args, " "), err, out)
+	}
+	return nil
+}
