measure: wasted slot time by how the executions ended

The share alone does not say what to mend: work whose call was refused further down, work past its deadline, and work that was done for a request that failed elsewhere have different causes. Each has its own column now. Ruled out: a column for each service and operation; the execution logs hold it for who looks closer, and the table stays readable.

--- a/cmd/measure/row.go
+++ b/cmd/measure/row.go
@@ -6,6 +6,7 @@
 
 	"github.com/cassialoom/cassialoom/importance"
 	"github.com/cassialoom/cassialoom/internal/rig/load"
+	"github.com/cassialoom/cassialoom/internal/standin/backend"
 )
 
 // cell is one figure of a run.
@@ -43,6 +44,9 @@
 			cell{name + " good/s", "%.0f", f.GoodBy[level], false},
 			cell{name + " best/s", "%.0f", f.BestBy[level], false})
 	}
+	for _, outcome := range []backend.Outcome{backend.Done, backend.ChildFailed, backend.Expired, backend.Canceled} {
+		r = append(r, cell{"wasted " + string(outcome) + ", %", "%.1f", 100 * f.WastedBy[outcome], false})
+	}
 	return append(r,
 		cell{"before, % good", "%.1f", 100 * f.Before, true},
 		cell{"wasted slot time, %", "%.1f", 100 * f.Wasted, true},
--- a/internal/rig/load/figures.go
+++ b/internal/rig/load/figures.go
@@ -35,6 +35,9 @@
 	Before float64
 	// Wasted is the share of slot time spent on requests that failed.
 	Wasted float64
+	// WastedBy divides it by how the executions ended: one that is done was
+	// of use to its caller but not to the whole request.
+	WastedBy map[backend.Outcome]float64
 	// Attempts that callers made for a request; Runs at all backend servers
 	// for a request.
 	Attempts float64
@@ -149,6 +152,7 @@
 		}
 	}
 	var all, wasted time.Duration
+	wastedBy := make(map[backend.Outcome]time.Duration)
 	untrue := make(map[string]bool)
 	for _, e := range r.Executions {
 		useful, known := good[e.RequestID]
@@ -159,12 +163,17 @@
 		all += e.Slot
 		if !useful {
 			wasted += e.Slot
+			wastedBy[e.Outcome] += e.Slot
 		}
 		if notRun[e.RequestID] {
 			untrue[e.RequestID] = true
 		}
 	}
 	f.Wasted = ratio(float64(wasted), float64(all))
+	f.WastedBy = make(map[backend.Outcome]float64)
+	for outcome, spent := range wastedBy {
+		f.WastedBy[outcome] = ratio(float64(spent), float64(all))
+	}
 	f.Attempts = ratio(float64(attempts), float64(len(good)))
 	f.Runs = ratio(float64(runs), float64(len(good)))
 	f.Untrue = len(untrue)
--- a/internal/rig/load/load_test.go
+++ b/internal/rig/load/load_test.go
@@ -133,11 +133,12 @@
 	is := is.New(t)
 	r := testRun(testModel(t), func(at time.Duration) bool { return at != 1500*time.Millisecond })
 	for i := range 200 {
-		e := backend.Execution{RequestID: r.Results[i].ID, Slot: 10 * time.Millisecond}
+		e := backend.Execution{RequestID: r.Results[i].ID, Slot: 10 * time.Millisecond, Outcome: backend.ChildFailed}
 		r.Executions = append(r.Executions, e)
 	}
 	f := r.Figures()
 	is.Equal(f.Wasted, 0.01) // one of the 100 that were due after the first second
+	is.Equal(f.WastedBy[backend.ChildFailed], 0.01)
 	is.Equal(f.Untrue, 1)
 	is.Equal(f.Attempts, 1.0)
 }
