admission: the level is set twice as often, and once per moment

Cause: at 10x on a chain the level of the last service swung between 39000 and 49000 with a period of half a second and its queue between nothing and 60, as the time until a new level acts is two to three intervals. A property test then found two levels at one moment, as the end of an interval now depended on calls: the level is set at most once per time.

--- a/admission/config.go
+++ b/admission/config.go
@@ -4,9 +4,14 @@
 
 // GateConfig of a Gate. Shares are fractions of one.
 type GateConfig struct {
-	// Interval is how often the level is set. It holds some dozens of calls
-	// at a small backend server and is short against a caller's patience.
+	// Interval is how often the level is set at most. It is short against the
+	// time that a new level takes to reach callers' nodes through a chain.
 	Interval time.Duration
+	// Calls is the number of served calls that an interval holds before it
+	// ends, unless it lasts for Stretch intervals: the counts of a small
+	// backend server would be all chance.
+	Calls   float64
+	Stretch int
 	// Queue times the square root of the limit is the number of calls that
 	// should wait: what it takes to keep the slots busy through the chance
 	// gaps between arrivals. More would only hold the slots of the callers.
@@ -35,9 +40,11 @@
 // DefaultGateConfig is what the policy bench was tuned to.
 func DefaultGateConfig() GateConfig {
 	return GateConfig{
-		Interval: 100 * time.Millisecond,
+		Interval: 50 * time.Millisecond,
+		Calls:    30,
+		Stretch:  4,
 		Queue:    1,
-		Settle:   3,
+		Settle:   4,
 		Lag:      2,
 		Surplus:  0.15,
 		Probe:    2,
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -38,6 +38,7 @@
 type Gate struct {
 	cfg   GateConfig
 	start time.Time
+	last  time.Time
 	seen  counts
 	// arrivals of each importance.
 	arrivals [importance.Count]flow
@@ -123,10 +124,18 @@
 	if g.start.IsZero() {
 		g.start = now
 	}
+	if !now.After(g.last) {
+		// One level at one time.
+		return
+	}
+	g.last = now
 	span := now.Sub(g.start)
 	if span < g.cfg.Interval {
 		return
 	}
+	if g.seen.served < g.cfg.Calls && span < time.Duration(g.cfg.Stretch)*g.cfg.Interval {
+		return
+	}
 	part := float64(span) / float64(g.cfg.Interval)
 	for i := range g.arrivals {
 		open := openShare(g.known, i)
