transport: who joins an attempt to connect reads its result when it is there

Cause: Connect read the result of a shared attempt before it had ended, to tell it from a connection that was there already. That is a data race (the race detector finds it in most of the node's tests), and a caller that came just then got the connection without the check that the incarnation it wants answers there. Connection and attempt are now returned apart. Ruled out: setting the result under the lock, which leaves the check undone.

--- a/transport/transport.go
+++ b/transport/transport.go
@@ -46,7 +46,8 @@
 	stop    chan struct{}
 }
 
-// dial is one attempt to connect that several callers may wait for.
+// dial is one attempt to connect that several callers may wait for. The rest
+// may be read once done is closed.
 type dial struct {
 	done chan struct{}
 	conn *Conn
@@ -88,12 +89,9 @@
 // is none. An error says that nothing was handed over. A zero id takes
 // whichever incarnation answers.
 func (t *Transport) Connect(ctx context.Context, id wire.NodeID, addr string) (*Conn, error) {
-	d, start, err := t.join(id, addr)
-	if err != nil {
-		return nil, err
-	}
-	if d.conn != nil {
-		return d.conn, nil
+	c, d, start, err := t.join(id, addr)
+	if c != nil || err != nil {
+		return c, err
 	}
 	if start {
 		go t.run(addr, d)
@@ -114,22 +112,22 @@
 
 // join finds a live connection or an attempt under way; start tells the
 // caller to run a new attempt.
-func (t *Transport) join(id wire.NodeID, addr string) (d *dial, start bool, err error) {
+func (t *Transport) join(id wire.NodeID, addr string) (c *Conn, d *dial, start bool, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
-		return nil, false, ErrClosed
+		return nil, nil, false, ErrClosed
 	}
 	if c, ok := t.conns[id]; ok {
-		return &dial{conn: c}, false, nil
+		return c, nil, false, nil
 	}
 	if d, ok := t.dials[addr]; ok {
-		return d, false, nil
+		return nil, d, false, nil
 	}
 	d = &dial{done: make(chan struct{})}
 	t.dials[addr] = d
 	t.wg.Add(1)
-	return d, true, nil
+	return nil, d, true, nil
 }
 
 func (t *Transport) run(addr string, d *dial) {
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -27,10 +28,13 @@
 	return &recorder{frames: make(chan wire.Frame, 16), down: make(chan wire.NodeID, 16)}
 }
 
-func (r *recorder) Handle(_ *Conn, f wire.Frame) { r.frames <- f }
-func (r *recorder) Up(*Conn)                     {}
-func (r *recorder) Busy(wire.NodeID) bool        { return false }
-func (r *recorder) Down(c *Conn)                 { r.down <- c.Peer().ID }
+func (r *recorder) Handle(_ *Conn, f wire.Frame) {
+	f.Body = slices.Clone(f.Body)
+	r.frames <- f
+}
+func (r *recorder) Up(*Conn)              {}
+func (r *recorder) Busy(wire.NodeID) bool { return false }
+func (r *recorder) Down(c *Conn)          { r.down <- c.Peer().ID }
 
 type peer struct {
 	*Transport
@@ -87,6 +91,23 @@
 	is.Equal(err, ErrOther)
 }
 
+// Two callers' calls want different incarnations at one address and share the
+// attempt to connect. The one whose incarnation does not answer must not get
+// the connection to the other, even if it looks just as that one is ready.
+func TestSharedDialIsCheckedForEach(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+	c, err := a.Connect(context.Background(), b.id, b.addr)
+	is.NoErr(err)
+	ready := &dial{done: make(chan struct{}), conn: c}
+	close(ready.done)
+	a.dials[b.addr] = ready
+
+	_, err = a.Connect(context.Background(), wire.NewNodeID(), b.addr)
+
+	is.Equal(err, ErrOther)
+}
+
 func TestOtherClusterIsRefused(t *testing.T) {
 	is := is.New(t)
 	a, b := startPeer(t, "c"), startPeer(t, "d")
