--- a/internal/testnode/backend.go
+++ b/internal/testnode/backend.go
@@ -55,7 +55,11 @@
 	runs map[string]int
 }
 
-// Runs returns how many requests with the body have reached the script.
+// maxCounted is the longest body that is counted: fuzzers send many others.
+const maxCounted = 64
+
+// Runs returns how many requests with the body, of at most 64 bytes, have
+// reached the script.
 func (b *Backend) Runs(body string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -63,6 +67,9 @@
 }
 
 func (b *Backend) ran(body []byte) {
+	if len(body) > maxCounted {
+		return
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.runs[string(body)]++
--- a/internal/testnode/cluster.go
+++ b/internal/testnode/cluster.go
@@ -41,11 +41,15 @@
 // Start returns a cluster without nodes, with the graph published.
 func Start(tb testing.TB, cfg Config) *Cluster {
 	c := &Cluster{
-		Log:    fakelog.New(fakelog.Config{}, time.Now),
-		tb:     tb,
-		cfg:    cfg,
-		name:   wire.NewNodeID().String(), // apart from all other tests
-		client: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+		Log:  fakelog.New(fakelog.Config{}, time.Now),
+		tb:   tb,
+		cfg:  cfg,
+		name: wire.NewNodeID().String(), // apart from all other tests
+		client: &http.Client{
+			Transport: &http.Transport{DisableCompression: true},
+			// A redirect is an answer like any other.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 	}
 	tb.Cleanup(c.client.CloseIdleConnections)
 	if cfg.Graph != "" {
--- a/internal/testnode/peer.go
+++ b/internal/testnode/peer.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
-	"time"
 
 	"github.com/coder/websocket"
 
@@ -19,31 +19,38 @@
 // whatever a test wants.
 type Peer struct {
 	ID wire.NodeID
-
-	tb testing.TB
 	ws *websocket.Conn
 }
 
-// Dial connects to a node as a peer of its cluster.
+// Dial connects to a node as a peer of its cluster until the test ends.
 func (i *Instance) Dial(tb testing.TB, id wire.NodeID) *Peer {
 	tb.Helper()
+	p, err := i.Connect(id)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(p.Close)
+	return p
+}
+
+// Connect is Dial for a connection that outlives one test; Close must follow.
+func (i *Instance) Connect(id wire.NodeID) (*Peer, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	ws, _, err := websocket.Dial(ctx, "ws://"+i.Peers+transport.Path, nil)
 	if err != nil {
-		tb.Fatal(err)
+		return nil, err
 	}
 	ws.SetReadLimit(wire.MaxMessageBytes)
-	p := &Peer{ID: id, tb: tb, ws: ws}
-	tb.Cleanup(p.Close)
+	p := &Peer{ID: id, ws: ws}
 	hello := transport.Hello{Cluster: i.cluster.name, Version: transport.ProtocolVersion, ID: id}
 	if err := p.Send(wire.KindHello, hello); err != nil {
-		tb.Fatal(err)
+		return nil, err
 	}
 	if f, err := p.Next(); err != nil || f.Kind != wire.KindHello {
-		tb.Fatalf("no hello: %v", err)
+		return nil, fmt.Errorf("no hello: %w", err)
 	}
-	return p
+	return p, nil
 }
 
 // Close ends the connection.
@@ -66,11 +73,8 @@
 }
 
 // Next returns the next message; an error says that the connection has ended.
-func (p *Peer) Next() (wire.Frame, error) { return p.NextWithin(patience) }
-
-// NextWithin is Next with another patience, after which the connection ends.
-func (p *Peer) NextWithin(d time.Duration) (wire.Frame, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), d)
+func (p *Peer) Next() (wire.Frame, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	_, data, err := p.ws.Read(ctx)
 	if err != nil {
@@ -92,23 +96,27 @@
 	}
 }
 
-// Keys asked for and their answers, as nodes encode them.
-type (
-	mintRequest struct {
-		Seq uint64 `cbor:"1,keyasint"`
-	}
-	mintReply struct {
-		Seq uint64 `cbor:"1,keyasint"`
-	}
-)
+// mintRequest asks for a key, as nodes encode it.
+type mintRequest struct {
+	Seq uint64 `cbor:"1,keyasint"`
+}
 
 // Sync returns when the node has handled all that was sent before, by asking
 // for a key that it refuses. Other messages that come meanwhile are dropped.
-func (p *Peer) Sync() error {
+func (p *Peer) Sync() error { return p.SyncTaking(func(wire.Frame) {}) }
+
+// SyncTaking is Sync that hands the other messages to take.
+func (p *Peer) SyncTaking(take func(wire.Frame)) error {
 	if err := p.Send(wire.KindMint, mintRequest{Seq: 1}); err != nil {
 		return err
 	}
-	return p.NextOf(wire.KindMinted, &mintReply{})
+	for {
+		f, err := p.Next()
+		if err != nil || f.Kind == wire.KindMinted {
+			return err
+		}
+		take(f)
+	}
 }
 
 // Join makes the node believe that a ready backend server of the service is
--- /dev/null
+++ b/node/fuzz_test.go
@@ -0,0 +1,346 @@
+package node_test
+
+import (
+	"bytes"
+	"encoding/binary"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// fuzzBound is the bound of all that a node holds for peers while it is fuzzed.
+const fuzzBound = 32
+
+// fuzzed starts a node of the service fieldlog with small bounds.
+func fuzzed(f *testing.F) *testnode.Instance {
+	cfg := testnode.DefaultConfig()
+	cfg.Graph = text
+	cfg.Change = func(cfg *node.Config) {
+		cfg.Serve.Queue.MaxItems = fuzzBound
+		cfg.Serve.Once.MaxSenders = fuzzBound
+		cfg.Serve.Once.MaxFloors = 1 << 20
+		cfg.Serve.Once.MaxPending = fuzzBound
+		cfg.Serve.Once.MaxBindings = fuzzBound
+		cfg.Serve.Once.MaxKeys = fuzzBound
+		cfg.Membership.MaxMembers = fuzzBound
+		cfg.Membership.ProbeInterval = time.Hour
+		// A level that a reply brings must not keep the next calls away.
+		cfg.Dispatch.Levels.Fresh = time.Millisecond
+		cfg.Dispatch.Levels.Decay = time.Millisecond
+	}
+	c := testnode.Start(f, cfg)
+	i := c.Add("fieldlog", testnode.Echo)
+	c.AwaitWhole()
+	return i
+}
+
+// Identities in fuzzed messages that stand for the ends of the connection.
+var (
+	asNode = wire.NodeID{}
+	asPeer = wire.NodeID{1}
+)
+
+// FuzzFrames lets a peer send any frames in a row. The node goes on, holds no
+// more than it may, answers no attempt twice and none that was not made.
+func FuzzFrames(f *testing.F) {
+	i := fuzzed(f)
+	for _, msgs := range seeds(i.MintKey(f, "fieldlog", "file")) {
+		var data []byte
+		for _, m := range msgs {
+			frame, err := wire.Encode(m.kind, m.msg)
+			if err != nil {
+				f.Fatal(err)
+			}
+			data = binary.BigEndian.AppendUint16(data, uint16(len(frame)))
+			data = append(data, frame...)
+		}
+		f.Add(data)
+	}
+	h := &hostile{node: i}
+	f.Cleanup(h.close)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		h.begin(t)
+		for len(data) > 2 {
+			n := min(int(binary.BigEndian.Uint16(data)), len(data)-2)
+			h.send(data[2 : 2+n])
+			data = data[2+n:]
+		}
+		h.settle(t)
+		checkBounds(t, i.State(), fuzzBound)
+	})
+}
+
+type message struct {
+	kind wire.Kind
+	msg  any
+}
+
+func seeds(key string) [][]message {
+	c := func(seq uint64, key string) message {
+		return message{wire.KindCall, call.Request{From: asPeer, Seq: seq, Service: "fieldlog", Operation: "file", RequestID: "r",
+			Budget: time.Second, Grant: 2, Key: key, Body: []byte("x"), Header: []call.Field{{Name: "A", Value: "b"}}}}
+	}
+	gone := membership.Change{ID: asNode, State: membership.Dead, Incarnation: 9}
+	listed := membership.Record{ID: wire.NodeID{7}, Service: "fieldlog", PeerAddr: testnode.Nowhere, Ready: true, Incarnation: 1, Content: 1}
+	return [][]message{
+		{c(1, ""), {wire.KindCancel, call.Cancel{From: asPeer, Seq: 1}}, c(1, "")},
+		{{wire.KindCancel, call.Cancel{From: asPeer, Seq: 2}}, c(2, ""), c(3, "own"), c(4, "own"), c(5, key), c(6, key)},
+		{{wire.KindReply, call.Reply{From: asPeer, Seq: 1, Verdict: verdict.Ran, Status: 200, ConfigVersion: 1 << 40}}},
+		{{wire.KindMembership, membership.Message{Ping: 1, Records: []membership.Record{listed}, Changes: []membership.Change{gone}}}},
+		{{wire.KindMembership, membership.Message{Digest: make([]byte, 1024), Want: []wire.NodeID{asNode, asPeer}}},
+			{wire.KindMembership, membership.Message{Listing: &membership.Listing{Buckets: []byte{0}}, Offer: []membership.Entry{{ID: asPeer}},
+				Probe: &membership.ProbeRequest{Seq: 1, Target: wire.NodeID{7}, Addr: testnode.Nowhere}}}},
+		{{wire.KindConfig, config.Message{}}, {wire.KindConfig, config.Message{AsOf: 9, Sum: 1,
+			Update: &config.Update{To: 9, Version: 9, Sections: []config.Section{{Service: "fieldlog"}}}, Push: &config.Push{}}}},
+		{{wire.KindPoison, poison.Notice{State: poison.Suspect, Fingerprints: []uint64{1, 2}, TTL: time.Second}},
+			{wire.KindPoison, poison.Notice{State: poison.Convicted, Fingerprints: []uint64{1}, TTL: time.Second}}, c(7, "")},
+		{{wire.KindMint, struct{}{}}, {wire.KindMinted, struct{}{}}, {wire.KindHello, 1}, {99, 1}},
+	}
+}
+
+// hostile is the peer of a fuzzer. It keeps its connection as long as the node
+// does, up to a number of rounds, and knows which attempts it made.
+type hostile struct {
+	node   *testnode.Instance
+	peer   *testnode.Peer
+	rounds int
+	made   map[uint64]int // attempts to answers
+}
+
+const maxRounds = 64
+
+func (h *hostile) close() {
+	if h.peer != nil {
+		h.peer.Close()
+		h.peer = nil
+	}
+}
+
+func (h *hostile) begin(t *testing.T) {
+	h.rounds++
+	if h.rounds%maxRounds == 0 {
+		h.close()
+	}
+	if h.peer != nil {
+		return
+	}
+	p, err := h.node.Connect(wire.NewNodeID())
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.peer, h.made = p, make(map[uint64]int)
+}
+
+// send sends a frame after the stand-ins for identities are resolved and all
+// addresses lead nowhere: the node dials what peers tell it.
+func (h *hostile) send(data []byte) {
+	f, err := wire.Decode(data)
+	if err != nil {
+		return // FuzzDecode covers what is no frame
+	}
+	switch f.Kind {
+	case wire.KindCall:
+		rewrite(&f, func(m *call.Request) {
+			h.ends(&m.From, &m.To)
+			h.made[m.Seq] += 0
+		})
+	case wire.KindCancel:
+		rewrite(&f, func(m *call.Cancel) { h.ends(&m.From, &m.To) })
+	case wire.KindReply:
+		rewrite(&f, func(m *call.Reply) { h.ends(&m.From, &m.To) })
+	case wire.KindMembership:
+		rewrite(&f, h.members)
+	}
+	_ = h.peer.Send(f.Kind, f.Body)
+}
+
+func rewrite[M any](f *wire.Frame, change func(*M)) {
+	var m M
+	if wire.Unmarshal(f.Body, &m) != nil {
+		return
+	}
+	change(&m)
+	if body, err := wire.Marshal(m); err == nil {
+		f.Body = body
+	}
+}
+
+func (h *hostile) ends(ids ...*wire.NodeID) {
+	for _, id := range ids {
+		switch *id {
+		case asNode:
+			*id = h.node.Node.ID()
+		case asPeer:
+			*id = h.peer.ID
+		}
+	}
+}
+
+func (h *hostile) members(m *membership.Message) {
+	for i := range m.Records {
+		h.ends(&m.Records[i].ID)
+		if m.Records[i].PeerAddr != "" {
+			m.Records[i].PeerAddr = testnode.Nowhere
+		}
+	}
+	for i := range m.Changes {
+		h.ends(&m.Changes[i].ID)
+	}
+	for i := range m.Want {
+		h.ends(&m.Want[i])
+	}
+	if m.Probe != nil && m.Probe.Addr != "" {
+		m.Probe.Addr = testnode.Nowhere
+	}
+}
+
+// settle waits until the node has handled what was sent, or hung up.
+func (h *hostile) settle(t *testing.T) {
+	err := h.peer.SyncTaking(func(f wire.Frame) {
+		var r call.Reply
+		if f.Kind != wire.KindReply || wire.Unmarshal(f.Body, &r) != nil {
+			return
+		}
+		answers, made := h.made[r.Seq]
+		if !made || answers > 0 || r.To != h.peer.ID {
+			t.Fatalf("answer %d to an attempt (made: %v): %+v", answers+1, made, r)
+		}
+		h.made[r.Seq]++
+	})
+	if err != nil {
+		h.close()
+	}
+}
+
+// FuzzReply lets the node that was asked answer a call with anything. The
+// caller gets one whole answer with a verdict; an answer that is good is the
+// one that was given.
+func FuzzReply(f *testing.F) {
+	i := fuzzed(f)
+	for _, r := range []call.Reply{
+		{Verdict: verdict.Ran, Status: 200, Body: []byte("x"), Header: []call.Field{{Name: "A", Value: "b"}, {Name: "Content-Length", Value: "9"}}},
+		{Verdict: verdict.Ran, Status: 204, Body: []byte("x"), Unused: 1 << 31, Levels: []call.Level{{Service: "stationlog", Priority: 1}}},
+		{Verdict: verdict.Ran, Status: 101, Header: []call.Field{{Name: "A\r\nB", Value: "c\r\nD: e"}}},
+		{Verdict: verdict.NotRun, Reason: verdict.KeyNotBound, BoundTo: asPeer, RetryAfter: -1},
+		{Verdict: verdict.NotRun, Reason: verdict.Shed, RetryAfter: 1<<63 - 1, KeyHeld: 1<<63 - 1},
+		{Verdict: verdict.MayHaveRun, Reason: "a\r\nb", Detail: "\xff"},
+	} {
+		body, err := wire.Marshal(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
+	h := &callee{node: i, id: wire.NewNodeID()}
+	f.Cleanup(h.close)
+	f.Fuzz(func(t *testing.T, body []byte) {
+		var reply call.Reply
+		// What is no reply ends the connection, and with one for each of
+		// them a fuzzer runs out of ports.
+		if wire.Unmarshal(body, &reply) == nil {
+			h.round(t, reply)
+		}
+	})
+}
+
+// callee is a peer that is taken for the one node of the service stationlog.
+type callee struct {
+	node  *testnode.Instance
+	id    wire.NodeID
+	peer  *testnode.Peer
+	calls chan call.Request // closed with the connection
+}
+
+func (h *callee) close() {
+	if h.peer != nil {
+		h.peer.Close()
+		for range h.calls {
+		}
+	}
+}
+
+// connect opens the connection.
+func (h *callee) connect(t *testing.T) {
+	p, err := h.node.Connect(h.id)
+	if err == nil {
+		err = p.Join("stationlog")
+	}
+	if err == nil {
+		err = p.Sync()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	calls := make(chan call.Request)
+	h.peer, h.calls = p, calls
+	go func() {
+		defer close(calls)
+		for {
+			var req call.Request
+			if p.NextOf(wire.KindCall, &req) != nil {
+				return
+			}
+			calls <- req
+		}
+	}()
+}
+
+func (h *callee) round(t *testing.T, reply call.Reply) {
+	if h.peer == nil {
+		h.connect(t)
+	}
+	answer := make(chan testnode.Answer, 1)
+	go func() {
+		defer close(answer)
+		if a, err := h.node.Send(t.Context(), "stationlog", "history", []byte("question")); err == nil {
+			answer <- a
+		}
+	}()
+	a, answered := h.serve(answer, reply)
+	v := a.Header.Get(headers.Verdict)
+	if !answered || v == "" || verdict.Parse(v).String() != v {
+		t.Fatalf("no whole answer with a verdict: %v", a)
+	}
+	if reply.Reason == verdict.None && a.Status == reply.Status && !bytes.Equal(a.Body, visible(reply)) {
+		t.Fatalf("%+v came as %v", reply, a)
+	}
+	checkBounds(t, h.node.State(), fuzzBound)
+}
+
+// visible is the body that HTTP allows with the status.
+func visible(r call.Reply) []byte {
+	if r.Status == http.StatusNoContent || r.Status == http.StatusNotModified {
+		return nil
+	}
+	return r.Body
+}
+
+// serve answers the calls that the node makes until its caller is answered.
+func (h *callee) serve(answer <-chan testnode.Answer, reply call.Reply) (testnode.Answer, bool) {
+	if reply.BoundTo == asPeer {
+		reply.BoundTo = h.id
+	}
+	for {
+		select {
+		case a, ok := <-answer:
+			return a, ok
+		case req, open := <-h.calls:
+			if !open {
+				h.peer, h.calls = nil, nil
+				continue
+			}
+			reply.From, reply.To, reply.Seq = h.id, req.From, req.Seq
+			_ = h.peer.Send(wire.KindReply, reply) // the node may hang up
+		}
+	}
+}
