transport: messages are read into buffers that are used again

Buffers now come from a pool, and only once a message has begun to arrive: a connection at rest holds none. What outgrew 64 KiB is not kept. The Handler must not keep a frame's body. Ruled out: one buffer for each connection; 1,000 idle ones would hold theirs.

--- a/transport/conn.go
+++ b/transport/conn.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -132,23 +133,47 @@
 
 func (c *Conn) readLoop(h Handler) {
 	defer c.Close()
-	for {
-		f, err := c.readFrame(context.Background())
-		if err != nil {
-			return
-		}
-		c.touch()
-		h.Handle(c, f)
+	for c.readFrame(h) == nil {
 	}
 }
 
-func (c *Conn) readFrame(ctx context.Context) (wire.Frame, error) {
-	kind, data, err := c.ws.Read(ctx)
+// readFrame waits for one message and hands it over.
+func (c *Conn) readFrame(h Handler) error {
+	kind, r, err := c.ws.Reader(context.Background())
 	if err != nil {
-		return wire.Frame{}, err
+		return err
 	}
 	if kind != websocket.MessageBinary {
-		return wire.Frame{}, fmt.Errorf("peer sent a text message")
+		return errText
+	}
+	// Only now is a buffer needed: most connections wait most of the time.
+	buf := buffers.Get().(*bytes.Buffer)
+	defer putBuffer(buf)
+	if _, err := buf.ReadFrom(r); err != nil {
+		return err
+	}
+	f, err := wire.Decode(buf.Bytes())
+	if err != nil {
+		return err
+	}
+	c.touch()
+	h.Handle(c, f)
+	return nil
+}
+
+var errText = errors.New("peer sent a text message")
+
+// buffers hold messages while they are read and handled.
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// keptBuffer is the largest buffer that is used again: a few large messages
+// would otherwise hold their memory for good.
+const keptBuffer = 64 << 10
+
+func putBuffer(buf *bytes.Buffer) {
+	if buf.Cap() > keptBuffer {
+		return
 	}
-	return wire.Decode(data)
+	buf.Reset()
+	buffers.Put(buf)
 }
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -21,6 +21,7 @@
 // connections' goroutines and must not block.
 type Handler interface {
 	// Handle takes one message; messages of one connection come in order.
+	// The body's bytes are used again after it returns.
 	Handle(c *Conn, f wire.Frame)
 	// Up is called after the hellos, before the first message.
 	Up(c *Conn)
