queue: an item may wait for half of its spare time; Late tells why

Cause: with a service 20 times slower, calls that had waited until only the usual service time was left were begun and then failed half the time. An item now leaves after half of the time that it has to spare beyond its need. Late says before a push that an item cannot be served in time, so that a refusal for that reason is told from one for want of room.

--- a/queue/config.go
+++ b/queue/config.go
@@ -19,6 +19,10 @@
 	// sooner; under overload the oldest items are the ones whose callers
 	// are about to give up.
 	OverloadAfter time.Duration
+	// WaitShare is the share of its spare time that an item may wait. One that
+	// is served with only the usual service time left fails half the time,
+	// after the work was done.
+	WaitShare float64
 	// RateSpan is the busy time over which the service rate is averaged.
 	RateSpan time.Duration
 	// RateCalls is the number of served items that make the rate known.
@@ -35,6 +39,7 @@
 		MinItems:        16,
 		MaxWait:         100 * time.Millisecond,
 		OverloadAfter:   100 * time.Millisecond,
+		WaitShare:       0.5,
 		RateSpan:        time.Second,
 		RateCalls:       16,
 		ImportanceShift: 14,
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -18,19 +18,17 @@
 	Priority uint16
 	// Deadline is when the caller stops waiting; zero for never.
 	Deadline time.Time
-	// Need is the time that serving takes at least: the item is of no use
-	// if it is not served this long before its deadline.
+	// Need is the time that serving takes: what is left until the deadline
+	// beyond that is the time that the item has to spare.
 	Need  time.Duration
 	Value T
 }
 
-// expiry is the latest time at which serving the item makes sense.
-func (i *Item[T]) expiry() time.Time { return i.Deadline.Add(-i.Need) }
-
 type entry[T any] struct {
 	item       Item[T]
 	seq        uint64
 	pushed     time.Time
+	expires    time.Time
 	position   [places]int
 	prev, next *entry[T]
 }
@@ -69,7 +67,7 @@
 }
 
 func expiresSooner[T any](a, b *entry[T]) bool {
-	return a.item.expiry().Before(b.item.expiry())
+	return a.expires.Before(b.expires)
 }
 
 // Len is the number of waiting items.
@@ -79,7 +77,7 @@
 // if it is refused. None of them will be served.
 func (q *Queue[T]) Push(now time.Time, item Item[T]) (dropped []Item[T]) {
 	q.expire(now)
-	if _, ok := q.byID[item.ID]; ok || q.late(now, &item) {
+	if _, ok := q.byID[item.ID]; ok || q.Late(now, &item) {
 		return []Item[T]{item}
 	}
 	if q.Len() == 0 {
@@ -94,13 +92,20 @@
 	return dropped
 }
 
-// late reports whether an item would expire before its turn.
-func (q *Queue[T]) late(now time.Time, item *Item[T]) bool {
+// Late reports whether an item that comes now would expire before its turn. Push
+// refuses it for that reason and not for want of room.
+func (q *Queue[T]) Late(now time.Time, item *Item[T]) bool {
 	if item.Deadline.IsZero() {
 		return false
 	}
 	turn := now.Add(q.rate.wait(now, q.ahead(now, q.rank(item.Priority))))
-	return !turn.Before(item.expiry())
+	return !turn.Before(q.expires(now, item))
+}
+
+// expires is when an item that comes now has waited for too long.
+func (q *Queue[T]) expires(now time.Time, item *Item[T]) time.Time {
+	spare := item.Deadline.Sub(now) - item.Need
+	return now.Add(time.Duration(float64(spare) * q.cfg.WaitShare))
 }
 
 // ahead is the number of items that go before a new one of the rank.
@@ -185,11 +190,11 @@
 	if e == nil {
 		return time.Time{}, false
 	}
-	return e.item.expiry(), true
+	return e.expires, true
 }
 
 func (q *Queue[T]) expire(now time.Time) {
-	for e := q.expiry.first(); e != nil && !now.Before(e.item.expiry()); e = q.expiry.first() {
+	for e := q.expiry.first(); e != nil && !now.Before(e.expires); e = q.expiry.first() {
 		q.expired = append(q.expired, q.take(e))
 	}
 }
@@ -203,6 +208,7 @@
 	q.ranks[q.rank(item.Priority)].add(e)
 	q.worth.add(e)
 	if !item.Deadline.IsZero() {
+		e.expires = q.expires(now, &item)
 		q.expiry.add(e)
 	}
 }
