--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -73,7 +73,12 @@
 		item.Deadline = c.deadline
 		item.Need = n.expect(c)
 	}
-	n.drop(n.queue.Push(now, item))
+	if n.late(&item) {
+		n.observeShed()
+		c.finish(result{})
+		return
+	}
+	n.shed(n.queue.Push(now, item))
 	n.pump()
 	if !c.over && c.job == nil && n.policy.Cancel {
 		n.model.sim.after(c.deadline.Sub(now), n.pump)
@@ -92,20 +97,41 @@
 func (n *node) shedBelow() {
 	own := n.gate.Own(n.model.sim.now)
 	if own > n.own {
-		n.drop(n.queue.Shed(own))
+		n.shed(n.queue.Shed(own))
 	}
 	n.own = own
 }
 
-func (n *node) drop(items []queue.Item[*call]) {
+// late reports whether the call could not be served in time. Like calls that
+// expire, those do not count for the order.
+func (n *node) late(item *queue.Item[*call]) bool {
+	q, ok := n.queue.(*queue.Queue[*call])
+	return ok && q.Late(n.model.sim.now, item)
+}
+
+// shed refuses calls that left the queue for want of room.
+func (n *node) shed(items []queue.Item[*call]) {
 	for _, item := range items {
-		if n.policy.Admission {
-			n.gate.Observe(n.model.sim.now, admission.Sample{Event: admission.Shed})
-		}
+		n.observeShed()
 		n.refuse(item.Value)
 	}
 }
 
+// expire refuses calls that waited for too long. Whatever begins after them
+// took nothing from them, so that they do not count for the order.
+func (n *node) expire() {
+	for _, item := range n.queue.Expire(n.model.sim.now) {
+		n.observeShed()
+		item.Value.finish(result{})
+	}
+}
+
+func (n *node) observeShed() {
+	if n.policy.Admission {
+		n.gate.Observe(n.model.sim.now, admission.Sample{Event: admission.Shed})
+	}
+}
+
 func (n *node) refuse(c *call) {
 	n.place.shed(n.model.sim.now, c)
 	c.finish(result{})
@@ -114,10 +140,10 @@
 // pump begins waiting calls while the limit allows.
 func (n *node) pump() {
 	now := n.model.sim.now
-	n.drop(n.queue.Expire(now))
+	n.expire()
 	for n.running < n.limit.Limit() {
 		item, ok := n.queue.Pop(now)
-		n.drop(n.queue.Expire(now))
+		n.expire()
 		if !ok {
 			return
 		}
