--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -15,6 +15,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -239,7 +240,7 @@
 			if !d.members.Known(reply.BoundTo) {
 				return d.holderGone(p, &a, reply)
 			}
-			to = target{id: reply.BoundTo}
+			to = target{id: reply.BoundTo, holder: a.keyed}
 		case again:
 			d.note(p, explain.Retried, reply.Reason, reply.Detail)
 			to = next
@@ -297,30 +298,30 @@
 func (d *Dispatcher) once(ctx context.Context, p Params, a *attempts, to target) call.Reply {
 	a.tried = append(a.tried, to.id)
 	sent := time.Now()
-	reply := d.send(ctx, p, to.id)
+	reply := d.send(ctx, p, to)
 	d.picked(p, to, time.Since(sent), reply)
 	d.learn(p, reply)
 	return reply
 }
 
-// send hands one attempt to the incarnation to and awaits its answer.
-func (d *Dispatcher) send(ctx context.Context, p Params, to wire.NodeID) call.Reply {
-	link, err := d.linker.Link(ctx, to)
+// send hands one attempt to a node and awaits its answer.
+func (d *Dispatcher) send(ctx context.Context, p Params, to target) call.Reply {
+	link, err := d.linker.Link(ctx, to.id)
 	if err != nil {
-		return refused(d.unreachable(ctx, p, err))
+		return refused(notHandedOver(ctx, to, err))
 	}
 	defer link.Release()
 	grant := d.grant(p)
-	req := d.request(p, to, grant.Extra)
-	w := d.expect(req.Seq, to)
+	req := d.request(p, to.id, grant.Extra)
+	w := d.expect(req.Seq, to.id)
 	defer d.forget(req.Seq)
 	written, err := link.Call(req)
 	if err != nil {
 		d.giveBack(p, grant, grant.Extra)
-		return refused(verdict.Refuse(verdict.Lost, "not handed over to %s: %v", to.Short(), err))
+		return refused(notHandedOver(ctx, to, err))
 	}
-	reply, answered := d.await(ctx, link, w, req, written)
-	if answered || reply.Verdict == verdict.NotRun {
+	reply, settled := d.await(ctx, link, w, req, written, to)
+	if settled {
 		d.giveBack(p, grant, reply.Unused)
 	} else {
 		d.forfeit(p, grant)
@@ -328,19 +329,22 @@
 	return reply
 }
 
-func (d *Dispatcher) unreachable(ctx context.Context, p Params, err error) *verdict.Error {
+// notHandedOver is the answer for an attempt that never left. It is "not run",
+// but for one to a key's holder: the key may have run there before.
+func notHandedOver(ctx context.Context, to target, err error) *verdict.Error {
+	if to.holder {
+		return verdict.Doubt(verdict.KeyHolderGone, "the node %s that the key is bound to does not answer: %v", to.id.Short(), err)
+	}
 	if ctx.Err() != nil {
 		return ended(ctx, verdict.NotRun)
 	}
-	if !p.Holder.IsZero() {
-		return verdict.Doubt(verdict.KeyHolderGone, "the node that the key names does not answer: %v", err)
-	}
-	return verdict.Refuse(verdict.Lost, "not handed over: %v", err)
+	return verdict.Refuse(verdict.Lost, "not handed over to %s: %v", to.id.Short(), err)
 }
 
 // await waits for the answer, the end of the connection, or the end of the
-// caller's patience, whichever comes first.
-func (d *Dispatcher) await(ctx context.Context, link Link, w *wait, req call.Request, written func() bool) (call.Reply, bool) {
+// caller's patience, whichever comes first. settled says that what is unused
+// of the grant is known.
+func (d *Dispatcher) await(ctx context.Context, link Link, w *wait, req call.Request, written func() bool, to target) (r call.Reply, settled bool) {
 	select {
 	case r := <-w.reply:
 		return r, true
@@ -357,13 +361,15 @@
 	}
 	d.count(func(c *Counts) { c.Lost++ })
 	if !written() {
-		r := refused(verdict.Refuse(verdict.Lost, "connection to %s ended before the hand-over", req.To.Short()))
+		r := refused(notHandedOver(ctx, to, errEnded))
 		r.Unused = req.Grant
-		return r, false
+		return r, true
 	}
 	return refused(verdict.Doubt(verdict.Lost, "connection to %s ended before the answer", req.To.Short())), false
 }
 
+var errEnded = errors.New("the connection ended")
+
 func ended(ctx context.Context, v verdict.Verdict) *verdict.Error {
 	if ctx.Err() == context.DeadlineExceeded {
 		return &verdict.Error{Verdict: v, Reason: verdict.Deadline, Detail: "deadline passed"}
@@ -426,6 +432,9 @@
 	}
 	delete(d.waiting, r.Seq)
 	d.mu.Unlock()
+	if !r.Reason.Valid() {
+		r.Reason = verdict.Internal
+	}
 	w.reply <- r
 }
 
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -29,11 +30,14 @@
 	id wire.NodeID
 	// picked says that the balancer chose it and counts it until Done.
 	picked bool
+	// holder says that a key is bound to the node: if it cannot be asked,
+	// nobody knows whether the key has run there.
+	holder bool
 }
 
 func (d *Dispatcher) firstTarget(p Params) (target, bool) {
 	if !p.Holder.IsZero() {
-		return target{id: p.Holder}, true
+		return target{id: p.Holder, holder: true}, true
 	}
 	return d.pick(p, nil)
 }
@@ -42,10 +46,10 @@
 // may have run with its key stays at the one incarnation that remembers it.
 func (d *Dispatcher) nextTarget(p Params, a *attempts, r call.Reply) (target, bool) {
 	if !p.Holder.IsZero() {
-		return target{id: p.Holder}, true
+		return target{id: p.Holder, holder: true}, true
 	}
 	if a.keyed && r.Verdict != verdict.NotRun {
-		return target{id: a.tried[len(a.tried)-1]}, true
+		return target{id: a.tried[len(a.tried)-1], holder: true}, true
 	}
 	return d.pick(p, a.tried)
 }
@@ -112,7 +116,7 @@
 	var high uint64
 	found := false
 	for _, c := range candidates {
-		if contains(tried, c.ID) {
+		if slices.Contains(tried, c.ID) {
 			continue
 		}
 		if h := keyHash(key, c.ID); !found || h > high {
@@ -129,15 +133,6 @@
 	return xxhash.Sum64(b[:])
 }
 
-func contains(ids []wire.NodeID, id wire.NodeID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
-
 // picked tells the balancer how an attempt at a node of its choice ended.
 func (d *Dispatcher) picked(p Params, to target, latency time.Duration, r call.Reply) {
 	if !to.picked {
@@ -184,9 +179,22 @@
 	if r.From.IsZero() {
 		return
 	}
+	levels := known(p.Operation.Reach(), r.Levels)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.levels(p).LearnReply(time.Now(), r.From, r.Levels)
+	d.levels(p).LearnReply(time.Now(), r.From, levels)
+}
+
+// known keeps the levels of services that the call could reach: a faulty peer
+// could name any number of others, which would be kept for good.
+func known(services []string, levels []call.Level) []call.Level {
+	var kept []call.Level
+	for _, l := range levels {
+		if slices.Contains(services, l.Service) {
+			kept = append(kept, l)
+		}
+	}
+	return kept
 }
 
 func (d *Dispatcher) levels(p Params) *admission.Levels {
--- a/entry/headers/headers.go
+++ b/entry/headers/headers.go
@@ -79,12 +79,39 @@
 func Apply(h http.Header, fields []call.Field) {
 	for _, f := range fields {
 		name := http.CanonicalHeaderKey(f.Name)
-		if travels(name) {
+		if travels(name) && validName(name) && validValue(f.Value) {
 			h[name] = append(h[name], f.Value)
 		}
 	}
 }
 
+// nameExtra are the characters besides letters and digits that a field's name
+// may have (RFC 9110, 5.6.2).
+const nameExtra = "!#$%&'*+-.^_`|~"
+
+// validName and validValue keep out what would make the answer unreadable for
+// the caller: net/http writes a name or value as it is.
+func validName(name string) bool {
+	for i := range len(name) {
+		c := name[i]
+		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
+		digit := '0' <= c && c <= '9'
+		if !letter && !digit && !strings.ContainsRune(nameExtra, rune(c)) {
+			return false
+		}
+	}
+	return name != ""
+}
+
+func validValue(v string) bool {
+	for i := range len(v) {
+		if c := v[i]; c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 func travels(name string) bool {
 	return !hopByHop[name] && !strings.HasPrefix(name, prefix)
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -168,9 +168,9 @@
 	defer context.AfterFunc(r.ctx, cancel)()
 	n.server.calling(time.Now(), r, 1)
 	out := n.dispatch.Call(ctx, p)
-	n.server.calling(time.Now(), r, -1)
 	if out.Verdict != verdict.NotRun {
 		n.server.touch(r)
 	}
+	n.server.calling(time.Now(), r, -1)
 	return outcome(out)
 }
--- a/node/mint.go
+++ b/node/mint.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return mintReply{}, verdict.Refuse(verdict.Lost, "%v", err).After(refuseRetryAfter)
 	}
-	seq, answer := n.server.expectMint()
+	seq, answer := n.server.expectMint(id)
 	defer n.server.forgetMint(seq)
 	if _, err := c.Send(wire.KindMint, mintRequest{Seq: seq, Operation: operation}); err != nil {
 		return mintReply{}, verdict.Refuse(verdict.Lost, "%v", err).After(refuseRetryAfter)
@@ -88,12 +88,18 @@
 	return mintReply{Seq: m.Seq, Key: key, Held: held}
 }
 
-func (s *server) expectMint() (uint64, chan mintReply) {
+// mintWait is a request for a key that awaits its answer.
+type mintWait struct {
+	from   wire.NodeID
+	answer chan mintReply // room for one: handing over never blocks
+}
+
+func (s *server) expectMint(from wire.NodeID) (uint64, chan mintReply) {
 	s.mintMu.Lock()
 	defer s.mintMu.Unlock()
 	s.mintSeq++
 	answer := make(chan mintReply, 1)
-	s.mints[s.mintSeq] = answer
+	s.mints[s.mintSeq] = mintWait{from: from, answer: answer}
 	return s.mintSeq, answer
 }
 
@@ -103,13 +109,14 @@
 	delete(s.mints, seq)
 }
 
-// minted hands a key to the request that waits for it. A key from a node that
-// was not asked is dropped with its number, which it cannot know.
-func (s *server) minted(_ wire.NodeID, r mintReply) {
+// minted hands a key to the request that waits for it. One from a node that was
+// not asked is dropped: numbers can be guessed, and a caller would get a key
+// that nobody can verify.
+func (s *server) minted(from wire.NodeID, r mintReply) {
 	s.mintMu.Lock()
 	defer s.mintMu.Unlock()
-	if answer, ok := s.mints[r.Seq]; ok {
+	if w, ok := s.mints[r.Seq]; ok && w.from == from {
 		delete(s.mints, r.Seq)
-		answer <- r
+		w.answer <- r
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -108,6 +108,7 @@
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
 	entered  atomic.Int64 // callers' requests under way
+	replying atomic.Int64 // effects of the callee's decisions being carried out
 	stop     context.CancelFunc
 	ctx      context.Context
 	wg       sync.WaitGroup
--- a/node/ops.go
+++ b/node/ops.go
@@ -66,6 +66,8 @@
 		return false, "no configuration yet"
 	case !n.backendInstance().ready:
 		return false, "backend server has not announced itself"
+	case n.server.exhausted():
+		return false, "no room for new senders: drain and restart this node"
 	default:
 		return true, ""
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -14,6 +14,8 @@
 // serve calls f on the callee's decisions and does what follows.
 func (n *Node) serve(f func(now time.Time, s *serve.Server) serve.Effects) {
 	now := time.Now()
+	n.replying.Add(1)
+	defer n.replying.Add(-1)
 	e, started := n.server.do(func(s *serve.Server) serve.Effects { return f(now, s) })
 	for _, notice := range e.Notices {
 		n.spreadNotice(notice)
--- a/node/server.go
+++ b/node/server.go
@@ -22,7 +22,7 @@
 	byToken map[string]*run
 
 	mintMu  sync.Mutex
-	mints   map[uint64]chan mintReply
+	mints   map[uint64]mintWait
 	mintSeq uint64
 }
 
@@ -34,6 +34,8 @@
 	stop  context.CancelFunc
 	// ledger holds the extra attempts of the request's calls from here.
 	ledger *retry.Ledger
+	// calls is the number of calls for the task that are under way.
+	calls int
 	// touched is set when a call made for the task may have run: the task
 	// itself can then no longer claim "not run".
 	touched bool
@@ -44,7 +46,7 @@
 		serve:   s,
 		runs:    make(map[uint64]*run),
 		byToken: make(map[string]*run),
-		mints:   make(map[uint64]chan mintReply),
+		mints:   make(map[uint64]mintWait),
 	}
 }
 
@@ -90,7 +92,7 @@
 	defer s.mu.Unlock()
 	delete(s.runs, r.task.ID)
 	delete(s.byToken, r.token)
-	return r.touched
+	return r.touched || r.calls > 0
 }
 
 // find returns the run that a token names.
@@ -105,6 +107,7 @@
 func (s *server) calling(now time.Time, r *run, change int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.calls += change
 	s.serve.Calling(now, r.task.ID, change)
 }
 
@@ -127,6 +130,12 @@
 	return s.serve.Level(now)
 }
 
+func (s *server) exhausted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Exhausted()
+}
+
 func (s *server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/node/stop.go
+++ b/node/stop.go
@@ -64,7 +64,11 @@
 	return nil
 }
 
-func (n *Node) idle() bool { return n.entered.Load() == 0 && n.server.idle() }
+// idle reports whether nothing is in flight: an answer that waits for its
+// peer to read would be cut off by the end of the connection.
+func (n *Node) idle() bool {
+	return n.entered.Load() == 0 && n.server.idle() && n.replying.Load() == 0 && n.peers.Flushed()
+}
 
 // leave tells the connected peers that this process ends.
 func (n *Node) leave() {
--- a/once/window.go
+++ b/once/window.go
@@ -123,6 +123,16 @@
 	return true
 }
 
+// Refuses reports that nothing of this sender is or ever was accepted, since
+// it came when there was no room. Of its attempts "not run" is true.
+func (s *Senders) Refuses(from wire.NodeID) bool {
+	if _, ok := s.windows[from]; ok {
+		return false
+	}
+	_, known := s.floors[from]
+	return !known && s.Exhausted()
+}
+
 // Exhausted reports that senders never seen before are refused.
 func (s *Senders) Exhausted() bool {
 	return len(s.windows) >= s.cfg.MaxSenders && len(s.floors) >= s.cfg.MaxFloors
@@ -141,10 +151,10 @@
 		s.recent.MoveToFront(e)
 		return &e.Value.(*sender).window
 	}
-	floor, known := s.floors[from]
-	if !known && s.Exhausted() {
+	if s.Refuses(from) {
 		return nil
 	}
+	floor, known := s.floors[from]
 	n := &sender{id: from}
 	if known {
 		n.window.fillBelow(floor)
--- a/serve/key.go
+++ b/serve/key.go
@@ -39,7 +39,7 @@
 	key := t.Request.Key
 	info, err := once.ParseKey(key)
 	if err != nil {
-		e.reply(s.refusal(t.Request, verdict.Refuse(verdict.KeyInvalid, "%v", err)))
+		s.reply(e, s.refusal(t.Request, verdict.Refuse(verdict.KeyInvalid, "%v", err)))
 		return
 	}
 	if !info.Minted {
@@ -51,7 +51,7 @@
 		return
 	}
 	if err := s.mint.Verify(now, key, t.Request.Service, t.Request.Operation); err != nil {
-		e.reply(s.refusal(t.Request, err))
+		s.reply(e, s.refusal(t.Request, err))
 		return
 	}
 	s.begin(now, t, e)
@@ -61,7 +61,7 @@
 func (s *Server) settle(now time.Time, t *Task, r once.Resolution, e *Effects) {
 	switch r.State {
 	case once.Pending:
-		s.parked[t.Request.Key] = append(s.parked[t.Request.Key], t)
+		s.wait(t, e)
 	case once.BoundHere:
 		t.heldUntil = now.Add(r.Held)
 		// After its end the key may be bound to another node, which would
@@ -73,7 +73,29 @@
 	case once.BoundTo:
 		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key is bound to another node"), r.Holder, e)
 	default:
-		e.reply(s.refusal(t.Request, r.Err))
+		s.reply(e, s.refusal(t.Request, r.Err))
+	}
+}
+
+// maxParkedBytes bounds the bodies of requests that wait for their keys'
+// bindings; in an outage of the log they all do.
+const maxParkedBytes = 16 << 20
+
+// wait keeps a request until its key is bound, within bounds. A copy beyond
+// them is not told "not run": the ones before it may still run.
+func (s *Server) wait(t *Task, e *Effects) {
+	waiting := s.parked[t.Request.Key]
+	size := len(t.Request.Body)
+	switch {
+	case len(waiting) > s.cfg.Once.MaxJoined:
+		s.reply(e, s.refusal(t.Request, verdict.Doubt(verdict.Duplicate, "too many copies wait for the key's binding")))
+	case s.parkedBytes+size > maxParkedBytes && len(waiting) > 0:
+		s.reply(e, s.refusal(t.Request, verdict.Doubt(verdict.Shed, "too much waits for bindings").After(s.cfg.ShedRetryAfter)))
+	case s.parkedBytes+size > maxParkedBytes:
+		s.reply(e, s.refusal(t.Request, verdict.Refuse(verdict.Shed, "too much waits for bindings").After(s.cfg.ShedRetryAfter)))
+	default:
+		s.parkedBytes += size
+		s.parked[t.Request.Key] = append(waiting, t)
 	}
 }
 
@@ -92,9 +114,9 @@
 		s.counts.Replayed++
 		reply := s.answerTo(now, t.waiter, d.Answer)
 		reply.Unused = t.Request.Grant
-		e.reply(reply)
+		s.reply(e, reply)
 	default:
-		e.reply(s.refusal(t.Request, d.Err))
+		s.reply(e, s.refusal(t.Request, d.Err))
 	}
 }
 
@@ -164,6 +186,7 @@
 	tasks := s.parked[r.Key]
 	delete(s.parked, r.Key)
 	for _, t := range tasks {
+		s.parkedBytes -= len(t.Request.Body)
 		s.settle(now, t, r, e)
 	}
 }
@@ -176,7 +199,8 @@
 			continue
 		}
 		s.counts.Expired++
-		e.reply(s.refusal(t.Request, verdict.Refuse(verdict.Deadline, "expired before the key was bound")))
+		s.parkedBytes -= len(t.Request.Body)
+		s.reply(e, s.refusal(t.Request, verdict.Refuse(verdict.Deadline, "expired before the key was bound")))
 	}
 	s.park(key, kept)
 }
@@ -197,8 +221,9 @@
 				continue
 			}
 			s.counts.Canceled++
+			s.parkedBytes -= len(t.Request.Body)
 			s.park(key, append(tasks[:i:i], tasks[i+1:]...))
-			e.reply(s.refusal(t.Request, verdict.Refuse(verdict.Canceled, "canceled before the key was bound")))
+			s.reply(e, s.refusal(t.Request, verdict.Refuse(verdict.Canceled, "canceled before the key was bound")))
 			return
 		}
 	}
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -9,17 +9,25 @@
 	"github.com/cassialoom/cassialoom/wire"
 )
 
+// reply answers an accepted attempt; each gets exactly one answer.
+func (s *Server) reply(e *Effects, r call.Reply) {
+	if s.owed[r.To]--; s.owed[r.To] <= 0 {
+		delete(s.owed, r.To)
+	}
+	e.reply(r)
+}
+
 // finish answers all that wait for a task that was handed over.
 func (s *Server) finish(now time.Time, t *Task, r Result, e *Effects) {
 	joined := s.finishKey(now, t, r)
 	s.forget(t)
 	a := answer{result: r, heldUntil: t.heldUntil}
 	for _, w := range joined {
-		e.reply(s.answerTo(now, w, a))
+		s.reply(e, s.answerTo(now, w, a))
 	}
 	own := s.answerTo(now, t.waiter, a)
 	own.Unused = r.Unused
-	e.reply(own)
+	s.reply(e, own)
 }
 
 // finishUnstarted answers all that wait for a task that was not handed over
@@ -27,10 +35,10 @@
 // key, if any, is free again.
 func (s *Server) finishUnstarted(t *Task, err *verdict.Error, e *Effects) {
 	for _, w := range s.abandonKey(t) {
-		e.reply(s.refusalTo(w, 0, err))
+		s.reply(e, s.refusalTo(w, 0, err))
 	}
 	s.forget(t)
-	e.reply(s.refusal(t.Request, err))
+	s.reply(e, s.refusal(t.Request, err))
 }
 
 func (s *Server) shed(now time.Time, t *Task, e *Effects) {
@@ -43,7 +51,7 @@
 func (s *Server) redirect(t *Task, err *verdict.Error, to wire.NodeID, e *Effects) {
 	reply := s.refusal(t.Request, err)
 	reply.BoundTo = to
-	e.reply(reply)
+	s.reply(e, reply)
 }
 
 func (s *Server) forget(t *Task) {
@@ -90,14 +98,12 @@
 
 // Owes reports whether an attempt of the node waits for its answer here.
 func (s *Server) Owes(id wire.NodeID) bool {
-	for w := range s.byCall {
-		if w.from == id {
-			return true
-		}
-	}
-	return len(s.parked) > 0
+	return s.owed[id] > 0
 }
 
+// Exhausted reports that nodes which start from now on are refused here.
+func (s *Server) Exhausted() bool { return s.senders.Exhausted() }
+
 // Level is what callers' nodes are told to hold back below; zero admits all.
 func (s *Server) Level(now time.Time) uint16 {
 	if s.cfg.Policy != PolicyFull {
--- a/serve/server.go
+++ b/serve/server.go
@@ -32,13 +32,16 @@
 	running map[uint64]*Task   // handed to the backend server
 	byCall  map[waiter]uint64  // attempt to task, for cancellation
 	parked  map[string][]*Task // by key, until it is bound
-	lone    *Task              // runs, or waits to run, with nothing beside it
-	peers   []wire.NodeID      // ready nodes of the service, with this one
-	nextID  uint64
-	ready   bool // the backend server takes requests
-	crashed bool // it crashed and has not announced itself since
-	drain   bool
-	counts  Counts
+	// parkedBytes is the size of the bodies of those.
+	parkedBytes int
+	lone        *Task               // runs, or waits to run, with nothing beside it
+	peers       []wire.NodeID       // ready nodes of the service, with this one
+	owed        map[wire.NodeID]int // answers that each node awaits
+	nextID      uint64
+	ready       bool // the backend server takes requests
+	crashed     bool // it crashed and has not announced itself since
+	drain       bool
+	counts      Counts
 }
 
 // New returns the Server of an incarnation that started at start. Its backend
@@ -57,6 +60,7 @@
 		tasks:   make(map[uint64]*Task),
 		running: make(map[uint64]*Task),
 		byCall:  make(map[waiter]uint64),
+		owed:    make(map[wire.NodeID]int),
 		parked:  make(map[string][]*Task),
 	}
 }
@@ -101,6 +105,10 @@
 		s.counts.Misdirected++
 		return e
 	}
+	if s.senders.Refuses(req.From) {
+		e.reply(s.refusal(req, verdict.Refuse(verdict.Shed, "no room for another sender; this node must be replaced")))
+		return e
+	}
 	// A copy of an attempt, however late: the first one has its own answer,
 	// which may have been "not run". Saying nothing is the only answer that
 	// cannot contradict it.
@@ -108,8 +116,9 @@
 		s.counts.Duplicates++
 		return e
 	}
+	s.owed[req.From]++
 	if err := s.precheck(req, op, configured); err != nil {
-		e.reply(s.refusal(req, err))
+		s.reply(&e, s.refusal(req, err))
 		return e
 	}
 	t := s.task(now, req, op)
--- a/transport/outbox.go
+++ b/transport/outbox.go
@@ -37,6 +37,9 @@
 	waiting []outgoing // from taken on
 	taken   int
 	closed  bool
+	// writing says that a message was taken and next has not been called
+	// since.
+	writing bool
 }
 
 func newOutbox(limit int) *outbox {
@@ -79,9 +82,11 @@
 func (o *outbox) take() (m outgoing, ok, closed bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.writing = false
 	if o.closed || o.taken == len(o.waiting) {
 		return outgoing{}, false, o.closed
 	}
+	o.writing = true
 	m = o.waiting[o.taken]
 	o.waiting[o.taken] = outgoing{}
 	o.taken++
@@ -110,6 +115,13 @@
 	o.signal()
 }
 
+// busy reports whether a message waits or is being written.
+func (o *outbox) busy() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.writing && !o.closed || o.taken < len(o.waiting)
+}
+
 func (o *outbox) signal() {
 	select {
 	case o.wake <- struct{}{}:
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -301,6 +301,19 @@
 	return ids
 }
 
+// Flushed reports whether every message that was queued has been written, or
+// its connection has ended.
+func (t *Transport) Flushed() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for c := range t.all {
+		if c.out.busy() {
+			return false
+		}
+	}
+	return true
+}
+
 // sweep closes idle connections.
 func (t *Transport) sweep() {
 	defer t.wg.Done()
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -55,6 +55,20 @@
 	}
 }
 
+// Valid reports whether r can stand in a header field; a reason from a faulty
+// peer may be any text.
+func (r Reason) Valid() bool {
+	for i := range len(r) {
+		if c := r[i]; c != '-' && (c < 'a' || c > 'z') {
+			return false
+		}
+	}
+	return len(r) <= maxReasonBytes
+}
+
+// maxReasonBytes is above the longest reason.
+const maxReasonBytes = 32
+
 // Elsewhere reports whether another backend server may do better: a refusal
 // for this reason concerns one node and not the request itself.
 func (r Reason) Elsewhere() bool {
