admission: a frozen backend server raises the level

Cause: the state of the queue was seen only with calls that were served. With a frozen backend server there are none, the queue looked empty and the level fell while the queue shed all that came. Shed calls tell of the queue too now. Ruled out: a timer of its own (the calls that leave are enough: without any there is nothing to shed). A test freezes a gate; without the change the level stays at zero.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -56,11 +56,29 @@
 type counts struct {
 	open, closed [importance.Count]float64
 	served, shed float64
-	full         float64
-	queued       float64
-	limit        float64
-	inFlight     float64
-	shortest     int
+	queue        queueCounts
+}
+
+// queueCounts sums up the state of the queue over the calls that left it, shed
+// ones too: those are all there is to see while the backend server is frozen.
+type queueCounts struct {
+	calls, full     float64
+	queued          float64
+	limit, inFlight float64
+	shortest        int
+}
+
+func (q *queueCounts) add(s Sample) {
+	if q.calls == 0 || s.Queued < q.shortest {
+		q.shortest = s.Queued
+	}
+	q.calls++
+	q.queued += float64(s.Queued)
+	q.limit += float64(s.Limit)
+	q.inFlight += float64(s.InFlight)
+	if s.InFlight+1 >= s.Limit {
+		q.full++
+	}
 }
 
 // NewGate returns a Gate that admits everything.
@@ -81,20 +99,12 @@
 // Observe counts a call that left the queue.
 func (g *Gate) Observe(now time.Time, s Sample) {
 	g.roll(now)
+	g.seen.queue.add(s)
 	if s.Event == Shed {
 		g.seen.shed++
 		return
 	}
-	if g.seen.served == 0 || s.Queued < g.seen.shortest {
-		g.seen.shortest = s.Queued
-	}
 	g.seen.served++
-	g.seen.queued += float64(s.Queued)
-	g.seen.limit += float64(s.Limit)
-	g.seen.inFlight += float64(s.InFlight)
-	if s.InFlight+1 >= s.Limit {
-		g.seen.full++
-	}
 }
 
 // Level is what callers' nodes are told; zero admits everything.
@@ -170,17 +180,18 @@
 // minus what brings the queue to its target.
 func (g *Gate) set(part float64) {
 	served := g.seen.served / part
-	full := g.seen.full > g.seen.served/2 || g.seen.shed > 0
+	q := &g.seen.queue
+	full := q.full > q.calls/2 || g.seen.shed > 0
 	g.measure(served, full)
 	if !full {
 		g.lower(g.headroom(served))
 		return
 	}
-	queued := g.seen.queued / max(g.seen.served, 1)
-	wanted := g.cfg.Queue * math.Sqrt(g.seen.limit/max(g.seen.served, 1))
+	queued := q.queued / max(q.calls, 1)
+	wanted := g.cfg.Queue * math.Sqrt(q.limit/max(q.calls, 1))
 	target := g.capacity + (wanted-queued)/g.cfg.Settle
 	target = max(target, g.capacity/2)
-	if queued > wanted && g.seen.shortest > 0 {
+	if queued > wanted && q.shortest > 0 {
 		g.raise(target)
 		return
 	}
@@ -201,7 +212,7 @@
 // as there are places free, by at most Probe at a time, or what was served
 // before if that was more.
 func (g *Gate) headroom(served float64) float64 {
-	free := g.seen.limit / max(g.seen.inFlight, 1)
+	free := g.seen.queue.limit / max(g.seen.queue.inFlight, 1)
 	return max(g.capacity, served*min(free, g.cfg.Probe))
 }
 
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -31,7 +31,7 @@
 				continue
 			}
 			if served == 0 {
-				g.Observe(now, Sample{Event: Shed})
+				g.Observe(now, Sample{Event: Shed, Queued: queued, InFlight: 10, Limit: 10})
 				continue
 			}
 			served--
@@ -123,3 +123,25 @@
 	is.True(after >= cfg.RetryMin/2)
 	is.True(after < 2*time.Second)
 }
+
+// The caller sees: its request waits at a frozen backend server for its whole
+// deadline instead of being refused at once. Nothing is served any more and the
+// queue sheds what comes; the level must rise although no call that was served
+// tells of the queue.
+func TestGateClosesWhenNothingIsServed(t *testing.T) {
+	is := is.New(t)
+	g := NewGate(DefaultGateConfig())
+	rng := rand.New(rand.NewPCG(1, 2))
+	now := start
+	load := [importance.Count]int{4, 4, 1, 1}
+	for range 300 {
+		now = now.Add(step)
+		drive(g, rng, now, load, 10, 0, nil)
+	}
+	is.Equal(g.Level(now), uint16(0))
+	for range 1500 {
+		now = now.Add(step)
+		drive(g, rng, now, load, 0, 40, nil)
+	}
+	is.True(g.Level(now) > 2*band)
+}
--- a/internal/loadmodel/node.go
+++ b/internal/loadmodel/node.go
@@ -74,7 +74,7 @@
 		item.Need = n.expect(c)
 	}
 	if n.late(&item) {
-		n.observeShed()
+		n.observe(admission.Shed)
 		c.finish(result{})
 		return
 	}
@@ -112,7 +112,7 @@
 // shed refuses calls that left the queue for want of room.
 func (n *node) shed(items []queue.Item[*call]) {
 	for _, item := range items {
-		n.observeShed()
+		n.observe(admission.Shed)
 		n.refuse(item.Value)
 	}
 }
@@ -121,15 +121,22 @@
 // took nothing from them, so that they do not count for the order.
 func (n *node) expire() {
 	for _, item := range n.queue.Expire(n.model.sim.now) {
-		n.observeShed()
+		n.observe(admission.Shed)
 		item.Value.finish(result{})
 	}
 }
 
-func (n *node) observeShed() {
-	if n.policy.Admission {
-		n.gate.Observe(n.model.sim.now, admission.Sample{Event: admission.Shed})
+// observe tells the gate of a call that left the queue.
+func (n *node) observe(event admission.Event) {
+	if !n.policy.Admission {
+		return
 	}
+	n.gate.Observe(n.model.sim.now, admission.Sample{
+		Event:    event,
+		Queued:   n.queue.Len(),
+		InFlight: n.running,
+		Limit:    n.limit.Limit(),
+	})
 }
 
 func (n *node) refuse(c *call) {
@@ -154,13 +161,8 @@
 func (n *node) start(c *call) {
 	now := n.model.sim.now
 	n.place.start(now, c)
+	n.observe(admission.Served)
 	if n.policy.Admission {
-		n.gate.Observe(now, admission.Sample{
-			Event:    admission.Served,
-			Queued:   n.queue.Len(),
-			InFlight: n.running,
-			Limit:    n.limit.Limit(),
-		})
 		n.shedBelow()
 	}
 	n.running++
