node: tests that can fail in three more ways

Mutations of the code showed what the whole-node tests let through: a cancel that is never sent (the operations' own deadline ended the branches in time), a nesting or size limit that is gone (the frames failed for another reason too), and "not run" for a key whose holder is known to be gone. Deadlines are now longer than any test waits, each malformed frame breaks one rule alone, and the holder is also stopped as planned.

--- a/node/hostile_test.go
+++ b/node/hostile_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"testing"
 	"time"
@@ -102,19 +103,20 @@
 	file := c.Add("fieldlog", testnode.Echo)
 	c.AwaitWhole()
 	raw := func(kind wire.Kind, body ...byte) []byte { return append([]byte{0x82, byte(kind)}, body...) }
-	deep := make([]byte, 1000)
-	for i := range deep {
-		deep[i] = 0x81 // an array of one
-	}
-	huge := []byte{0xa1, 0x05, 0x9a, 0xff, 0xff, 0xff, 0xff} // an array of 2^32-1, in field 5
+	unknown := func(value []byte) []byte { return append([]byte{0xa1, 0x18, 99}, value...) } // in a field of a later release
+	deep := bytes.Repeat([]byte{0x81}, 1000)                                                 // arrays of one
+	deep = append(deep, 0x01)
+	huge := append([]byte{0x9a, 0x00, 0x02, 0x00, 0x00}, make([]byte, 1<<17)...) // an array of 2^17
+	oversized, err := wire.Encode(wire.KindReply, call.Reply{Body: make([]byte, wire.MaxMessageBytes)})
+	is.NoErr(err)
 	for name, data := range map[string][]byte{
 		"no frame":   {0x01},
-		"nested":     raw(wire.KindMembership, deep...),
-		"huge count": raw(wire.KindMembership, huge...),
+		"nested":     raw(wire.KindMembership, unknown(deep)...),
+		"huge count": raw(wire.KindMembership, unknown(huge)...),
 		"endless":    raw(wire.KindConfig, 0xbf),
 		"other type": raw(wire.KindCall, 0x63, 'a', 'b', 'c'),
 		"doubled":    raw(wire.KindCancel, 0xa2, 0x02, 0x01, 0x02, 0x01),
-		"oversized":  make([]byte, wire.MaxMessageBytes+1),
+		"oversized":  oversized,
 	} {
 		p := file.Dial(t, wire.NewNodeID())
 		if err := p.SendRaw(data); err == nil && p.Sync() == nil {
--- a/node/keys_test.go
+++ b/node/keys_test.go
@@ -65,9 +65,25 @@
 
 // A caller resends a request with a minted key through another node while the
 // first is running: it joins. After the end its answer is given again. When
-// the node that the key names is gone, nobody runs it again and nobody claims
-// that it did not run.
+// the node that the key names is gone, known to be so or not yet, nobody runs
+// it again and nobody claims that it did not run.
 func TestMintedKeyRunsOnce(t *testing.T) {
+	t.Run("then killed", func(t *testing.T) {
+		mintedKey(t, func(_ *keyed, holder *testnode.Instance) { holder.Kill() })
+	})
+	t.Run("then stopped", func(t *testing.T) {
+		mintedKey(t, func(k *keyed, holder *testnode.Instance) {
+			if err := holder.Stop(t.Context()); err != nil {
+				t.Error(err)
+			}
+			testnode.Await(t, "both know", func() bool {
+				return len(k.desks[0].Node.Members()) == 3 && len(k.desks[1].Node.Members()) == 3
+			})
+		})
+	})
+}
+
+func mintedKey(t *testing.T, end func(k *keyed, holder *testnode.Instance)) {
 	is := is.New(t)
 	k := startKeyed(t)
 	key := k.desks[0].MintKey(t, "fieldlog", "file")
@@ -86,7 +102,7 @@
 	is.Equal(string(again.Body), "a")
 	is.Equal(k.runs("a"), 1)
 
-	k.holder("a").Kill()
+	end(k, k.holder("a"))
 	for _, desk := range k.desks {
 		gone := desk.Must(t, "fieldlog", "file", "a", headers.IdempotencyKey, key)
 		is.Equal(gone.Verdict(), verdict.MayHaveRun)
--- a/node/main_test.go
+++ b/node/main_test.go
@@ -11,33 +11,35 @@
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
 
-// text declares a request that fans out over two services and two hops.
+// text declares a request that fans out over two services and two hops. Its
+// deadlines are longer than any test waits: what ends does so for another
+// reason.
 const text = `
 service "alertdesk" {
   operation "issue" {
-    deadline = "10s"
+    deadline = "60s"
     calls    = ["plumecast.forecast", "fieldlog.file"]
   }
   operation "idle" {
-    deadline = "10s"
+    deadline = "60s"
   }
 }
 service "plumecast" {
   operation "forecast" {
     idempotent = true
-    deadline   = "10s"
+    deadline   = "60s"
     calls      = ["stationlog.history"]
   }
 }
 service "fieldlog" {
   operation "file" {
-    deadline = "10s"
+    deadline = "60s"
   }
 }
 service "stationlog" {
   operation "history" {
     idempotent = true
-    deadline   = "10s"
+    deadline   = "60s"
   }
 }`
 
