admission: small backend servers set the level more often

Cause: with 10 slots an interval of 30 calls took four times as long, and the level followed the load too late. 15 calls are enough, with the queue brought to its target over six intervals instead of four.

--- a/admission/config.go
+++ b/admission/config.go
@@ -41,10 +41,10 @@
 func DefaultGateConfig() GateConfig {
 	return GateConfig{
 		Interval: 50 * time.Millisecond,
-		Calls:    30,
+		Calls:    15,
 		Stretch:  4,
 		Queue:    1,
-		Settle:   4,
+		Settle:   6,
 		Lag:      2,
 		Surplus:  0.15,
 		Probe:    2,
