admission: the combined level of a service is kept until a word changes

Cause: each call asks for the levels of all services that it reaches, and each reply for those to pass on; with 26 services of 17 known nodes that sorted 442 levels each time. The result now holds until a node says something else or its word grows old. Ruled out: refreshing it every few milliseconds (late by as much).

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -23,6 +23,9 @@
 type service struct {
 	nodes    []learned
 	recovery recovery
+	// combined is the level until valid, unless a word changes.
+	combined uint16
+	valid    time.Time
 }
 
 // Levels holds the levels of other services as learned from replies. A node has
@@ -67,7 +70,7 @@
 		s = &service{}
 		l.services[name] = s
 	}
-	s.learn(now, word, l.cfg.Nodes)
+	s.learn(word, l.cfg.Nodes)
 	l.follow(now, s)
 }
 
@@ -99,13 +102,18 @@
 	return slices.ContainsFunc(s.nodes, func(n learned) bool { return n.speaker == speaker })
 }
 
-func (s *service) learn(now time.Time, word learned, most int) {
+func (s *service) learn(word learned, most int) {
 	for i := range s.nodes {
-		if s.nodes[i].node == word.node {
-			s.nodes[i] = word
-			return
+		if s.nodes[i].node != word.node {
+			continue
 		}
+		if s.nodes[i].level != word.level {
+			s.valid = time.Time{}
+		}
+		s.nodes[i] = word
+		return
 	}
+	s.valid = time.Time{}
 	if len(s.nodes) < most {
 		s.nodes = append(s.nodes, word)
 		return
@@ -133,14 +141,30 @@
 	return uint16(float64(n.level) * left)
 }
 
-// level combines the nodes of a service.
+// level combines the nodes of a service. The result holds until a word changes
+// or may have to decay: each call asks for the levels of all services that it
+// reaches.
 func (l *Levels) level(now time.Time, s *service) uint16 {
+	if now.Before(s.valid) {
+		return s.combined
+	}
+	s.valid = now.Add(l.cfg.Fresh)
 	l.scratch = l.scratch[:0]
 	for _, n := range s.nodes {
-		if now.Sub(n.at) < l.cfg.Fresh+l.cfg.Decay {
-			l.scratch = append(l.scratch, l.current(now, n))
+		stale := n.at.Add(l.cfg.Fresh)
+		if now.Sub(stale) >= l.cfg.Decay {
+			continue
 		}
+		if stale.Before(s.valid) {
+			s.valid = stale
+		}
+		l.scratch = append(l.scratch, l.current(now, n))
 	}
+	s.combined = l.quantile()
+	return s.combined
+}
+
+func (l *Levels) quantile() uint16 {
 	if len(l.scratch) == 0 {
 		return 0
 	}
