admission: the services remembered are bounded

Cause: a peer that names ever new services would fill a node's memory. Callers of Heard cannot filter for it: what a reply does not name counts as admitted, so leaving out the services that one operation does not reach would take back what another operation's reply had said. Ruled out: refusing new names for good once the table is full. A test names 1000 services and finds 256 kept, and room a second later.

--- a/admission/config.go
+++ b/admission/config.go
@@ -64,8 +64,9 @@
 	// Quantile of the nodes' levels that stands for a service. Below one
 	// half, so that a straggler does not close its service.
 	Quantile float64
-	// Nodes bounds the number of nodes remembered for each service.
-	Nodes int
+	// Services bounds the number of services remembered, of which the graph
+	// is meant to hold 200, and Nodes that of nodes for each.
+	Services, Nodes int
 	// Report bounds the number of levels passed on.
 	Report int
 	// RetryMin and RetryMax bound the time to come back that is proposed.
@@ -78,6 +79,7 @@
 		Fresh:    500 * time.Millisecond,
 		Decay:    500 * time.Millisecond,
 		Quantile: 0.5,
+		Services: 256,
 		Nodes:    32,
 		Report:   16,
 		RetryMin: 200 * time.Millisecond,
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -67,6 +68,9 @@
 func (l *Levels) learn(now time.Time, name string, word learned) {
 	s, ok := l.services[name]
 	if !ok {
+		if !l.room(now) {
+			return
+		}
 		s = &service{}
 		l.services[name] = s
 	}
@@ -74,6 +78,20 @@
 	l.follow(now, s)
 }
 
+// room reports whether another service can be remembered. A peer could name any
+// number of them; those not heard of any more make room.
+func (l *Levels) room(now time.Time) bool {
+	if len(l.services) < l.cfg.Services {
+		return true
+	}
+	maps.DeleteFunc(l.services, func(_ string, s *service) bool {
+		return !slices.ContainsFunc(s.nodes, func(n learned) bool {
+			return now.Sub(n.at) < l.cfg.Fresh+l.cfg.Decay
+		})
+	})
+	return len(l.services) < l.cfg.Services
+}
+
 // Heard notes all levels of one reply of a node of the given service. What the
 // reply does not name is admitted: the node's own service, and the services
 // that this or another node of that service has named before. Without the
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -98,14 +99,23 @@
 	is.Equal(l.Level(start, "alertdesk"), uint16(0))
 }
 
-// The caller sees: a node out of memory after a day of replaced instances. Each
-// new node of a service says something once; only the latest are kept.
+// The caller sees: a node out of memory after a day of replaced instances, or
+// because a faulty peer names a new service each time; or a service that can no
+// longer be learned because of such names. Only the latest nodes are kept, and
+// names that are not heard again make room.
 func TestLevelsStayBounded(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultLevelsConfig()
 	l := NewLevels(cfg, 1)
 	for i := range 200 {
-		l.Learn(start.Add(time.Duration(i)*time.Second), "dossier-svc", node(i), 10)
+		l.Learn(start.Add(time.Duration(i)*time.Millisecond), "dossier-svc", node(i), 10)
 	}
 	is.Equal(l.Dump(start)[0].Nodes, cfg.Nodes)
+	for i := range 1000 {
+		l.Learn(start, strconv.Itoa(i), node(1), 10)
+	}
+	is.Equal(len(l.Dump(start)), cfg.Services)
+	later := start.Add(cfg.Fresh + cfg.Decay)
+	l.Learn(later, "history-svc", node(1), 10)
+	is.Equal(l.Level(later, "history-svc"), uint16(10))
 }
