--- a/limit/limit.go
+++ b/limit/limit.go
@@ -7,15 +7,18 @@
 // proportion to the calls in flight beyond that. The limit follows the number
 // that is being worked on plus a little headroom, and only while it is in use.
 //
-// The latency without queueing, the floor, is kept for each class of calls. It
-// is not known for certain: a backend server that became three times slower
-// looks like one with three calls in flight for each slot. The two differ in
-// what a decrease does. A shorter queue shortens the latency in proportion; a
-// slower backend server stays as it is. So every larger decrease is an
-// experiment: if the latency did not follow, the floor is raised to what was
-// measured and the limit is restored. The same experiment, made now and then
-// while the limit is in use, finds a queue that stood from the start. Refused
-// calls are judged in the same way.
+// The latency without queueing, the floor, is kept for each class of calls, as
+// a change in the mix of cheap and costly calls is no queue. It is not known for
+// certain: a backend server that became three times slower looks like one with
+// three calls in flight for each slot. The two differ in what a decrease does. A
+// shorter queue shortens the latency in proportion; a slower backend server
+// stays as it is. So a large rise is answered by an experiment, a cut by a third,
+// and the share of it that the latency follows decides, whatever the floor was.
+// The same experiment, made now and then while the limit is in use, finds a
+// queue that stood from the start. Small rises are trimmed off.
+//
+// Refusals cut the limit to the calls in flight beside them, unless that does
+// not end them: then they do not depend on the limit.
 package limit
 
 import "time"
@@ -128,21 +131,29 @@
 func (l *Limiter) account(s Sample) {
 	own := max(0, s.Latency-s.Downstream).Seconds()
 	l.win.ended += own
-	switch s.Outcome {
-	case Success:
+	switch {
+	case s.Outcome == Ignore:
+		l.cutShort(s, own)
+	case s.Outcome == Overload && l.short(s, own):
 		l.win.finished++
-		l.succeed(s, own)
-	case Overload:
 		l.win.refused++
 		l.win.lost += s.Latency.Seconds()
-		l.win.finished++
 		l.cutShort(s, own)
 	default:
-		l.cutShort(s, own)
+		l.win.finished++
+		l.served(s, own)
 	}
 }
 
-func (l *Limiter) succeed(s Sample, own float64) {
+// short tells a refusal from a call that timed out. The latter held a slot like
+// one that is served, and its latency tells what there is to tell: taken for a
+// refusal, it would cut the limit of a server that is merely slow.
+func (l *Limiter) short(s Sample, own float64) bool {
+	floor := l.floors.expect(s.Class).Seconds()
+	return floor == 0 || own < floor
+}
+
+func (l *Limiter) served(s Sample, own float64) {
 	fl := l.floors.get(s.Class, own, l.ratio)
 	fl.recent += own
 	fl.recentCalls++
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -20,6 +20,7 @@
 	work    func() (time.Duration, uint32)
 	refuse  func(busy int) bool
 	frozen  time.Time
+	timeout time.Duration
 	ends    ends
 	backlog []begun
 	busy    int
@@ -33,6 +34,7 @@
 	inFlight int
 	class    uint32
 	outcome  Outcome
+	refused  bool
 }
 
 type ends []begun
@@ -80,7 +82,7 @@
 func (s *server) begin() {
 	c := begun{at: s.now, inFlight: s.l.Begin(s.now)}
 	if s.refuse != nil && s.refuse(s.busy) {
-		c.outcome = Overload
+		c.outcome, c.refused = Overload, true
 		c.end = s.now.Add(time.Millisecond)
 		heap.Push(&s.ends, c)
 		return
@@ -96,6 +98,9 @@
 	s.busy++
 	d, class := s.work()
 	c.class = class
+	if s.timeout > 0 && d > s.timeout {
+		d, c.outcome = s.timeout, Overload
+	}
 	c.end = s.now.Add(d)
 	if c.end.Before(s.frozen) {
 		c.end = s.frozen.Add(d)
@@ -120,11 +125,11 @@
 }
 
 func (s *server) end(c begun) {
-	if c.outcome == Success {
+	if c.refused {
+		s.refused++
+	} else {
 		s.busy--
 		s.done++
-	} else {
-		s.refused++
 	}
 	s.l.End(s.now, Sample{Latency: s.now.Sub(c.at), InFlight: c.inFlight, Outcome: c.outcome, Class: c.class})
 	if len(s.backlog) > 0 && s.busy < s.slots {
@@ -231,6 +236,19 @@
 	is.True(mean >= 0.85*50)
 }
 
+// The caller sees: a slow service that also gets fewer calls than it could
+// serve. One call in ten times out at the backend server; that is no refusal.
+func TestTimeoutsDoNotCut(t *testing.T) {
+	is := is.New(t)
+	s := newServer(50, 30*time.Millisecond)
+	s.timeout = 60 * time.Millisecond
+	s.pass(5 * time.Second)
+	mean := s.pass(20 * time.Second)
+	t.Logf("50 slots, one in ten times out: mean limit %.1f", mean)
+	is.True(mean >= 0.95*50)
+	is.True(mean <= 1.5*50)
+}
+
 // The caller sees: nothing for two seconds, while the backend server is frozen,
 // and then slow answers for long, because the calls that were stuck looked like
 // a queue. Throughput must be back within a second after it thaws.
