limit: a call that timed out is no refusal

Cause: both come as overload. Timeouts of a slow backend server were taken for refusals and cut the limit again and again, though each held a slot as long as a served call. Ruled out: counting timeouts as cut short (their time without a latency of their own looked like a queue: limit 38 of 50).

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -30,7 +30,8 @@
 const (
 	// Success: the backend server answered, whatever the answer.
 	Success Outcome = iota
-	// Overload: the backend server refused the call or it timed out.
+	// Overload: the backend server refused the call, which takes less than
+	// the floor, or the call timed out, which takes more.
 	Overload
 	// Ignore: the call says nothing, for example because it was cancelled.
 	Ignore
