--- a/internal/prove/fleet.go
+++ b/internal/prove/fleet.go
@@ -137,17 +137,22 @@
 }
 
 func (f *Fleet) startLog() error {
-	addr := fmt.Sprintf("%s.%d:%d", f.subnet, logHost, backendPort)
+	addr := f.at(logHost, backendPort)
 	f.LogURL = "http://" + addr
 	var err error
 	f.Log, err = f.Rig.Start("log", rig.LogProgram, append([]string{"--listen", addr}, f.opts.LogArgs...)...)
 	return err
 }
 
+// at is an address at an instance's IP number.
+func (f *Fleet) at(instance, port int) string {
+	return fmt.Sprintf("%s.%d:%d", f.subnet, instance, port)
+}
+
 // Add starts one more instance.
 func (f *Fleet) Add(service, dataCentre string) (*rig.Instance, error) {
 	n := len(f.Instances) + 1
-	at := func(port int) string { return fmt.Sprintf("%s.%d:%d", f.subnet, n, port) }
+	at := func(port int) string { return f.at(n, port) }
 	i := &rig.Instance{
 		Name:        fmt.Sprintf("%s-%d", service, n),
 		Service:     service,
@@ -159,7 +164,7 @@
 		BackendAddr: at(backendPort),
 	}
 	i.Journal = filepath.Join(f.Rig.Dir(), i.Name+".journal")
-	hidden := fmt.Sprintf("%s.%d:%d", f.subnet, hiddenOffset+n, peerPort)
+	hidden := f.at(hiddenOffset+n, peerPort)
 	if err := f.Network.Relay(i.PeerAddr, hidden); err != nil {
 		return nil, err
 	}
@@ -173,9 +178,9 @@
 		"--listen", i.CallerAddr, "--local-listen", i.LocalAddr, "--ops-listen", i.OpsAddr,
 		"--peer-listen", hidden, "--advertise", ip, "--log-url", f.LogURL,
 	}
-	for _, seed := range f.Instances[:min(seedCount, len(f.Instances))] {
-		if seed != i {
-			args = append(args, "--seed", seed.PeerAddr)
+	for n := 1; n <= min(seedCount, f.Shape.Instances()); n++ {
+		if seed := f.at(n, peerPort); seed != i.PeerAddr {
+			args = append(args, "--seed", seed)
 		}
 	}
 	var err error
