membership: tests for five safeguards that could be removed unnoticed

Tests now fail for five more: the claim told to who is held for dead, time that a pause must not count, islands merged through the log, a change without its content, a node that slept for hours vouching for others. The sixth was of no use any more since repair offers identities before records, and is removed.

MaxStep is one second: two let a pause expire a probe under way.

--- a/membership/apply.go
+++ b/membership/apply.go
@@ -33,7 +33,6 @@
 			return
 		}
 	} else if !mem.newer(r.Incarnation, r.State) {
-		m.correct(mem, r.Incarnation, repair, reply)
 		return
 	} else if r.Content < mem.Content {
 		m.counters.Refused++
@@ -49,14 +48,6 @@
 	}
 }
 
-// correct answers a repair that offers a member which is known to be gone.
-func (m *Members) correct(mem *member, inc uint64, repair bool, reply *Message) {
-	if repair && mem.State.Gone() && inc <= mem.Incarnation && len(reply.Changes) < maxWant {
-		reply.Changes = append(reply.Changes, mem.change())
-		reply.Repair = true
-	}
-}
-
 // takeChanges merges changes.
 func (m *Members) takeChanges(msg *Message, reply *Message) {
 	for _, c := range msg.Changes {
--- a/membership/config.go
+++ b/membership/config.go
@@ -74,7 +74,8 @@
 	VerifyPerSecond int
 	// MaxStep is the longest time that one Tick lets pass. A node that was
 	// paused, or whose clock jumped, must not see all its timeouts expire
-	// at once and suspect everybody.
+	// at once and suspect everybody: half the time of a probe leaves the
+	// answers that wait for it time to be read.
 	MaxStep time.Duration
 
 	// JoinInterval is the time between attempts to reach a first peer, and
@@ -131,7 +132,7 @@
 		MaxMembers:        20000,
 
 		VerifyPerSecond: 4,
-		MaxStep:         2 * time.Second,
+		MaxStep:         time.Second,
 
 		JoinInterval:       time.Second,
 		JoinAddrs:          3,
--- a/membership/scenario_test.go
+++ b/membership/scenario_test.go
@@ -210,3 +210,115 @@
 	is.NoErr(err)
 	is.True(len(change) <= membership.ChangeSize(&rec))
 }
+
+// An instance is paused for so long that nobody tries it any more. When it goes
+// on, callers must be served by it again within seconds: the first peer that it
+// speaks to tells it that it is held for dead.
+func TestPausedNodeComesBackAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := capacity.New(capacity.DefaultConfig())
+	fleet := s.StartFleet(20)
+	s.Run(20 * time.Second)
+	paused := fleet[7]
+	s.Freeze(paused)
+	s.Run(membership.DefaultConfig().ReconnectFor + 5*time.Minute)
+	is.Equal(outOfService(s, paused), 0)
+	s.Thaw(paused)
+	took, ok := s.RunUntil(time.Minute, 100*time.Millisecond, s.Converged)
+	is.True(ok)
+	is.True(took <= 4*time.Second)
+}
+
+// The log is out when two groups start, each with its own address to join. The
+// services of one have no servers for callers of the other until the log is
+// back and names both.
+func TestIslandsMergeWhenTheLogIsBack(t *testing.T) {
+	is := is.New(t)
+	s := capacity.New(capacity.DefaultConfig())
+	s.Log.Outage(s.Now().Add(3 * time.Minute))
+	const size = 40
+	for i := range size {
+		spec := capacity.FleetSpec(i, size)
+		spec.Seeds = []string{capacity.FleetSpec(i%2, size).Addr}
+		s.Start(spec)
+	}
+	s.Run(3 * time.Minute)
+	missing, extra := s.Mismatches()
+	is.Equal(missing, size*size/2)
+	is.Equal(extra, 0)
+	_, ok := s.RunUntil(4*time.Minute, time.Second, s.Converged)
+	is.True(ok)
+}
+
+// machine is one node at time zero that knows one other.
+func machine(other membership.Record) (*membership.Members, time.Time) {
+	now := time.Unix(0, 0)
+	m := membership.New(membership.DefaultConfig(), membership.Record{ID: wire.NodeID{1}, PeerAddr: "10.0.0.1:1"}, 1)
+	m.Tick(now)
+	m.Receive(now, other.ID, membership.Message{Records: []membership.Record{other}})
+	return m, now
+}
+
+var other = membership.Record{ID: wire.NodeID{2}, Service: "old", PeerAddr: "10.0.0.2:1", Ready: true, Incarnation: 1, Content: 1}
+
+// A node missed that another now serves another service, and hears of a later
+// change that travels without the service's name. Calls for the old service
+// would go there for good; it has to ask for the record.
+func TestChangeWithoutItsContentIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	m, now := machine(other)
+	change := membership.Change{ID: other.ID, Incarnation: 3, Content: 2}
+	sends := m.Receive(now, other.ID, membership.Message{Changes: []membership.Change{change}})
+	is.Equal(sends[0].Msg.Want, []wire.NodeID{other.ID})
+	r, _ := m.Lookup(other.ID)
+	is.Equal(r.Incarnation, uint64(1))
+}
+
+// A node slept for hours, in which a member died and its tombstones expired. If
+// it offered that member to its peers, callers would be sent to the dead.
+func TestNodeThatSleptVouchesForNobody(t *testing.T) {
+	is := is.New(t)
+	m, now := machine(other)
+	listing := membership.Message{Listing: &membership.Listing{Buckets: []byte{other.ID[0]}}}
+	m.Receive(now, other.ID, listing) // ends the joining
+	sends := m.Receive(now, other.ID, listing)
+	is.Equal(sends[0].Msg.Offer[0].ID, other.ID)
+	now = now.Add(4 * time.Hour)
+	listing.Listing.More = true
+	for _, send := range m.Receive(now, other.ID, listing) {
+		is.Equal(len(send.Msg.Offer), 0)
+	}
+}
+
+// A process is paused while it waits for the answer to a probe. When it goes
+// on, its timers run before it reads what has come. If the time of the pause
+// counted, it would suspect all that it had asked, and callers would find fewer
+// servers everywhere.
+func TestPauseBlamesNobody(t *testing.T) {
+	is := is.New(t)
+	m, now := machine(other)
+	var ping uint64
+	for ping == 0 {
+		now = now.Add(100 * time.Millisecond)
+		for _, send := range m.Tick(now) {
+			ping = max(ping, send.Msg.Ping)
+		}
+	}
+	now = now.Add(time.Minute)
+	m.Tick(now)
+	m.Receive(now, other.ID, membership.Message{Ack: ping})
+	now = now.Add(time.Second)
+	m.Tick(now)
+	is.Equal(m.Stats().Suspected, uint64(0))
+}
+
+// A node that is held for dead speaks. If it were not told, it would learn of
+// it by chance only, and callers would do without its server until then.
+func TestWhoIsHeldForDeadIsTold(t *testing.T) {
+	is := is.New(t)
+	m, now := machine(other)
+	dead := membership.Change{ID: other.ID, State: membership.Dead, Incarnation: 1, Content: 1}
+	m.Receive(now, wire.NodeID{3}, membership.Message{Changes: []membership.Change{dead}})
+	sends := m.Receive(now, other.ID, membership.Message{Ping: 5})
+	is.Equal(sends[0].Msg.Changes, []membership.Change{dead})
+}
