serve, dispatch: levels of nodes that have nothing to say count too

Cause: only replies that name a level were learned, so one straggler spoke for its whole service; now every reply of a node counts. The filter by the call's own reach erased what other operations had learned; the levels bound their memory themselves. Refusals propose the measured time to come back in place of a fixed one, and a request that cannot be served in time is refused as such and not as shed, so that no extra attempt is spent on it.

--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -179,22 +179,9 @@
 	if r.From.IsZero() {
 		return
 	}
-	levels := known(p.Operation.Reach(), r.Levels)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.levels(p).LearnReply(time.Now(), r.From, levels)
-}
-
-// known keeps the levels of services that the call could reach: a faulty peer
-// could name any number of others, which would be kept for good.
-func known(services []string, levels []call.Level) []call.Level {
-	var kept []call.Level
-	for _, l := range levels {
-		if slices.Contains(services, l.Service) {
-			kept = append(kept, l)
-		}
-	}
-	return kept
+	d.levels(p).Heard(time.Now(), p.Operation.Service, r.From, r.Levels)
 }
 
 func (d *Dispatcher) levels(p Params) *admission.Levels {
--- a/node/node.go
+++ b/node/node.go
@@ -128,6 +128,7 @@
 	cfg.Transport.Addr = cfg.PeerAddr
 	cfg.Serve.Self = id
 	cfg.Serve.Service = cfg.Service
+	cfg.Serve.Seed = seed
 	cfg.Dispatch.Self = id
 	cfg.Dispatch.DataCentre = cfg.DataCentre
 	cfg.Dispatch.Seed = seed
--- a/serve/config.go
+++ b/serve/config.go
@@ -36,10 +36,8 @@
 	// RefuseRetryAfter is proposed with refusals that have no measured
 	// time of recovery, such as a drain: another node serves at once.
 	RefuseRetryAfter time.Duration
-	// ShedRetryAfter is proposed with a request that this node sheds. A
-	// level is set anew every 100 ms; callers' nodes replace it by the
-	// recovery that they have measured.
-	ShedRetryAfter time.Duration
+	// Seed is for the times to come back that are proposed.
+	Seed uint64
 	// Policy leaves parts out, for experiments.
 	Policy Policy
 }
@@ -67,6 +65,5 @@
 		Once:             once.DefaultConfig(),
 		Poison:           poison.DefaultConfig(),
 		RefuseRetryAfter: 100 * time.Millisecond,
-		ShedRetryAfter:   time.Second,
 	}
 }
--- a/serve/key.go
+++ b/serve/key.go
@@ -90,9 +90,9 @@
 	case len(waiting) > s.cfg.Once.MaxJoined:
 		s.reply(e, s.refusal(t.Request, verdict.Doubt(verdict.Duplicate, "too many copies wait for the key's binding")))
 	case s.parkedBytes+size > maxParkedBytes && len(waiting) > 0:
-		s.reply(e, s.refusal(t.Request, verdict.Doubt(verdict.Shed, "too much waits for bindings").After(s.cfg.ShedRetryAfter)))
+		s.reply(e, s.refusal(t.Request, verdict.Doubt(verdict.Shed, "too much waits for bindings").After(s.cfg.RefuseRetryAfter)))
 	case s.parkedBytes+size > maxParkedBytes:
-		s.reply(e, s.refusal(t.Request, verdict.Refuse(verdict.Shed, "too much waits for bindings").After(s.cfg.ShedRetryAfter)))
+		s.reply(e, s.refusal(t.Request, verdict.Refuse(verdict.Shed, "too much waits for bindings").After(s.cfg.RefuseRetryAfter)))
 	default:
 		s.parkedBytes += size
 		s.parked[t.Request.Key] = append(waiting, t)
--- a/serve/server.go
+++ b/serve/server.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,7 @@
 	queue   *queue.Queue[*Task]
 	gate    *admission.Gate
 	guard   *poison.Guard
+	random  *rand.Rand
 
 	tasks   map[uint64]*Task   // waiting or running
 	running map[uint64]*Task   // handed to the backend server
@@ -57,6 +59,7 @@
 		queue:   queue.New[*Task](cfg.Queue),
 		gate:    admission.NewGate(cfg.Gate),
 		guard:   poison.New(cfg.Poison, cfg.Self),
+		random:  rand.New(rand.NewPCG(cfg.Seed, 0)),
 		tasks:   make(map[uint64]*Task),
 		running: make(map[uint64]*Task),
 		byCall:  make(map[waiter]uint64),
@@ -170,13 +173,19 @@
 	if s.quarantined(now, t, e) {
 		return
 	}
-	s.tasks[t.ID] = t
-	s.byCall[t.waiter] = t.ID
 	item := queue.Item[*Task]{ID: t.ID, Deadline: t.Deadline, Value: t}
 	if s.cfg.Policy == PolicyFull {
 		item.Priority = t.priority
 		item.Need = s.limit.Expect(t.class)
 	}
+	if s.queue.Late(now, &item) {
+		s.counts.Expired++
+		s.observe(now, admission.Shed)
+		s.finishUnstarted(t, verdict.Refuse(verdict.Deadline, "would expire before its turn"), e)
+		return
+	}
+	s.tasks[t.ID] = t
+	s.byCall[t.waiter] = t.ID
 	for _, dropped := range s.queue.Push(now, item) {
 		s.shed(now, dropped.Value, e)
 	}
@@ -202,7 +211,7 @@
 }
 
 func (s *Server) shedError(now time.Time) *verdict.Error {
-	return verdict.Refuse(verdict.Shed, "%s sheds below priority %d", s.cfg.Service, s.gate.Level(now)).After(s.cfg.ShedRetryAfter)
+	return verdict.Refuse(verdict.Shed, "%s sheds below priority %d", s.cfg.Service, s.gate.Level(now)).After(s.gate.RetryAfter(now, s.random))
 }
 
 // Cancel ends one attempt that nobody waits for. Work that has not started
