--- a/internal/capacity/bench_test.go
+++ b/internal/capacity/bench_test.go
@@ -218,7 +218,9 @@
 				if err != nil {
 					b.Fatal(err)
 				}
-				b.ReportMetric(c.Bytes, "B/conn")
+				b.ReportMetric(c.Memory, "B/conn")
+				b.ReportMetric(c.Sent, "sent-B/open")
+				b.ReportMetric(c.Received, "received-B/open")
 				b.ReportMetric(float64(c.CPU.Microseconds()), "open-cpu-µs/conn")
 			}
 			b.ReportMetric(0, "ns/op")
--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassialoom/cassialoom/config"
@@ -101,9 +102,44 @@
 
 // Connection is what one connection costs one of its two ends.
 type Connection struct {
-	Bytes float64
-	// CPU is for opening it, on one end.
+	// Memory stays for as long as it is open.
+	Memory float64
+	// CPU is for opening it.
 	CPU time.Duration
+	// Sent is what the end that dials sends until the connection is open,
+	// Received what it gets, both without the headers of TCP and IP.
+	Sent, Received float64
+}
+
+// countingListener counts what its connections carry.
+type countingListener struct {
+	net.Listener
+	in, out atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, l: l}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	l *countingListener
+}
+
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.l.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.l.out.Add(int64(n))
+	return n, err
 }
 
 type idleHandler struct{}
@@ -116,10 +152,11 @@
 // MeasureConnections opens count connections to one node, each from a node of
 // its own, over loopback.
 func MeasureConnections(count int) (Connection, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	tcp, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return Connection{}, err
 	}
+	listener := &countingListener{Listener: tcp}
 	addr := listener.Addr().String()
 	hub := newTransport(addr)
 	defer hub.Close()
@@ -142,7 +179,12 @@
 	used = cpuTime() - used
 	grown := memory() - before
 	both := 2 * count
-	return Connection{Bytes: float64(grown) / float64(both), CPU: used / time.Duration(both)}, nil
+	return Connection{
+		Memory:   float64(grown) / float64(both),
+		CPU:      used / time.Duration(both),
+		Sent:     float64(listener.in.Load()) / float64(count),
+		Received: float64(listener.out.Load()) / float64(count),
+	}, nil
 }
 
 func newTransport(addr string) *transport.Transport {
