prove: a drain that peers do not hear, a data centre cut off

Peers that send to a leaving node after its grace, because they could not hear it, and a data centre that others hold for dead and that comes back, were not tried.

Waiting for the nodes' own reconnects to notice was ruled out: it is the relay that was not like a network.

--- a/internal/prove/datacentre_test.go
+++ b/internal/prove/datacentre_test.go
@@ -82,6 +82,41 @@
 	is.True(tally.ActionsToldRan > 500)
 }
 
+// One data centre is cut off from the others for longer than it takes to hold
+// its nodes for dead. Both sides go on with what they have; nothing runs twice.
+// Once the links are open again, all nodes know each other and hold the
+// publication that only one side had.
+func TestProveDataCentreCutOff(t *testing.T) {
+	is := is.New(t)
+	f := start(t, options())
+	rng := random(t)
+	traffic := f.StartTraffic(t.Context(), DefaultTraffic(rng.Uint64()))
+	w := f.StartWatch(t.Context())
+	time.Sleep(time.Second)
+	inside, outside := inDataCentre(f, "joensuu-hall")
+	for _, a := range inside {
+		for _, b := range outside {
+			f.Network.Set(a.PeerAddr, b.PeerAddr, Cut)
+		}
+	}
+	time.Sleep(3 * time.Second)
+	p, err := f.PublishText(t.Context(), "operator", variant("stationlog", 1500))
+	is.NoErr(err)
+	is.True(p.Accepted)
+	time.Sleep(8 * time.Second)
+	f.Network.SetAll(Open)
+	healed := time.Now()
+	is.NoErr(f.AwaitServing(t.Context()))
+	t.Logf("all nodes know each other %v after the cut", time.Since(healed).Round(time.Millisecond))
+	inForce(t, f, w, p.Version)
+	time.Sleep(time.Second)
+	traffic.End()
+	_, err = w.End()
+	is.NoErr(err)
+	judge(t, f)
+	sameState(t, f)
+}
+
 // All nodes are frozen for five seconds with requests in flight and go on as
 // if nothing had been. Callers have sent again meanwhile; nothing runs twice,
 // no node takes the others for dead for good, and all is served soon again.
--- a/internal/prove/drain_test.go
+++ b/internal/prove/drain_test.go
@@ -34,9 +34,23 @@
 // after that. All of these end as if nothing had happened, no new work begins
 // there after a few seconds, and the process ends by itself with status 0.
 func TestProveDrainOfANode(t *testing.T) {
+	drainNode(t, func(*Fleet, *rig.Instance) {})
+}
+
+// The same, but nothing passes between the leaving node and the others for
+// longer than new work is allowed. They go on sending it requests, which all
+// arrive at once when the links are open again: none may run.
+func TestProveDrainThatPeersDoNotHear(t *testing.T) {
+	drainNode(t, func(f *Fleet, leaving *rig.Instance) {
+		f.Network.Isolate(leaving.PeerAddr, f.PeerAddrs(), Stalled)
+		time.AfterFunc(newWorkLimit+time.Second/2, func() { f.Network.SetAll(Open) })
+	})
+}
+
+func drainNode(t *testing.T, before func(*Fleet, *rig.Instance)) {
 	is := is.New(t)
 	opts := options()
-	opts.Graph = strings.NewReplacer(`"3s"`, `"12s"`, `"2s"`, `"10s"`).Replace(text)
+	opts.Graph = strings.NewReplacer(`"3s"`, `"12s"`, `"2s"`, `"10s"`, `"1s"`, `"10s"`).Replace(text)
 	opts.Shape.Services[0].Times = []string{"issue=5s,constant"}
 	f := start(t, opts)
 	rng := random(t)
@@ -48,6 +62,7 @@
 	traffic := f.StartTraffic(t.Context(), long)
 	time.Sleep(2 * time.Second)
 	leaving := f.Of("alertdesk")[1]
+	before(f, leaving)
 	asked := time.Now()
 	is.NoErr(leaving.Node.Signal(syscall.SIGTERM))
 	stopped := awaitStop(t, leaving.Node)
--- a/internal/prove/hello.go
+++ b/internal/prove/hello.go
@@ -1,12 +1,10 @@
 package prove
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/binary"
 	"errors"
 	"io"
-	"net/http"
 
 	"github.com/cassialoom/cassialoom/transport"
 	"github.com/cassialoom/cassialoom/wire"
@@ -18,28 +16,39 @@
 	twoByteLength  = 126
 	maskBytes      = 4
 	maxHelloLength = 4096
+	maxHead        = 4096
 )
 
 var errHello = errors.New("the first message is no hello")
 
+// passHead passes the head of an HTTP message on and not a byte more.
+func passHead(from io.Reader, to io.Writer) error {
+	var head []byte
+	var next [1]byte
+	for !bytes.HasSuffix(head, []byte("\r\n\r\n")) {
+		if len(head) == maxHead {
+			return errHello
+		}
+		if _, err := io.ReadFull(from, next[:]); err != nil {
+			return err
+		}
+		head = append(head, next[0])
+	}
+	_, err := to.Write(head)
+	return err
+}
+
 // passHello passes the begin of a node's connection on, up to its hello, and
 // returns the peer address that the node names there.
 func passHello(client io.Reader, server io.Writer) (string, error) {
-	var read bytes.Buffer
-	r := bufio.NewReader(io.TeeReader(client, &read))
-	if _, err := http.ReadRequest(r); err != nil {
+	if err := passHead(client, server); err != nil {
 		return "", err
 	}
-	if _, err := read.WriteTo(server); err != nil {
-		return "", err
-	}
-	payload, err := readFrame(r)
+	var read bytes.Buffer
+	payload, err := readFrame(io.TeeReader(client, &read))
 	if err != nil {
 		return "", err
 	}
-	if _, err := read.WriteTo(server); err != nil {
-		return "", err
-	}
 	f, err := wire.Decode(payload)
 	if err != nil || f.Kind != wire.KindHello {
 		return "", errHello
@@ -48,7 +57,8 @@
 	if err := wire.Unmarshal(f.Body, &h); err != nil {
 		return "", err
 	}
-	return h.Addr, nil
+	_, err = read.WriteTo(server)
+	return h.Addr, err
 }
 
 // readFrame reads one short frame of a client, which is always masked.
--- a/internal/prove/network.go
+++ b/internal/prove/network.go
@@ -149,7 +149,11 @@
 	defer n.unregister(c)
 	n.wg.Go(func() {
 		defer c.close()
-		n.pass(c, server, client)
+		// What follows the head waits until both ends are known: a node
+		// that is cut off must not hear the other one's hello.
+		if passHead(server, client) == nil && n.awaitHello(c) {
+			n.pass(c, server, client)
+		}
 	})
 	from, err := passHello(client, server)
 	if err != nil {
@@ -173,6 +177,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.conns, c)
+	n.changed.Broadcast()
 }
 
 func (n *Network) learn(c *relayed, from string) {
@@ -182,6 +187,22 @@
 	if n.state(c) == Cut {
 		c.close()
 	}
+	n.changed.Broadcast()
+}
+
+// awaitHello waits until the other end is known; false if it never will be.
+func (n *Network) awaitHello(c *relayed) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for c.from == "" && !n.closed && n.has(c) {
+		n.changed.Wait()
+	}
+	return c.from != ""
+}
+
+func (n *Network) has(c *relayed) bool {
+	_, ok := n.conns[c]
+	return ok
 }
 
 // state of a connection; the caller holds the lock.
