entry: a body's memory doubles up to its announced size

A body above 4 KiB was read into a slice that append grew by a quarter at a time. The room now doubles, never beyond the announced size, and still follows what has arrived: an announced large body of which nothing comes holds 4 KiB. Ruled out: setting the announced size aside at once, which a caller could use to fill the memory.

--- a/entry/read.go
+++ b/entry/read.go
@@ -237,7 +237,7 @@
 // readUpTo reads to the end; size is -1 when it is not known.
 func readUpTo(r io.Reader, size, limit int64) ([]byte, error) {
 	if size < 0 {
-		size = min(firstRead, limit)
+		size = limit
 	}
 	// Memory follows what arrives: a caller that announces a large body and
 	// sends nothing holds no more than the first block.
@@ -254,11 +254,19 @@
 			return buf, err
 		}
 		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
+			buf = grow(buf, size)
 		}
 	}
 }
 
+// grow doubles the room, but for no more than size bytes and the end.
+func grow(buf []byte, size int64) []byte {
+	room := min(2*int64(len(buf)), size+1)
+	larger := make([]byte, len(buf), max(room, int64(len(buf))+1))
+	copy(larger, buf)
+	return larger
+}
+
 func tooLarge(limit int64) *verdict.Error {
 	return verdict.Refuse(verdict.TooLarge, "the body is too large: at most %d bytes are allowed", limit)
 }
