node: ready only once the list of nodes is complete; a small first message

Cause: a demo run saw "not run, no-backend" from a node that was ready and did not know any node of a service it calls. Readiness now waits until the membership's first repair is through; a node that meets nobody for 5 s is alone and ready. Ruled out: waiting for a backend server of every called service, which would spread one service's outage to the health of all. A peer's first message is bounded by 512 bytes in place of 4 MB: it stays in memory with its connection. The reason wrong-incarnation is gone: since nodes stay silent about other incarnations, nobody says it.

--- a/caller/resend.go
+++ b/caller/resend.go
@@ -92,7 +92,7 @@
 // so that its other keys are of no use either.
 func holderUnfit(r verdict.Reason) bool {
 	switch r {
-	case verdict.KeyHolderGone, verdict.NoBackend, verdict.Draining, verdict.Lost, verdict.WrongIncarnation:
+	case verdict.KeyHolderGone, verdict.NoBackend, verdict.Draining, verdict.Lost:
 		return true
 	default:
 		return false
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -163,7 +163,7 @@
 	switch {
 	case r.Reason == verdict.Canceled, r.Reason == verdict.Deadline && r.From.IsZero():
 		return balancer.Abandoned
-	case r.Reason == verdict.Lost, r.Reason == verdict.WrongIncarnation:
+	case r.Reason == verdict.Lost:
 		return balancer.Failed
 	case r.Verdict == verdict.NotRun && r.Reason.Elsewhere():
 		return balancer.Refused
--- a/node/node.go
+++ b/node/node.go
@@ -105,6 +105,7 @@
 	stateMu  sync.Mutex
 	instance instance // what the backend server last said of itself
 
+	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
 	entered  atomic.Int64 // callers' requests under way
@@ -144,6 +145,7 @@
 		members:  newRoster(membership.New(cfg.Membership, record(cfg, id), seed)),
 		graph:    newGraphs(config.NewSpread(cfg.Spread, id, cfg.DataCentre, seed)),
 		requests: retry.NewRequests(cfg.Dispatch.Budget),
+		started:  now,
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.server = newServer(serve.New(cfg.Serve, secret, now))
--- a/node/ops.go
+++ b/node/ops.go
@@ -66,6 +66,8 @@
 		return false, "no configuration yet"
 	case !n.backendInstance().ready:
 		return false, "backend server has not announced itself"
+	case n.joining():
+		return false, "learning which other nodes there are"
 	case n.server.exhausted():
 		return false, "no room for new senders: drain and restart this node"
 	default:
@@ -73,6 +75,23 @@
 	}
 }
 
+// joining reports that the list of nodes is not complete yet: a request that
+// entered now could be told that a service has no backend server. A node that
+// has met nobody for a while is alone.
+func (n *Node) joining() bool {
+	var d membership.Dump
+	alone := false
+	n.members.with(func(m *membership.Members) {
+		d = m.Dump()
+		alone = len(m.View()) == 1
+	})
+	return d.Joining && !(alone && time.Since(n.started) > joinPatience)
+}
+
+// joinPatience is longer than a node without peers waits before it announces
+// itself and is found.
+const joinPatience = 5 * time.Second
+
 // Version implements ops.Node.
 func (n *Node) Version() ops.Version {
 	v := ops.Version{Node: n.id, Service: n.cfg.Service, DataCentre: n.cfg.DataCentre}
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -186,16 +186,21 @@
 	t.inbound--
 }
 
+// maxHelloBytes bounds the first message, which stays in memory with its
+// connection.
+const maxHelloBytes = 512
+
 // open exchanges the hellos and starts the connection's goroutines. ended is
 // called once when the connection has ended or was never opened.
 func (t *Transport) open(ctx context.Context, ws *websocket.Conn, dialed string, ended func()) (*Conn, error) {
-	ws.SetReadLimit(wire.MaxMessageBytes)
+	ws.SetReadLimit(maxHelloBytes)
 	peer, err := t.greet(ctx, ws)
 	if err != nil {
 		ws.CloseNow()
 		ended()
 		return nil, err
 	}
+	ws.SetReadLimit(wire.MaxMessageBytes)
 	c := newConn(&t.cfg, ws, peer)
 	c.dialed = dialed
 	if !t.register(c) {
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -23,7 +23,6 @@
 	Lost             Reason = "lost"
 	Incomplete       Reason = "incomplete-answer"
 	Poison           Reason = "poison"
-	WrongIncarnation Reason = "wrong-incarnation"
 	Duplicate        Reason = "duplicate"
 	KeyInvalid       Reason = "key-invalid"
 	KeyExpired       Reason = "key-expired"
@@ -73,7 +72,7 @@
 // for this reason concerns one node and not the request itself.
 func (r Reason) Elsewhere() bool {
 	switch r {
-	case Shed, NoBackend, Draining, Lost, Incomplete, WrongIncarnation, NoConfiguration, Internal:
+	case Shed, NoBackend, Draining, Lost, Incomplete, NoConfiguration, Internal:
 		return true
 	default:
 		return false
