bench: a failed call's cause is printed with the table

The latest cause of each way is now listed under it. Ruled out: ending the measurement at the first failure; a single refusal at such a rate is a figure, not a fault of the measurement.

--- a/internal/bench/loopback.go
+++ b/internal/bench/loopback.go
@@ -66,17 +66,25 @@
 		columns[i] = filepath.Base(bin)
 	}
 	t := newTable(columns)
+	var failures []string
 	for repeat := range cfg.Repeats {
 		for i, bin := range cfg.Bins {
-			m := measurement{cfg: cfg, bin: bin, seed: uint64(repeat), add: func(name string, figure float64) {
-				t.add(name, columns[i], figure)
-			}}
+			m := measurement{
+				cfg:  cfg,
+				bin:  bin,
+				seed: uint64(repeat),
+				add:  func(name string, figure float64) { t.add(name, columns[i], figure) },
+				fail: func(text string) { failures = append(failures, columns[i]+": "+text) },
+			}
 			if err := m.run(ctx); err != nil {
 				return fmt.Errorf("%s, repeat %d: %w", bin, repeat+1, err)
 			}
 		}
 	}
 	_, err := fmt.Fprintf(w, "Median of %d repeats (lowest to highest).\n\n%s", cfg.Repeats, t.markdown())
+	for _, text := range failures {
+		fmt.Fprintln(w, text)
+	}
 	return err
 }
 
@@ -86,6 +94,7 @@
 	bin  string
 	seed uint64
 	add  func(name string, figure float64)
+	fail func(text string)
 }
 
 func (m measurement) run(ctx context.Context) error {
@@ -177,7 +186,12 @@
 		d, f = direct.due.ValueAtPercentile(p.value), forwarded.due.ValueAtPercentile(p.value)
 		m.add(name+": added, "+p.name+", from the moment due, us", us(f-d))
 	}
-	m.add(name+": failed calls, both ways", float64(direct.failed.Load()+forwarded.failed.Load()))
+	m.add(name+": failed calls, both ways", float64(direct.failed+forwarded.failed))
+	for _, l := range []*latencies{direct, forwarded} {
+		if l.failed > 0 {
+			m.fail(fmt.Sprintf("%s: %d failed, the latest: %v", name, l.failed, l.reason))
+		}
+	}
 }
 
 func bothUsages(ctx context.Context, c *cluster) ([2]usage, error) {
--- a/internal/bench/openloop.go
+++ b/internal/bench/openloop.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -21,7 +20,8 @@
 	mu     sync.Mutex
 	sent   *hdrhistogram.Histogram // from the moment of sending
 	due    *hdrhistogram.Histogram // from the moment that the call was due
-	failed atomic.Int64
+	failed int64
+	reason error // of the latest failure
 }
 
 func newLatencies() *latencies {
@@ -38,6 +38,13 @@
 	_ = l.due.RecordValue(min(int64(answered.Sub(due)), highestLatency))   // in range
 }
 
+func (l *latencies) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failed++
+	l.reason = err
+}
+
 // openLoop sends calls at random moments (a Poisson process), whether or not
 // earlier ones were answered, the ways in turn, each at the given rate: what
 // else happens on the machine meets all ways alike.
@@ -75,7 +82,7 @@
 func (o openLoop) call(ctx context.Context, client *http.Client, url string, l *latencies, due time.Time) {
 	sent := time.Now()
 	if err := post(ctx, client, url, o.body); err != nil {
-		l.failed.Add(1)
+		l.fail(err)
 		return
 	}
 	l.record(due, sent, time.Now())
