--- /dev/null
+++ b/call/outcome.go
@@ -0,0 +1,27 @@
+package call
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// Outcome is what became of a request, over all its attempts.
+type Outcome struct {
+	Verdict verdict.Verdict
+	// Reason is empty when Status, Header and Body are the backend
+	// server's own answer.
+	Reason     verdict.Reason
+	Detail     string
+	RetryAfter time.Duration
+	Status     int
+	Header     []Field
+	Body       []byte
+	// KeyHeld is how long a resend with the same key stays safe.
+	KeyHeld time.Duration
+}
+
+// Failed is the outcome for an error.
+func Failed(e *verdict.Error) Outcome {
+	return Outcome{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
+}
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -93,9 +93,14 @@
 	})}
 	go backend.Serve(ln)
 	defer backend.Close()
-	announced, _ := post(t, p.on.local.Addr(), "/backend/announce", fmt.Sprintf(`{"url":"http://%s","state":"ready","boot":"b"}`, ln.Addr()))
-	is.Equal(announced.StatusCode, http.StatusNoContent)
-	testnode.Await(t, "ready", func() bool { ready, _ := p.node.Ready(); return ready })
+	announce := func() {
+		announced, _ := post(t, p.on.local.Addr(), "/backend/announce", fmt.Sprintf(`{"url":"http://%s","state":"ready","boot":"b"}`, ln.Addr()))
+		is.Equal(announced.StatusCode, http.StatusNoContent)
+	}
+	// A backend server announces itself all the time; one that says it once
+	// counts as gone after a few seconds, which is how long a node waits that
+	// meets no other.
+	testnode.Await(t, "ready", func() bool { announce(); ready, _ := p.node.Ready(); return ready })
 	answer := make(chan string, 1)
 	go func() {
 		_, body := post(t, p.on.callers.Addr(), "/call/fieldlog/file", "x")
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -1,8 +1,6 @@
 package dispatch
 
 import (
-	"time"
-
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -108,8 +106,8 @@
 
 // conclude turns the last answer into the call's outcome. The verdict covers
 // all attempts: a refusal after a lost attempt is not "not run".
-func (a *attempts) conclude(r call.Reply) Outcome {
-	return Outcome{
+func (a *attempts) conclude(r call.Reply) call.Outcome {
+	return call.Outcome{
 		Verdict:    a.worst,
 		Reason:     r.Reason,
 		Detail:     r.Detail,
@@ -120,22 +118,3 @@
 		KeyHeld:    r.KeyHeld,
 	}
 }
-
-// Outcome is what became of a call, over all its attempts.
-type Outcome struct {
-	Verdict    verdict.Verdict
-	Reason     verdict.Reason
-	Detail     string
-	RetryAfter time.Duration
-	// Status, Header and Body are the backend server's answer; Status is
-	// zero when there is none.
-	Status  int
-	Header  []call.Field
-	Body    []byte
-	KeyHeld time.Duration
-}
-
-// Failed returns the outcome that an error stands for.
-func Failed(err *verdict.Error) Outcome {
-	return Outcome{Verdict: err.Verdict, Reason: err.Reason, Detail: err.Detail, RetryAfter: err.RetryAfter}
-}
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -242,7 +242,7 @@
 	})
 }
 
-func (d *Dispatcher) noteOutcome(p Params, o Outcome) {
+func (d *Dispatcher) noteOutcome(p Params, o call.Outcome) {
 	if o.Reason == verdict.None {
 		d.note(p, explain.Answered, verdict.None, "")
 		return
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,30 +37,10 @@
 	Received time.Time
 }
 
-// Outcome is what became of a request.
-type Outcome struct {
-	Verdict verdict.Verdict
-	// Reason is empty when Status, Header and Body are the backend
-	// server's own answer.
-	Reason     verdict.Reason
-	Detail     string
-	RetryAfter time.Duration
-	Status     int
-	Header     []call.Field
-	Body       []byte
-	// KeyHeld is how long a resend with the same key stays safe.
-	KeyHeld time.Duration
-}
-
-// Refused is the outcome for an error.
-func Refused(e *verdict.Error) Outcome {
-	return Outcome{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
-}
-
 // Doer runs requests and mints idempotency keys; the node implements it. It
 // must be safe for concurrent use. The context ends when the caller goes away.
 type Doer interface {
-	Do(ctx context.Context, in Incoming) Outcome
+	Do(ctx context.Context, in Incoming) call.Outcome
 	Mint(ctx context.Context, service, operation string) (key string, held time.Duration, err error)
 }
 
@@ -96,11 +76,11 @@
 }
 
 // Exchange reads one call, has it done and writes its outcome.
-func Exchange(cfg Config, w http.ResponseWriter, r *http.Request, do func(context.Context, Incoming) Outcome) {
+func Exchange(cfg Config, w http.ResponseWriter, r *http.Request, do func(context.Context, Incoming) call.Outcome) {
 	in, refusal := read(cfg, w, r, time.Now())
 	if refusal != nil {
 		dropBody(w, r)
-		write(cfg, w, in.RequestID, Refused(refusal))
+		write(cfg, w, in.RequestID, call.Failed(refusal))
 		return
 	}
 	write(cfg, w, in.RequestID, do(r.Context(), in))
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -25,14 +25,14 @@
 
 // fakeDoer answers with out and keeps what it was asked.
 type fakeDoer struct {
-	out  Outcome
+	out  call.Outcome
 	err  error
 	seen chan Incoming
 	// hold, if set, keeps each call until its context ends.
 	hold bool
 }
 
-func (d *fakeDoer) Do(ctx context.Context, in Incoming) Outcome {
+func (d *fakeDoer) Do(ctx context.Context, in Incoming) call.Outcome {
 	d.seen <- in
 	if d.hold {
 		<-ctx.Done()
@@ -104,7 +104,7 @@
 
 func TestCallIsPassedOnWhole(t *testing.T) {
 	is := is.New(t)
-	d := &fakeDoer{out: Outcome{
+	d := &fakeDoer{out: call.Outcome{
 		Verdict: verdict.Ran, Status: 201, Body: []byte("filed"), KeyHeld: 1500 * time.Microsecond,
 		Header: []call.Field{{Name: "X-Own", Value: "1"}, {Name: "Content-Length", Value: "99"}, {Name: "cassialoom-verdict", Value: "not run"}},
 	}}
@@ -133,7 +133,7 @@
 
 func TestAbsentFieldsAreLeftToTheDeclaration(t *testing.T) {
 	is := is.New(t)
-	d := &fakeDoer{out: Outcome{Verdict: verdict.Ran, Status: 204}}
+	d := &fakeDoer{out: call.Outcome{Verdict: verdict.Ran, Status: 204}}
 	resp, _ := ask(t, d, "GET /call/s/o HTTP/1.1\r\nHost: x\r\n\r\n")
 	in := <-d.seen
 	is.True(in.Importance == nil && in.Budget == 0 && in.Key == "" && in.Body == nil)
@@ -143,7 +143,7 @@
 
 func TestRefusalSaysWhenToComeBack(t *testing.T) {
 	is := is.New(t)
-	d := &fakeDoer{out: Refused(verdict.Refuse(verdict.Shed, "level 3").After(1200 * time.Millisecond))}
+	d := &fakeDoer{out: call.Failed(verdict.Refuse(verdict.Shed, "level 3").After(1200 * time.Millisecond))}
 	resp, body := ask(t, d, get)
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(resp.Header.Get("Retry-After"), "2") // never earlier than asked
@@ -243,7 +243,7 @@
 // every later call on that connection.
 func TestRefusalLeavesLaterRequestsAlone(t *testing.T) {
 	is := is.New(t)
-	d := &fakeDoer{out: Outcome{Verdict: verdict.Ran, Status: 200}}
+	d := &fakeDoer{out: call.Outcome{Verdict: verdict.Ran, Status: 200}}
 	addr := start(t, DefaultConfig(), d)
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
@@ -262,7 +262,7 @@
 	is := is.New(t)
 	cfg := DefaultConfig()
 	cfg.Draining = func() bool { return true }
-	resp, _ := exchange(t, start(t, cfg, &fakeDoer{out: Outcome{Verdict: verdict.Ran, Status: 200}}), get, false)
+	resp, _ := exchange(t, start(t, cfg, &fakeDoer{out: call.Outcome{Verdict: verdict.Ran, Status: 200}}), get, false)
 	is.Equal(resp.StatusCode, 200)
 	is.True(resp.Close)
 }
@@ -276,7 +276,7 @@
 			is := is.New(t)
 			defer func() { is.Equal(recover(), http.ErrAbortHandler) }()
 			w := &brokenWriter{header: http.Header{}, fail: fail}
-			write(DefaultConfig(), w, "r", Outcome{Verdict: verdict.Ran, Status: 200, Body: []byte("whole")})
+			write(DefaultConfig(), w, "r", call.Outcome{Verdict: verdict.Ran, Status: 200, Body: []byte("whole")})
 		})
 	}
 }
@@ -301,7 +301,7 @@
 func TestOutcomeWithoutFinalStatus(t *testing.T) {
 	is := is.New(t)
 	for _, status := range []int{0, 101, 1000, -1} {
-		resp, _ := ask(t, &fakeDoer{out: Outcome{Verdict: verdict.MayHaveRun, Status: status}}, get)
+		resp, _ := ask(t, &fakeDoer{out: call.Outcome{Verdict: verdict.MayHaveRun, Status: status}}, get)
 		is.Equal(resp.StatusCode, http.StatusBadGateway)
 		is.Equal(resp.Header.Get(headers.Verdict), "may have run")
 	}
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -22,13 +23,13 @@
 // should have refused.
 type echo struct{ t testing.TB }
 
-func (e echo) Do(_ context.Context, in Incoming) Outcome {
+func (e echo) Do(_ context.Context, in Incoming) call.Outcome {
 	cfg := DefaultConfig()
 	if !validRequestID(in.RequestID) || in.Key != "" && !validKey(in.Key) || in.Service == "" || in.Operation == "" ||
 		in.Budget < 0 || in.Budget > cfg.MaxDeadline || int64(len(in.Body)) > cfg.MaxBody {
 		e.t.Errorf("not checked: %+v", in)
 	}
-	return Outcome{Verdict: verdict.Ran, Status: http.StatusOK, Header: in.Header, Body: in.Body}
+	return call.Outcome{Verdict: verdict.Ran, Status: http.StatusOK, Header: in.Header, Body: in.Body}
 }
 
 func (e echo) Mint(context.Context, string, string) (string, time.Duration, error) {
--- a/entry/write.go
+++ b/entry/write.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -20,7 +21,7 @@
 }
 
 // write sends the outcome as one whole answer.
-func write(cfg Config, w http.ResponseWriter, requestID string, out Outcome) {
+func write(cfg Config, w http.ResponseWriter, requestID string, out call.Outcome) {
 	if out.KeyHeld > 0 {
 		setMs(w.Header(), headers.KeyHeldMs, out.KeyHeld)
 	}
@@ -35,7 +36,7 @@
 	}
 }
 
-func outcomeError(out Outcome) *verdict.Error {
+func outcomeError(out call.Outcome) *verdict.Error {
 	return &verdict.Error{Verdict: out.Verdict, Reason: out.Reason, Detail: out.Detail, RetryAfter: out.RetryAfter}
 }
 
@@ -43,7 +44,7 @@
 // others or would wait for more.
 func finalStatus(s int) bool { return s >= 200 && s <= 999 }
 
-func writeAnswer(cfg Config, w http.ResponseWriter, requestID string, out Outcome) {
+func writeAnswer(cfg Config, w http.ResponseWriter, requestID string, out call.Outcome) {
 	h := w.Header()
 	headers.Apply(h, out.Header)
 	h.Set(headers.Verdict, out.Verdict.String())
--- a/local/local.go
+++ b/local/local.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -21,7 +22,7 @@
 // Doer makes a call for the running call that token names. A token that it
 // does not know is refused by it. It must be safe for concurrent use.
 type Doer interface {
-	Call(ctx context.Context, token string, in entry.Incoming) entry.Outcome
+	Call(ctx context.Context, token string, in entry.Incoming) call.Outcome
 }
 
 // Backends hears about the backend server. An error refuses the announcement
@@ -74,7 +75,7 @@
 			"%s: want the value that came with the running call, once", headers.Call))
 		return
 	}
-	entry.Exchange(cfg, w, r, func(ctx context.Context, in entry.Incoming) entry.Outcome {
+	entry.Exchange(cfg, w, r, func(ctx context.Context, in entry.Incoming) call.Outcome {
 		return d.Call(ctx, tokens[0], in)
 	})
 }
--- a/local/local_test.go
+++ b/local/local_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -23,12 +24,12 @@
 	err   error
 }
 
-func (n *fakeNode) Call(_ context.Context, token string, in entry.Incoming) entry.Outcome {
+func (n *fakeNode) Call(_ context.Context, token string, in entry.Incoming) call.Outcome {
 	n.token, n.in = token, in
 	if token != "known" {
-		return entry.Refused(verdict.Refuse(verdict.BadRequest, "no call with this token is running"))
+		return call.Failed(verdict.Refuse(verdict.BadRequest, "no call with this token is running"))
 	}
-	return entry.Outcome{Verdict: verdict.Ran, Status: 200, Body: []byte("ok")}
+	return call.Outcome{Verdict: verdict.Ran, Status: 200, Body: []byte("ok")}
 }
 
 func (n *fakeNode) Announce(_ time.Time, url, state, boot string) error {
--- a/node/entry.go
+++ b/node/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/graph"
@@ -20,7 +21,7 @@
 const refuseRetryAfter = time.Second
 
 // Do implements entry.Doer: a caller's request enters the graph here.
-func (n *Node) Do(ctx context.Context, in entry.Incoming) entry.Outcome {
+func (n *Node) Do(ctx context.Context, in entry.Incoming) call.Outcome {
 	n.entered.Add(1)
 	defer n.entered.Add(-1)
 	out := n.enter(ctx, in)
@@ -28,17 +29,17 @@
 	return out
 }
 
-func (n *Node) enter(ctx context.Context, in entry.Incoming) entry.Outcome {
+func (n *Node) enter(ctx context.Context, in entry.Incoming) call.Outcome {
 	if n.draining.Load() {
-		return entry.Refused(verdict.Refuse(verdict.Draining, "this node is leaving; use another").After(refuseRetryAfter))
+		return call.Failed(verdict.Refuse(verdict.Draining, "this node is leaving; use another").After(refuseRetryAfter))
 	}
 	op, err := n.lookup(in.Service, in.Operation)
 	if err != nil {
-		return entry.Refused(err)
+		return call.Failed(err)
 	}
 	holder, err := keyHolder(in.Key)
 	if err != nil {
-		return entry.Refused(err)
+		return call.Failed(err)
 	}
 	ledger := n.allowance(in, op)
 	defer n.dispatch.CloseLedger(ledger)
@@ -47,7 +48,7 @@
 	p.Holder = holder
 	p.Entering = true
 	p.Resend = op.ExtraAttempts > 0 && ledger.Left() == 0
-	return outcome(n.dispatch.Call(ctx, p))
+	return n.dispatch.Call(ctx, p)
 }
 
 func (n *Node) lookup(service, operation string) (*graph.Operation, *verdict.Error) {
@@ -113,39 +114,26 @@
 	return min(declared, *asked)
 }
 
-func outcome(o dispatch.Outcome) entry.Outcome {
-	return entry.Outcome{
-		Verdict:    o.Verdict,
-		Reason:     o.Reason,
-		Detail:     o.Detail,
-		RetryAfter: o.RetryAfter,
-		Status:     o.Status,
-		Header:     o.Header,
-		Body:       o.Body,
-		KeyHeld:    o.KeyHeld,
-	}
-}
-
 // Call implements local.Doer: the backend server makes a call for the running
 // call that token names.
-func (n *Node) Call(ctx context.Context, token string, in entry.Incoming) entry.Outcome {
+func (n *Node) Call(ctx context.Context, token string, in entry.Incoming) call.Outcome {
 	n.counts.LocalCalls.Add(1)
 	r, ok := n.server.find(token)
 	if !ok {
-		return entry.Refused(verdict.Refuse(verdict.BadRequest, "no call with this token is running"))
+		return call.Failed(verdict.Refuse(verdict.BadRequest, "no call with this token is running"))
 	}
 	op, err := n.lookup(in.Service, in.Operation)
 	if err != nil {
-		return entry.Refused(err)
+		return call.Failed(err)
 	}
 	parent := r.task
 	if !parent.Operation.Allows(in.Service, in.Operation) {
-		return entry.Refused(verdict.Refuse(verdict.UndeclaredCall, "%s.%s does not declare a call to %s.%s",
+		return call.Failed(verdict.Refuse(verdict.UndeclaredCall, "%s.%s does not declare a call to %s.%s",
 			parent.Request.Service, parent.Request.Operation, in.Service, in.Operation))
 	}
 	holder, err := keyHolder(in.Key)
 	if err != nil {
-		return entry.Refused(err)
+		return call.Failed(err)
 	}
 	p := n.params(in, op)
 	p.Holder = holder
@@ -162,7 +150,7 @@
 
 // callFor makes a call that ends with the run it is made for, or with the
 // backend server's interest in it, whichever is first.
-func (n *Node) callFor(ctx context.Context, r *run, p dispatch.Params) entry.Outcome {
+func (n *Node) callFor(ctx context.Context, r *run, p dispatch.Params) call.Outcome {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.ctx, cancel)()
@@ -172,5 +160,5 @@
 		n.server.touch(r)
 	}
 	n.server.calling(time.Now(), r, -1)
-	return outcome(out)
+	return out
 }
