--- a/internal/prove/setup_test.go
+++ b/internal/prove/setup_test.go
@@ -14,8 +14,6 @@
 
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/internal/rig"
-	"github.com/cassialoom/cassialoom/ops"
-	"github.com/cassialoom/cassialoom/wire"
 )
 
 // text is the graph of most tests: a non-idempotent operation that calls
@@ -165,19 +163,6 @@
 	return tally, runs
 }
 
-// identity returns the instance of an incarnation.
-func identity(t *testing.T, f *Fleet, id wire.NodeID) *rig.Instance {
-	t.Helper()
-	for _, i := range f.Instances {
-		var v ops.Version
-		if i.Get(t.Context(), "/version", &v) == nil && v.Node == id {
-			return i
-		}
-	}
-	t.Fatalf("no node is %v", id)
-	return nil
-}
-
 func between2(rng *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(rng.Float64()*float64(high-low))
 }
