--- a/Makefile
+++ b/Makefile
@@ -18,8 +18,11 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# KNOWN-RED.txt names tests that fail for a fault not yet mended; those in it
+# run under make prove alone, so there is nothing to pass over here.
 test: check
 	$(GO) test ./...
+	@if [ -s KNOWN-RED.txt ]; then echo "known red:"; cat KNOWN-RED.txt; fi
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
