--- a/internal/prove/oracle.go
+++ b/internal/prove/oracle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -120,10 +121,11 @@
 	Ran, NotRun, MayHaveRun      int
 	Executions                   int
 	Reasons                      map[verdict.Reason]int
-	// Hidden are the sendings under a key that were told "not run" for this
-	// sending after the key's request had begun to run for an earlier one, by
-	// reason. A caller that forgot its earlier sendings would be misled.
-	Hidden map[verdict.Reason]int
+	// Hidden are the sendings under a key that were told "not run", which is
+	// true of each of them, after the key's request had begun to run for an
+	// earlier one; by the kind of key and the reason. A caller that forgot its
+	// earlier sendings would be misled.
+	Hidden map[string]int
 }
 
 // Count makes the tally.
@@ -132,7 +134,7 @@
 		Sendings:   len(sendings),
 		Executions: len(runs),
 		Reasons:    make(map[verdict.Reason]int),
-		Hidden:     make(map[verdict.Reason]int),
+		Hidden:     make(map[string]int),
 	}
 	first := firstRuns(sendings, runs)
 	best := make(map[string]verdict.Verdict)
@@ -169,6 +171,18 @@
 	return first
 }
 
+func kindOf(key string) string {
+	info, err := once.ParseKey(key)
+	switch {
+	case err != nil:
+		return "no"
+	case info.Minted:
+		return "minted"
+	default:
+		return "own"
+	}
+}
+
 func (t *Tally) add(s Sending, first map[string]time.Time) {
 	if s.Number > 1 {
 		t.Resends++
@@ -182,7 +196,7 @@
 	case verdict.NotRun:
 		t.NotRun++
 		if at, ok := first[s.Key]; ok && at.Before(s.Sent) {
-			t.Hidden[s.Reason]++
+			t.Hidden[kindOf(s.Key)+" "+string(s.Reason)]++
 		}
 	default:
 		t.MayHaveRun++
