membership: the first node that a starting fleet finds refers to others

All knew that one only and asked it again and again. A node that has no budget for an answer names one other member, a node that joins asks any member and not those it has heard from, and what the log has just named is dialled within a second instead of at once. What is left is one short answer to each node.

--- a/membership/join.go
+++ b/membership/join.go
@@ -183,7 +183,7 @@
 // tryFirst dials what the log just named before this node announces itself.
 func (m *Members) tryFirst() {
 	m.seeds.next = m.rng.IntN(len(m.seeds.list))
-	m.due.join = m.clock
+	m.due.join = m.clock + m.within(m.cfg.JoinInterval)
 	m.log.sayAt = max(m.log.sayAt, m.log.skewed(m))
 }
 
--- a/membership/repair.go
+++ b/membership/repair.go
@@ -66,10 +66,20 @@
 	if !m.joining {
 		m.repairWait = min(2*m.repairWait, m.cfg.RepairInterval)
 	}
-	for _, peer := range m.pickPeers(1, nil) {
-		m.counters.Repairs++
-		m.send(peer.ID, peer.PeerAddr, m.opening())
+	m.counters.Repairs++
+	peer := m.repairPeer()
+	m.send(peer.ID, peer.PeerAddr, m.opening())
+}
+
+// repairPeer is any member for a node that joins: the few that it has heard
+// from are those that everybody finds first.
+func (m *Members) repairPeer() *member {
+	if !m.joining {
+		if peers := m.pickPeers(1, nil); len(peers) > 0 {
+			return peers[0]
+		}
 	}
+	return m.roster[m.rng.IntN(len(m.roster))]
 }
 
 // opening is the message that starts a repair. It carries the own record:
@@ -102,7 +112,7 @@
 	// The own record always goes along: whoever asks knows one member then.
 	reply.Records = append(reply.Records, m.self.Record)
 	if !m.repairs.allow(m) {
-		reply.Listing = &Listing{More: true}
+		m.refer(reply)
 		return
 	}
 	var differs, whole [bucketCount]bool
@@ -139,6 +149,18 @@
 	m.repairs.spend(entryBytes*entries + recordsSize(reply.Records))
 }
 
+// refer names another member in place of an answer. Else thousands that start
+// at once and know one node only would go on asking that one.
+func (m *Members) refer(reply *Message) {
+	reply.Listing = &Listing{More: true}
+	if len(m.roster) == 0 {
+		return
+	}
+	if mem := m.roster[m.rng.IntN(len(m.roster))]; mem.State == Alive {
+		reply.Records = append(reply.Records, mem.Record)
+	}
+}
+
 // byBucket groups the live members, this node too, of the chosen buckets.
 func (m *Members) byBucket(chosen *[bucketCount]bool) *[bucketCount][]*member {
 	var rows [bucketCount][]*member
