--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -1,4 +1,3 @@
-// Place: /work/main/node/ (package node_test). One test for each fault.
 package node_test
 
 import (
