--- a/platform/log.go
+++ b/applog/log.go
@@ -1,6 +1,6 @@
 // Package platform is the client of the platform's append-only log service:
 // named streams of records with offsets, kept for a limited time.
-package platform
+package applog
 
 import (
 	"context"
--- a/backend/answer.go
+++ b/backend/answer.go
@@ -8,17 +8,8 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/entry/headers"
-	"github.com/cassialoom/cassialoom/verdict"
 )
 
-// refused reports whether the backend server says that it did not run the
-// request. Both signs are wanted: a 503 alone can come from work that failed
-// halfway.
-func refused(resp *http.Response) bool {
-	return resp.StatusCode == http.StatusServiceUnavailable &&
-		verdict.Parse(resp.Header.Get(headers.Verdict)) == verdict.NotRun
-}
-
 // maxRetryAfter bounds what a backend server can ask for.
 const maxRetryAfter = time.Hour
 
--- a/backend/backend.go
+++ b/backend/backend.go
@@ -1,22 +1,23 @@
 // Package backend is the HTTP client of a node towards its own backend server.
 // Its business is the verdict: what may be said about a request when the
 // answer is missing, cut off or unusable.
+//
+// It keeps its own connections: net/http's client sends a request again by
+// itself when a kept connection breaks, and gives an answer that nobody asked
+// for to the next request.
 package backend
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
-	"net/http"
-	"net/http/httptrace"
+	"net"
 	"net/url"
-	"strconv"
+	"strings"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/importance"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -35,6 +36,13 @@
 	Header []call.Field
 	Query  string
 	Body   []byte
+	// HTTP is the request as its caller sent it, for routes by host and path.
+	HTTP call.HTTP
+	// Instance is the start of the backend server that is meant, empty for
+	// any.
+	Instance string
+
+	address string // IP:PORT
 }
 
 // Result is what became of an attempt.
@@ -49,6 +57,9 @@
 	Header     []call.Field
 	Body       []byte
 	Latency    time.Duration
+	// Offered says that a request which did not run had reached the backend
+	// server all the same.
+	Offered bool
 	// Broken says that the connection broke while the request was in flight
 	// and nobody had cancelled it.
 	Broken bool
@@ -59,28 +70,27 @@
 
 // Client sends requests to one backend server. It is safe for concurrent use.
 type Client struct {
-	cfg       Config
-	transport *http.Transport
+	cfg     Config
+	dialect Dialect
+	pool    *pool
+	strays  atomic.Int64
 }
 
 // New returns a client. It follows no redirects, uses no proxy and leaves the
 // encoding of bodies alone.
 func New(cfg Config) *Client {
-	return &Client{
-		cfg: cfg,
-		transport: &http.Transport{
-			DialContext:            dialer(cfg),
-			DisableCompression:     true,
-			MaxIdleConns:           cfg.MaxIdle,
-			MaxIdleConnsPerHost:    cfg.MaxIdle,
-			IdleConnTimeout:        cfg.IdleTimeout,
-			MaxResponseHeaderBytes: int64(2 * cfg.MaxHeader),
-		},
+	c := &Client{cfg: cfg, dialect: cfg.Dialect, pool: newPool(cfg)}
+	if c.dialect == nil {
+		c.dialect = ownDialect{}
 	}
+	return c
 }
 
 // Close closes the idle connections.
-func (c *Client) Close() { c.transport.CloseIdleConnections() }
+func (c *Client) Close() { c.pool.close() }
+
+// Strays is the number of answers that came to no request of theirs.
+func (c *Client) Strays() int64 { return c.strays.Load() }
 
 // Run sends the request once and waits for the whole answer, or for the end of
 // the context.
@@ -95,104 +105,63 @@
 	if r.Budget <= 0 {
 		return failed(verdict.Refuse(verdict.Deadline, "no time is left"))
 	}
-	att := &attempt{}
-	req, err := newRequest(att.trace(ctx), baseURL, r)
+	addr, path, err := splitURL(baseURL)
 	if err != nil {
-		return failed(verdict.Refuse(verdict.BadRequest, "%v", err))
+		return failed(verdict.Refuse(verdict.NoBackend, "%v", err))
 	}
-	resp, err := c.transport.RoundTrip(req)
+	r.address = addr
+	msg, err := c.dialect.Message(addr, path, r)
 	if err != nil {
-		return c.withoutAnswer(ctx, baseURL, att, err)
-	}
-	defer resp.Body.Close()
-	return c.answer(ctx, baseURL, att, resp)
-}
-
-func newRequest(ctx context.Context, baseURL string, r Run) (*http.Request, error) {
-	target := baseURL + "/" + url.PathEscape(r.Operation)
-	if r.Query != "" {
-		target += "?" + r.Query
+		return failed(verdict.Refuse(verdict.BadRequest, "%v", err))
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, body(r.Body))
+	head, err := encode(msg)
 	if err != nil {
-		return nil, fmt.Errorf("request for the backend server: %w", err)
-	}
-	// net/http sends a request again by itself when it can rewind the body:
-	// without GetBody a request whose first byte has left is never repeated.
-	req.GetBody = nil
-	h := req.Header
-	headers.Apply(h, r.Header)
-	if _, given := h["User-Agent"]; !given {
-		h["User-Agent"] = nil // net/http would add its own
-	}
-	h.Set(headers.Call, r.Token)
-	h.Set(headers.RequestID, r.RequestID)
-	h.Set(headers.Importance, r.Importance.String())
-	h.Set(headers.DeadlineMs, strconv.FormatInt(max(1, r.Budget.Milliseconds()), 10))
-	return req, nil
-}
-
-func body(b []byte) io.Reader {
-	if len(b) == 0 {
-		return http.NoBody
+		return failed(verdict.Refuse(verdict.BadRequest, "%v", err))
 	}
-	return bytes.NewReader(b)
+	return c.send(ctx, r, msg, head)
 }
 
-// withoutAnswer is for an attempt that ended before the head of an answer.
-func (c *Client) withoutAnswer(ctx context.Context, baseURL string, att *attempt, err error) Result {
-	if !att.written() {
-		return failed(notHandedOver(ctx, att, err))
+// send finds a connection that takes the request. One that was closed before a
+// byte of it left is replaced by a new one.
+func (c *Client) send(ctx context.Context, r Run, msg Message, head []byte) Result {
+	for {
+		if reason := ended(ctx); reason != verdict.None {
+			return failed(verdict.Refuse(reason, "not handed to the backend server in time"))
+		}
+		conn, reused, err := c.pool.take(ctx, r.address)
+		if err != nil {
+			return failed(notHandedOver(ctx, err))
+		}
+		x := &exchange{client: c, conn: conn, run: r, msg: msg}
+		res, unsent := x.do(ctx, head)
+		if !unsent {
+			return res
+		}
+		if !reused {
+			return failed(notHandedOver(ctx, errors.New("the connection was closed at once")))
+		}
 	}
-	if reason := ended(ctx); reason != verdict.None {
-		return failed(verdict.Doubt(reason, "no answer in time"))
-	}
-	res := failed(verdict.Doubt(verdict.Lost, "no answer: %v", err))
-	c.notice(ctx, baseURL, att, &res)
-	return res
 }
 
 // notHandedOver is for a request of which no byte has left.
-func notHandedOver(ctx context.Context, att *attempt, err error) *verdict.Error {
+func notHandedOver(ctx context.Context, err error) *verdict.Error {
 	if reason := ended(ctx); reason != verdict.None {
 		return verdict.Refuse(reason, "not handed to the backend server in time")
 	}
-	if att.conn == nil && !isDial(err) {
-		// The request itself could not be sent (a field that HTTP forbids).
-		return verdict.Refuse(verdict.BadRequest, "%v", err)
-	}
 	return verdict.Refuse(verdict.NoBackend, "%v", err)
 }
 
-// answer reads the rest of an answer whose head has come: the request ran,
-// whatever happens to the body.
-func (c *Client) answer(ctx context.Context, baseURL string, att *attempt, resp *http.Response) Result {
-	if refused(resp) {
-		e := verdict.Refuse(verdict.Shed, "the backend server refused").After(retryAfter(resp.Header))
-		return failed(e)
-	}
-	res := Result{Verdict: verdict.Ran}
-	if unbounded(resp) {
-		// Without a length a cut-off answer looks like a whole one.
-		return res.unusable(verdict.Incomplete, "the answer has neither a length nor chunks")
+// splitURL returns the address and the path of http://IP:PORT/PATH.
+func splitURL(baseURL string) (addr, path string, err error) {
+	rest, ok := strings.CutPrefix(baseURL, "http://")
+	if !ok {
+		return "", "", &url.Error{Op: "parse", URL: baseURL, Err: errURL}
 	}
-	body, err := readAll(resp, c.cfg.MaxAnswer)
-	switch {
-	case errors.Is(err, errTooLarge):
-		return res.unusable(verdict.TooLarge, fmt.Sprintf("the answer is larger than %d bytes", c.cfg.MaxAnswer))
-	case err != nil && ended(ctx) != verdict.None:
-		return res.unusable(ended(ctx), "the answer did not end in time")
-	case err != nil:
-		res = res.unusable(verdict.Incomplete, fmt.Sprintf("the answer broke off: %v", err))
-		c.notice(ctx, baseURL, att, &res)
-		return res
+	addr, path, found := strings.Cut(rest, "/")
+	if found {
+		path = "/" + path
 	}
-	fields, err := headers.Collect(resp.Header, c.cfg.MaxHeader)
-	if err != nil {
-		return res.unusable(verdict.TooLarge, "answer: "+err.Error())
-	}
-	res.Status, res.Header, res.Body = resp.StatusCode, fields, body
-	return res
+	return addr, path, nil
 }
 
 func (r Result) unusable(reason verdict.Reason, detail string) Result {
@@ -216,23 +185,39 @@
 	}
 }
 
-// attempt follows one request on its connection.
-type attempt struct {
-	conn  *countedConn
-	start int64
-}
-
-func (a *attempt) trace(ctx context.Context) context.Context {
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: a.gotConn})
-}
+const (
+	// probes is how often a backend server that broke a connection is
+	// looked for.
+	probes = 2
+	// probeTimeout is short: a crash refuses at once, and one that is too
+	// busy to accept must not hold up the answer to its caller.
+	probeTimeout = 100 * time.Millisecond
+)
 
-func (a *attempt) gotConn(info httptrace.GotConnInfo) {
-	a.conn, _ = info.Conn.(*countedConn)
-	a.start = a.conn.sent.Load()
+// notice tells a crash from a backend server that broke one connection: after
+// a crash nothing listens. One look is not enough, because a process that is
+// being killed closes its sockets one by one.
+func (c *Client) notice(ctx context.Context, addr string, cn *conn, res *Result) {
+	res.Broken = cn.broken && ended(ctx) == verdict.None
+	if !res.Broken {
+		return
+	}
+	for i := range probes {
+		if i > 0 {
+			time.Sleep(c.cfg.ProbeGap)
+		}
+		if gone(addr) {
+			res.Crashed = true
+			return
+		}
+	}
 }
 
-// written reports whether any byte of the request has left. It is asked after
-// the round trip has failed: net/http has ended its writer by then.
-func (a *attempt) written() bool {
-	return a.conn != nil && a.conn.sent.Load() > a.start
+func gone(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	conn.Close()
+	return false
 }
--- a/backend/config.go
+++ b/backend/config.go
@@ -4,6 +4,9 @@
 
 // Config bounds the connections to one backend server and what it may answer.
 type Config struct {
+	// Dialect is how the backend server is spoken to; nil for the project's
+	// own interface.
+	Dialect Dialect
 	// DialTimeout is how long a connection may take to open. The backend
 	// server is on the same instance.
 	DialTimeout time.Duration
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -1,99 +1,168 @@
 package backend
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
-	"net/url"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"time"
-
-	"github.com/cassialoom/cassialoom/verdict"
 )
 
-// countedConn counts the bytes that left and remembers that the other side
-// ended the connection. net/http does not say whether a failed request had
-// been written, and "not run" may only be said when it had not.
-type countedConn struct {
+// conn is one connection to a backend server. It carries one request at a
+// time.
+type conn struct {
 	net.Conn
-	sent   atomic.Int64
-	broken atomic.Bool
+	limited *io.LimitedReader
+	r       *bufio.Reader
+	// sent counts the bytes that left: "not run" may only be said when no
+	// byte of a request has.
+	sent int64
+	// broken says that the other side ended the connection.
+	broken bool
+	// unusable says that something odd came: what comes next could belong to
+	// any request.
+	unusable bool
+	// idleFor is how long the other side keeps the connection idle.
+	idleFor time.Duration
+	// idleSince is when the last answer was read.
+	idleSince time.Time
 }
 
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.note(err)
-	return n, err
+// readBuffer is the size of a connection's buffer in bytes: most answers fit.
+const readBuffer = 4 << 10
+
+func newConn(c net.Conn, idleFor time.Duration) *conn {
+	limited := &io.LimitedReader{R: c}
+	return &conn{Conn: c, limited: limited, r: bufio.NewReaderSize(limited, readBuffer), idleFor: idleFor}
 }
 
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.sent.Add(int64(n))
+// allow sets how many more bytes the other side may send.
+func (c *conn) allow(bytes int64) { c.limited.N = bytes }
+
+func (c *conn) write(b []byte) error {
+	n, err := c.Conn.Write(b)
+	c.sent += int64(n)
 	c.note(err)
-	return n, err
+	return err
 }
 
-func (c *countedConn) note(err error) {
-	if err == io.EOF || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
-		c.broken.Store(true)
+// note remembers that the other side ended the connection.
+func (c *conn) note(err error) {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+		c.broken = true
 	}
 }
 
-func dialer(cfg Config) func(context.Context, string, string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: cfg.DialTimeout}
-	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, addr)
-		if err != nil {
-			return nil, err
-		}
-		return &countedConn{Conn: conn}, nil
+// silent reports whether a kept connection is still open and nothing came on
+// it. An answer that nobody asked for would otherwise be taken for that of the
+// next request, and a request sent on a closed connection be in doubt.
+func (c *conn) silent() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var one [1]byte
+	var readErr error
+	if err := rc.Read(func(fd uintptr) bool {
+		_, readErr = syscall.Read(int(fd), one[:])
+		return true
+	}); err != nil {
+		return false
 	}
+	return readErr == syscall.EAGAIN
 }
 
-func isDial(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
+// pool keeps the idle connections to one address; the latest is used first.
+type pool struct {
+	cfg    Config
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	addr   string
+	idle   []*conn
+	closed bool
 }
 
-const (
-	// probes is how often a backend server that broke a connection is
-	// looked for.
-	probes = 2
-	// probeTimeout is short: a crash refuses at once, and one that is too
-	// busy to accept must not hold up the answer to its caller.
-	probeTimeout = 100 * time.Millisecond
-)
+func newPool(cfg Config) *pool {
+	return &pool{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout}}
+}
 
-// notice tells a crash from a backend server that broke one connection: after
-// a crash nothing listens. One look is not enough, because a process that is
-// being killed closes its sockets one by one.
-func (c *Client) notice(ctx context.Context, baseURL string, att *attempt, res *Result) {
-	res.Broken = att.conn.broken.Load() && ended(ctx) == verdict.None
-	if !res.Broken {
-		return
-	}
-	for i := range probes {
-		if i > 0 {
-			time.Sleep(c.cfg.ProbeGap)
+// take returns a connection to addr; reused says that it carried a request
+// before.
+func (p *pool) take(ctx context.Context, addr string) (c *conn, reused bool, err error) {
+	now := time.Now()
+	for {
+		c := p.pop(addr)
+		if c == nil {
+			break
 		}
-		if c.gone(baseURL) {
-			res.Crashed = true
-			return
+		if now.Sub(c.idleSince) < c.idleFor && c.silent() {
+			return c, true, nil
 		}
+		c.Close()
 	}
+	c, err = p.dial(ctx, addr)
+	return c, false, err
 }
 
-func (c *Client) gone(baseURL string) bool {
-	u, err := url.Parse(baseURL)
+func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return false
+		return nil, err
 	}
-	conn, err := net.DialTimeout("tcp", u.Host, probeTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	return newConn(raw, p.cfg.IdleTimeout), nil
+}
+
+// pop takes an idle connection. Those to an earlier address are closed.
+func (p *pool) pop(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.addr != addr {
+		p.drop()
+		p.addr = addr
+	}
+	if len(p.idle) == 0 {
+		return nil
 	}
-	conn.Close()
-	return false
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle = p.idle[:last]
+	return c
+}
+
+func (p *pool) put(c *conn, addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.addr != addr || len(p.idle) >= p.cfg.MaxIdle {
+		c.Close()
+		return
+	}
+	c.idleSince = time.Now()
+	p.idle = append(p.idle, c)
+}
+
+// drop closes the idle connections; the caller holds the lock.
+func (p *pool) drop() {
+	for _, c := range p.idle {
+		c.Close()
+	}
+	p.idle = nil
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	p.drop()
 }
--- a/call/message.go
+++ b/call/message.go
@@ -46,6 +46,22 @@
 	Header []Field `cbor:"13,keyasint,omitempty"`
 	Query  string  `cbor:"14,keyasint,omitempty"`
 	Body   []byte  `cbor:"15,keyasint,omitempty"`
+	// HTTP is set for a request that came by host and path.
+	HTTP HTTP `cbor:"16,keyasint,omitzero"`
+	// Idempotent says that a second run does no harm.
+	Idempotent bool `cbor:"17,keyasint,omitempty"`
+}
+
+// HTTP is a request as its caller sent it, for backend servers that get it
+// unchanged.
+type HTTP struct {
+	_      struct{} `cbor:",toarray"`
+	Method string
+	// Target is the path with the query.
+	Target string
+	Host   string
+	// Origin is the service beside which the request entered.
+	Origin string
 }
 
 // Reply answers one Request. It is matched by (To, Seq) and From; one that
@@ -79,6 +95,9 @@
 	BoundTo wire.NodeID `cbor:"16,keyasint,omitempty"`
 	// KeyHeld is how long a resend with the same key stays safe.
 	KeyHeld time.Duration `cbor:"17,keyasint,omitempty"`
+	// Offered says that a request which did not run had reached the backend
+	// server: it counts as an attempt there.
+	Offered bool `cbor:"18,keyasint,omitempty"`
 }
 
 // Level is the least priority that a service admits.
--- a/config/fold.go
+++ b/config/fold.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"slices"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/graph"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -156,7 +156,7 @@
 
 // base returns the state that a record alone amounts to, for a reader without
 // a state: a checkpoint or an accepted replacement, else nil.
-func (f folder) base(r platform.Record) *State {
+func (f folder) base(r applog.Record) *State {
 	rec, err := decodeRecord(r.Data)
 	if err != nil {
 		return nil
--- a/config/follow.go
+++ b/config/follow.go
@@ -1,7 +1,7 @@
 package config
 
 import (
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 )
 
 // follower folds the stream page by page. Without a state, or when records
@@ -48,7 +48,7 @@
 
 // page takes a page in; it may be the answer to an older read. It reports
 // whether it got any further.
-func (f *follower) page(p platform.Page) bool {
+func (f *follower) page(p applog.Page) bool {
 	f.oldest = max(f.oldest, p.Oldest)
 	f.tail = max(f.tail, p.Next)
 	if f.state != nil && f.state.asOf >= f.oldest {
@@ -60,7 +60,7 @@
 	return f.scan(p)
 }
 
-func (f *follower) follow(p platform.Page) bool {
+func (f *follower) follow(p applog.Page) bool {
 	f.search = search{}
 	s := f.state
 	for _, r := range p.Records {
@@ -106,7 +106,7 @@
 	s.pos = s.low
 }
 
-func (f *follower) scan(p platform.Page) bool {
+func (f *follower) scan(p applog.Page) bool {
 	s := &f.search
 	before := s.pos
 	s.pos = max(s.pos, f.oldest)
--- a/config/naive_test.go
+++ b/config/naive_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -29,7 +29,7 @@
 	return Actions{Read: &Read{From: n.next, Max: 100}}
 }
 
-func (n *naive) LogPage(_ time.Time, page platform.Page) Actions {
+func (n *naive) LogPage(_ time.Time, page applog.Page) Actions {
 	var a Actions
 	for _, r := range page.Records {
 		rec, err := decodeRecord(r.Data)
--- a/config/oracle_test.go
+++ b/config/oracle_test.go
@@ -5,8 +5,8 @@
 	"maps"
 	"strings"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/graph"
-	"github.com/cassialoom/cassialoom/platform"
 )
 
 // testAssemble stands for the graph's rules: a text is "bad", or "needs X"
@@ -53,7 +53,7 @@
 
 func (o *oracle) end() uint64 { return uint64(len(o.prefixes) - 1) }
 
-func (o *oracle) foldAll(history []platform.Record) {
+func (o *oracle) foldAll(history []applog.Record) {
 	for _, r := range history[o.end():] {
 		if rec, err := decodeRecord(r.Data); err == nil && rec.Publication != nil {
 			o.fold(r.Offset, rec.Publication)
--- a/config/publish.go
+++ b/config/publish.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/graph"
-	"github.com/cassialoom/cassialoom/platform"
 )
 
 var (
@@ -69,13 +69,13 @@
 // ends. It never takes a lost answer for a failure: it looks for the record
 // by its ID, and appends it again only when it is not there. If both copies
 // arrive, the fold takes the first.
-func Publish(ctx context.Context, log platform.Log, p Publication) (Outcome, error) {
+func Publish(ctx context.Context, log applog.Log, p Publication) (Outcome, error) {
 	return newPublisher(log, sleep).publish(ctx, p)
 }
 
 // ReadState folds the stream to its end. It is for operators: nodes have a
 // Spread.
-func ReadState(ctx context.Context, log platform.Log) (*State, error) {
+func ReadState(ctx context.Context, log applog.Log) (*State, error) {
 	p := newPublisher(log, sleep)
 	if err := p.readToTail(ctx, true); err != nil {
 		return nil, err
@@ -94,13 +94,13 @@
 
 type publisher struct {
 	follower
-	log  platform.Log
+	log  applog.Log
 	wait func(context.Context, time.Duration) error
 	// wrote says that an append of this run may have taken effect.
 	wrote bool
 }
 
-func newPublisher(log platform.Log, wait func(context.Context, time.Duration) error) *publisher {
+func newPublisher(log applog.Log, wait func(context.Context, time.Duration) error) *publisher {
 	cfg := DefaultConfig()
 	return &publisher{
 		follower: follower{folder: newFolder(), pageRecords: cfg.PageRecords, searchSpan: 2 * cfg.CheckpointRecords},
@@ -192,7 +192,7 @@
 	}
 	for {
 		_, err := p.log.Append(ctx, Stream, data)
-		if !errors.Is(err, platform.ErrNotWritten) {
+		if !errors.Is(err, applog.ErrNotWritten) {
 			p.wrote = true
 			return nil
 		}
@@ -267,7 +267,7 @@
 	return nil
 }
 
-func (p *publisher) atTail(page platform.Page) bool {
+func (p *publisher) atTail(page applog.Page) bool {
 	if p.stuck() {
 		return p.search.pos >= page.Next
 	}
--- a/config/spread.go
+++ b/config/spread.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -112,7 +112,7 @@
 }
 
 // LogPage takes in the answer to a read, however late it comes.
-func (s *Spread) LogPage(now time.Time, page platform.Page) Actions {
+func (s *Spread) LogPage(now time.Time, page applog.Page) Actions {
 	s.clock.advance(now)
 	var a Actions
 	s.reading = false
--- a/config/world_test.go
+++ b/config/world_test.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/internal/fakelog"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -20,7 +20,7 @@
 type member interface {
 	SetMembers([]Peer)
 	Tick(time.Time) Actions
-	LogPage(time.Time, platform.Page) Actions
+	LogPage(time.Time, applog.Page) Actions
 	LogFailed(time.Time)
 	Receive(time.Time, wire.NodeID, Message) Actions
 	sections() []Section
@@ -187,7 +187,7 @@
 	w.after(w.latency(n, n), func() {
 		page, err := w.log.Read(ctx, Stream, r.From, r.Max)
 		if n.noLog {
-			err = platform.ErrUnavailable
+			err = applog.ErrUnavailable
 		}
 		if w.rng.IntN(100) < w.loss {
 			return // never answered
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -15,11 +15,11 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/local"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/ops"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/settings"
 )
 
@@ -69,7 +69,7 @@
 	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger(), nil
 }
 
-func newLog(s settings.Settings) platform.Log { return platform.NewHTTP(s.LogURL, nil) }
+func newLog(s settings.Settings) applog.Log { return applog.NewHTTP(s.LogURL, nil) }
 
 func newCounters() *ops.Counters { return &ops.Counters{} }
 
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -15,12 +15,12 @@
 	"go.uber.org/fx"
 	"go.uber.org/goleak"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/internal/fakelog"
 	"github.com/cassialoom/cassialoom/internal/testnode"
 	"github.com/cassialoom/cassialoom/node"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/settings"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -49,7 +49,7 @@
 		t.Fatal(err)
 	}
 	p := &process{}
-	p.App = fx.New(Module(s), fx.Replace(fx.Annotate(log, fx.As(new(platform.Log)))), fx.Populate(&p.node, &p.on))
+	p.App = fx.New(Module(s), fx.Replace(fx.Annotate(log, fx.As(new(applog.Log)))), fx.Populate(&p.node, &p.on))
 	if err := p.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/entry/headers/headers.go
+++ b/entry/headers/headers.go
@@ -97,6 +97,9 @@
 	}
 }
 
+// Valid reports whether a field can be written as it is.
+func Valid(name, value string) bool { return validName(name) && validValue(value) }
+
 // nameExtra are the characters besides letters and digits that a field's name
 // may have (RFC 9110, 5.6.2).
 const nameExtra = "!#$%&'*+-.^_`|~"
--- a/internal/capacity/memory.go
+++ b/internal/capacity/memory.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/membership"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/transport"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -90,8 +90,8 @@
 		if a := c.Tick(now); a.Read == nil {
 			continue
 		}
-		page := platform.Page{Next: 1}
-		page.Records = []platform.Record{{Data: append([]byte(nil), data...)}}
+		page := applog.Page{Next: 1}
+		page.Records = []applog.Record{{Data: append([]byte(nil), data...)}}
 		c.LogPage(now, page)
 	}
 	used := memory() - before
--- a/internal/fakelog/fakelog.go
+++ b/internal/fakelog/fakelog.go
@@ -1,4 +1,4 @@
-// Package fakelog is an in-memory platform.Log driven by an injected clock,
+// Package fakelog is an in-memory applog.Log driven by an injected clock,
 // with the faults of the real one: outages, answers that are lost after the
 // write took effect, writes that take effect late, and limited retention.
 package fakelog
@@ -13,7 +13,7 @@
 
 	"golang.org/x/time/rate"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 )
 
 // Config of a fake log. The zero value has no limits.
@@ -41,7 +41,7 @@
 // burstShare of the append rate is allowed at once.
 const burstShare = 10
 
-// Log implements platform.Log. It is safe for concurrent use.
+// Log implements applog.Log. It is safe for concurrent use.
 type Log struct {
 	cfg   Config
 	clock func() time.Time
@@ -64,7 +64,7 @@
 type stream struct {
 	oldest  uint64
 	records []entry
-	history []platform.Record
+	history []applog.Record
 }
 
 type delayedAppend struct {
@@ -108,14 +108,14 @@
 
 // History returns all records ever appended to a stream, trimmed ones too. It
 // needs Config.KeepHistory.
-func (l *Log) History(name string) []platform.Record {
+func (l *Log) History(name string) []applog.Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.settle(l.clock())
 	return slices.Clone(l.stream(name).history)
 }
 
-// Append implements platform.Log.
+// Append implements applog.Log.
 func (l *Log) Append(ctx context.Context, name string, data []byte) (uint64, error) {
 	l.before()
 	l.mu.Lock()
@@ -123,39 +123,39 @@
 	now := l.clock()
 	l.settle(now)
 	if err := ctx.Err(); err != nil {
-		return 0, fmt.Errorf("append to %s: %w: %w", name, platform.ErrNotWritten, err)
+		return 0, fmt.Errorf("append to %s: %w: %w", name, applog.ErrNotWritten, err)
 	}
 	if now.Before(l.outageUntil) {
-		return 0, fmt.Errorf("append to %s: %w: %w", name, platform.ErrUnknownOutcome, ErrOutage)
+		return 0, fmt.Errorf("append to %s: %w: %w", name, applog.ErrUnknownOutcome, ErrOutage)
 	}
 	if l.limiter != nil && !l.limiter.AllowN(now, 1) {
-		return 0, fmt.Errorf("append to %s: %w: too many appends", name, platform.ErrNotWritten)
+		return 0, fmt.Errorf("append to %s: %w: too many appends", name, applog.ErrNotWritten)
 	}
 	if l.delayNext > 0 {
 		l.delayNext--
 		l.delayed = append(l.delayed, delayedAppend{now.Add(l.delayBy), name, slices.Clone(data)})
-		return 0, fmt.Errorf("append to %s: %w: no answer yet", name, platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("append to %s: %w: no answer yet", name, applog.ErrUnknownOutcome)
 	}
 	offset := l.write(now, name, data)
 	if l.loseAnswers > 0 {
 		l.loseAnswers--
-		return 0, fmt.Errorf("append to %s: %w: answer lost", name, platform.ErrUnknownOutcome)
+		return 0, fmt.Errorf("append to %s: %w: answer lost", name, applog.ErrUnknownOutcome)
 	}
 	return offset, nil
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name string, from uint64, max int) (platform.Page, error) {
+// Read implements applog.Log.
+func (l *Log) Read(ctx context.Context, name string, from uint64, max int) (applog.Page, error) {
 	l.before()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock()
 	l.settle(now)
 	if err := ctx.Err(); err != nil {
-		return platform.Page{}, fmt.Errorf("read %s: %w: %w", name, platform.ErrUnavailable, err)
+		return applog.Page{}, fmt.Errorf("read %s: %w: %w", name, applog.ErrUnavailable, err)
 	}
 	if now.Before(l.outageUntil) {
-		return platform.Page{}, fmt.Errorf("read %s: %w: %w", name, platform.ErrUnavailable, ErrOutage)
+		return applog.Page{}, fmt.Errorf("read %s: %w: %w", name, applog.ErrUnavailable, ErrOutage)
 	}
 	s := l.stream(name)
 	l.trim(s, now)
@@ -168,8 +168,8 @@
 	}
 }
 
-func (l *Log) page(s *stream, from uint64, max int) platform.Page {
-	page := platform.Page{Oldest: s.oldest, Next: s.next()}
+func (l *Log) page(s *stream, from uint64, max int) applog.Page {
+	page := applog.Page{Oldest: s.oldest, Next: s.next()}
 	if from < s.oldest {
 		from = s.oldest
 	}
@@ -180,7 +180,7 @@
 		if l.cfg.MaxPageBytes > 0 && size > l.cfg.MaxPageBytes && len(page.Records) > 0 {
 			break
 		}
-		page.Records = append(page.Records, platform.Record{Offset: offset, Data: data})
+		page.Records = append(page.Records, applog.Record{Offset: offset, Data: data})
 	}
 	return page
 }
@@ -204,7 +204,7 @@
 	data = slices.Clone(data)
 	s.records = append(s.records, entry{data, now})
 	if l.cfg.KeepHistory {
-		s.history = append(s.history, platform.Record{Offset: offset, Data: data})
+		s.history = append(s.history, applog.Record{Offset: offset, Data: data})
 	}
 	l.trim(s, now)
 	return offset
--- a/internal/prove/config_test.go
+++ b/internal/prove/config_test.go
@@ -11,9 +11,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/internal/rig"
-	"github.com/cassialoom/cassialoom/platform"
 )
 
 // inForceLimit is the users' aim for the whole of the design size; a handful
@@ -58,7 +58,7 @@
 func sameState(t *testing.T, f *Fleet) *config.State {
 	t.Helper()
 	is := is.New(t)
-	state, err := config.ReadState(t.Context(), platform.NewHTTP(f.LogURL, nil))
+	state, err := config.ReadState(t.Context(), applog.NewHTTP(f.LogURL, nil))
 	is.NoErr(err)
 	for _, i := range f.Instances {
 		var s struct {
--- a/internal/standin/logserver/server.go
+++ b/internal/standin/logserver/server.go
@@ -2,7 +2,7 @@
 // HTTP, for tests and demonstrations, with control endpoints for its faults.
 //
 //	POST /streams/{stream}/records              body = record -> {"offset": 7}
-//	GET  /streams/{stream}/records?from=0&max=100 -> a platform.Page in JSON
+//	GET  /streams/{stream}/records?from=0&max=100 -> a applog.Page in JSON
 //	POST /control/outage?for=10s                answer 503
 //	POST /control/lose-answers?n=3              write, then drop the connection
 //	POST /control/delay-appends?n=3&by=2s       drop the connection, write later
@@ -21,8 +21,8 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/internal/fakelog"
-	"github.com/cassialoom/cassialoom/platform"
 )
 
 // Config of the stand-in.
@@ -115,7 +115,7 @@
 }
 
 func failAppend(w http.ResponseWriter, err error) {
-	if errors.Is(err, platform.ErrNotWritten) {
+	if errors.Is(err, applog.ErrNotWritten) {
 		http.Error(w, err.Error(), http.StatusTooManyRequests)
 		return
 	}
--- a/internal/standin/logserver/server_test.go
+++ b/internal/standin/logserver/server_test.go
@@ -11,15 +11,15 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/internal/standin/logserver"
-	"github.com/cassialoom/cassialoom/platform"
 )
 
 var ctx = context.Background()
 
 // stand is a stand-in on a loopback port with its own time.
 type stand struct {
-	platform.Log
+	applog.Log
 	t      *testing.T
 	url    string
 	millis atomic.Int64
@@ -31,7 +31,7 @@
 	server := httptest.NewServer(logserver.New(cfg, clock).Handler())
 	t.Cleanup(server.Close)
 	s.url = server.URL
-	s.Log = platform.NewHTTP(server.URL, nil)
+	s.Log = applog.NewHTTP(server.URL, nil)
 	return s
 }
 
@@ -56,10 +56,10 @@
 	}
 	page, err := s.Read(ctx, "config", 0, 1)
 	is.NoErr(err)
-	is.Equal(page, platform.Page{Records: []platform.Record{{Offset: 1, Data: []byte("b")}}, Oldest: 1, Next: 3})
+	is.Equal(page, applog.Page{Records: []applog.Record{{Offset: 1, Data: []byte("b")}}, Oldest: 1, Next: 3})
 	page, err = s.Read(ctx, "config", 3, 10)
 	is.NoErr(err)
-	is.Equal(page, platform.Page{Oldest: 1, Next: 3})
+	is.Equal(page, applog.Page{Oldest: 1, Next: 3})
 }
 
 // The writer sees an error although its record was written, or will be. Only
@@ -79,20 +79,20 @@
 		is.Equal(page.Next, records)
 	}
 	s.control("lose-answers?n=1")
-	attempt(nil, platform.ErrUnknownOutcome, 1) // answer lost
+	attempt(nil, applog.ErrUnknownOutcome, 1) // answer lost
 	s.control("delay-appends?n=1&by=2s")
-	attempt(nil, platform.ErrUnknownOutcome, 1) // write delayed
+	attempt(nil, applog.ErrUnknownOutcome, 1) // write delayed
 	s.advance(3 * time.Second)
 	attempt(nil, nil, 3)
 	attempt(nil, nil, 4)
-	attempt(nil, platform.ErrNotWritten, 4) // rate exceeded
-	attempt(make([]byte, cfg.MaxRecordBytes+1), platform.ErrNotWritten, 4)
+	attempt(nil, applog.ErrNotWritten, 4) // rate exceeded
+	attempt(make([]byte, cfg.MaxRecordBytes+1), applog.ErrNotWritten, 4)
 
 	s.control("outage?for=10s")
 	_, err := s.Append(ctx, "config", nil)
-	is.True(errors.Is(err, platform.ErrUnknownOutcome)) // outage
+	is.True(errors.Is(err, applog.ErrUnknownOutcome)) // outage
 	_, err = s.Read(ctx, "config", 0, 1)
-	is.True(errors.Is(err, platform.ErrUnavailable))
+	is.True(errors.Is(err, applog.ErrUnavailable))
 	s.advance(10 * time.Second)
 	attempt(nil, nil, 5)
 }
@@ -106,13 +106,13 @@
 		requests++
 		http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
 	}))
-	log := platform.NewHTTP(server.URL, nil)
+	log := applog.NewHTTP(server.URL, nil)
 	_, err := log.Append(ctx, "config", nil)
-	is.True(errors.Is(err, platform.ErrUnknownOutcome))
+	is.True(errors.Is(err, applog.ErrUnknownOutcome))
 	is.Equal(requests, 1)
 	server.Close()
 	// A client of its own: on the first one's idle connection, whose end it
 	// may not have seen yet, an append could have been written.
-	_, err = platform.NewHTTP(server.URL, nil).Append(ctx, "config", nil)
-	is.True(errors.Is(err, platform.ErrNotWritten))
+	_, err = applog.NewHTTP(server.URL, nil).Append(ctx, "config", nil)
+	is.True(errors.Is(err, applog.ErrNotWritten))
 }
--- a/membership/join.go
+++ b/membership/join.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -138,7 +138,7 @@
 }
 
 // LogPage takes a page of the stream.
-func (m *Members) LogPage(now time.Time, page platform.Page) {
+func (m *Members) LogPage(now time.Time, page applog.Page) {
 	m.advance(now)
 	l := &m.log
 	if !l.known {
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/backend"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/dispatch"
@@ -26,7 +27,6 @@
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/ops"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/transport"
@@ -86,7 +86,7 @@
 	cfg    Config
 	id     wire.NodeID
 	log    zerolog.Logger
-	stream platform.Log
+	stream applog.Log
 	counts *ops.Counters
 	notes  *explain.Recorder
 
@@ -116,7 +116,7 @@
 }
 
 // New returns a Node with an identity of its own. Start sets it going.
-func New(cfg Config, stream platform.Log, log zerolog.Logger, counts *ops.Counters) (*Node, error) {
+func New(cfg Config, stream applog.Log, log zerolog.Logger, counts *ops.Counters) (*Node, error) {
 	id := wire.NewNodeID()
 	var secret [once.SecretLen]byte
 	if _, err := crand.Read(secret[:]); err != nil {
--- a/once/bench_test.go
+++ b/once/bench_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -90,7 +90,7 @@
 	for i := range n {
 		d := digestOf(fmt.Sprint(i))
 		data, _ := encodeBind(bindRecord{Node: nodeID(i % 17), Digests: d[:]})
-		b.Page(epoch, uint64(i), platform.Page{Records: []platform.Record{{Offset: uint64(i), Data: data}}})
+		b.Page(epoch, uint64(i), applog.Page{Records: []applog.Record{{Offset: uint64(i), Data: data}}})
 	}
 	return b
 }
--- a/once/bindlog.go
+++ b/once/bindlog.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 )
 
 // maxBackoff bounds the growth of RetryEvery while the log fails, as a factor.
@@ -73,7 +73,7 @@
 // Page folds the answer to the read from the given offset and returns the keys
 // that it settles. A page for another offset, which is one that came late, is
 // dropped: it could leave a hole in the fold.
-func (b *Binder) Page(now time.Time, from uint64, page platform.Page) []Resolution {
+func (b *Binder) Page(now time.Time, from uint64, page applog.Page) []Resolution {
 	age := b.clock.at(now)
 	b.inRead = false
 	// Those that have waited too long first: they must get one answer only.
@@ -123,7 +123,7 @@
 	return r
 }
 
-func (b *Binder) fold(age time.Duration, rec platform.Record, out []Resolution) []Resolution {
+func (b *Binder) fold(age time.Duration, rec applog.Record, out []Resolution) []Resolution {
 	r, err := decodeBind(rec.Data)
 	if err != nil {
 		// Every reader skips the same records.
@@ -160,7 +160,7 @@
 	return append(out, r)
 }
 
-func (b *Binder) readPause(page platform.Page) time.Duration {
+func (b *Binder) readPause(page applog.Page) time.Duration {
 	if b.next < page.Next && len(page.Records) > 0 {
 		return 0
 	}
--- a/once/keys_test.go
+++ b/once/keys_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/matryer/is"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -130,7 +130,7 @@
 		data, err := encodeBind(r)
 		is.NoErr(err)
 		offset++
-		return b.Page(now, offset-1, platform.Page{Records: []platform.Record{{Offset: offset - 1, Data: data}}, Next: offset})
+		return b.Page(now, offset-1, applog.Page{Records: []applog.Record{{Offset: offset - 1, Data: data}}, Next: offset})
 	}
 	fold(epoch, wire.NodeID{1}, "1", "2", "3", "4", "5", "6", "7", "8")
 	now := epoch.Add(cfg.HeldFor - cfg.PendingFor/2)
@@ -144,7 +144,7 @@
 	is.Equal(got[0].Err.Verdict, verdict.NotRun)
 	is.Equal(b.Want(now, "another").Err.Reason, verdict.Shed)
 	is.Equal(fold(now, wire.NodeID{2}), nil)
-	late := platform.Page{Records: []platform.Record{{Offset: offset + 5}}, Next: offset + 6}
+	late := applog.Page{Records: []applog.Record{{Offset: offset + 5}}, Next: offset + 6}
 	is.Equal(b.Page(now, offset+5, late), nil) // would leave a hole
 	is.Equal(b.Dump().Next, offset)
 }
--- a/once/naive_test.go
+++ b/once/naive_test.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -65,7 +65,7 @@
 	return r
 }
 
-func (l *lastWins) Page(now time.Time, from uint64, page platform.Page) []Resolution {
+func (l *lastWins) Page(now time.Time, from uint64, page applog.Page) []Resolution {
 	for _, rec := range page.Records {
 		r, _ := decodeBind(rec.Data)
 		for _, d := range r.digests() {
--- a/once/world_test.go
+++ b/once/world_test.go
@@ -6,8 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/internal/fakelog"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -73,7 +73,7 @@
 	AppendFailed(now time.Time)
 	WantRead(now time.Time) (uint64, bool)
 	ReadFailed(now time.Time)
-	Page(now time.Time, from uint64, page platform.Page) []Resolution
+	Page(now time.Time, from uint64, page applog.Page) []Resolution
 }
 
 // node is one incarnation at an address: entry for callers and holder of keys.
@@ -418,7 +418,7 @@
 	}
 }
 
-func (n *node) readDone(op int, from uint64, page platform.Page, err error) {
+func (n *node) readDone(op int, from uint64, page applog.Page, err error) {
 	if n.read != op || op == 0 {
 		return
 	}
@@ -431,6 +431,6 @@
 }
 
 var (
-	noPage     platform.Page
+	noPage     applog.Page
 	errTimeout = errors.New("timeout")
 )
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -10,7 +10,7 @@
 	"net/http"
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 )
 
 // ErrRefused marks an answer that was given and is no: the text has problems,
@@ -81,7 +81,7 @@
 type Operator struct {
 	cfg   Config
 	out   io.Writer
-	log   platform.Log
+	log   applog.Log
 	nodes []string
 	http  *http.Client
 }
@@ -89,7 +89,7 @@
 // New returns an Operator that writes its reports to out. The log may be nil
 // and the nodes empty: a command that needs them then says so. The nodes are
 // operators' addresses, IP:PORT; any one node leads to all others.
-func New(cfg Config, out io.Writer, log platform.Log, nodes []string) *Operator {
+func New(cfg Config, out io.Writer, log applog.Log, nodes []string) *Operator {
 	return &Operator{cfg: cfg, out: out, log: log, nodes: nodes, http: newClient()}
 }
 
--- a/operator/publish_test.go
+++ b/operator/publish_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/internal/fakelog"
-	"github.com/cassialoom/cassialoom/platform"
 )
 
 const (
@@ -30,7 +30,7 @@
 	out *bytes.Buffer
 }
 
-func newSession(log platform.Log, nodes ...string) session {
+func newSession(log applog.Log, nodes ...string) session {
 	var out bytes.Buffer
 	return session{New(DefaultConfig(), &out, log, nodes), &out}
 }
@@ -110,7 +110,7 @@
 // raceLog lets another operator publish between the read of what is in force
 // and the append that was decided on it.
 type raceLog struct {
-	platform.Log
+	applog.Log
 	once func()
 }
 
@@ -146,19 +146,19 @@
 
 // cutLog takes appends but does not answer, and then is down.
 type cutLog struct {
-	platform.Log
+	applog.Log
 	cancel context.CancelFunc
 }
 
 func (l *cutLog) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
 	l.Log.Append(ctx, stream, data)
 	l.cancel()
-	return 0, platform.ErrUnknownOutcome
+	return 0, applog.ErrUnknownOutcome
 }
 
-func (l *cutLog) Read(ctx context.Context, stream string, from uint64, max int) (platform.Page, error) {
+func (l *cutLog) Read(ctx context.Context, stream string, from uint64, max int) (applog.Page, error) {
 	if ctx.Err() != nil {
-		return platform.Page{}, ctx.Err()
+		return applog.Page{}, ctx.Err()
 	}
 	return l.Log.Read(ctx, stream, from, max)
 }
--- a/operator/settings.go
+++ b/operator/settings.go
@@ -6,7 +6,7 @@
 	"net/url"
 	"time"
 
-	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/applog"
 )
 
 const (
@@ -40,9 +40,9 @@
 
 // FromSettings returns an Operator for checked settings.
 func FromSettings(s Settings, out io.Writer) *Operator {
-	var log platform.Log
+	var log applog.Log
 	if s.LogURL != "" {
-		log = platform.NewHTTP(s.LogURL, nil)
+		log = applog.NewHTTP(s.LogURL, nil)
 	}
 	return New(DefaultConfig(), out, log, s.Nodes)
 }
--- a/serve/key.go
+++ b/serve/key.go
@@ -3,8 +3,8 @@
 import (
 	"time"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/once"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -164,7 +164,7 @@
 func (s *Server) PageFailed(now time.Time) { s.binder.ReadFailed(now) }
 
 // Page takes the answer to the read from the given offset.
-func (s *Server) Page(now time.Time, from uint64, page platform.Page) Effects {
+func (s *Server) Page(now time.Time, from uint64, page applog.Page) Effects {
 	var e Effects
 	for _, r := range s.binder.Page(now, from, page) {
 		s.unpark(now, r, &e)
--- a/serve/machine_test.go
+++ b/serve/machine_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
+	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/importance"
 	"github.com/cassialoom/cassialoom/once"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -43,7 +43,7 @@
 	servers []*Server
 	ids     []wire.NodeID
 	runs    []map[uint64]*Task
-	log     []platform.Record
+	log     []applog.Record
 	wires   []call.Request // requests on their way; copies stay possible
 	sender  wire.NodeID
 	seq     uint64
@@ -223,7 +223,7 @@
 	s := m.servers[n]
 	if data, ok := s.WantBindings(m.now); ok {
 		if !outage {
-			m.log = append(m.log, platform.Record{Offset: uint64(len(m.log)), Data: data})
+			m.log = append(m.log, applog.Record{Offset: uint64(len(m.log)), Data: data})
 		}
 		if outage || lost {
 			s.BindingsFailed(m.now)
@@ -239,7 +239,7 @@
 		s.PageFailed(m.now)
 		return nil
 	}
-	page := platform.Page{Next: uint64(len(m.log))}
+	page := applog.Page{Next: uint64(len(m.log))}
 	if from < uint64(len(m.log)) {
 		page.Records = m.log[from:]
 	}
