--- a/cmd/cassialoomd/main.go
+++ b/cmd/cassialoomd/main.go
@@ -11,7 +11,18 @@
 
 const exitUsage = 2
 
+// platformFile names the variable that holds the path of the users' platform's
+// settings file. Where it is set, the platform's settings are all there are.
+const platformFile = "CASSIALOOM_CONFIG"
+
 func main() {
+	if path := os.Getenv(platformFile); path != "" {
+		if err := daemon.RunPlatform(path); err != nil {
+			fmt.Fprintln(os.Stderr, "cassialoomd:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	s, err := settings.Parse(os.Args[1:], os.Environ())
 	if settings.IsHelp(err) {
 		fmt.Println(err)
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,191 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/ops"
+	"github.com/cassialoom/cassialoom/platform"
+)
+
+// RunPlatform runs the node on the users' platform until SIGTERM or SIGINT.
+// path is the platform's settings file.
+func RunPlatform(path string) error {
+	s, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	app := fx.New(PlatformModule(s))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := app.Start(ctx); err != nil {
+		return err
+	}
+	<-app.Wait()
+	ctx, cancel = context.WithTimeout(context.Background(), s.Bounds.Grace)
+	defer cancel()
+	return app.Stop(ctx)
+}
+
+// PlatformModule provides a node with the platform's interfaces around it.
+func PlatformModule(s platform.Settings) fx.Option {
+	return fx.Options(
+		fx.Supply(s),
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Provide(newPlatformLogger, newStore, newCounters, listenPlatform, platformConfig, newPlatformNode),
+		fx.Invoke(runPlatform),
+	)
+}
+
+func newPlatformLogger(s platform.Settings) zerolog.Logger {
+	return zerolog.New(os.Stdout).With().Timestamp().Str("machine", s.Node).Logger()
+}
+
+func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store.Addr) }
+
+func newPlatformNode(cfg node.Config, s *platform.Store, log zerolog.Logger, c *ops.Counters) (*node.Node, error) {
+	return node.New(cfg, s, log, c)
+}
+
+const (
+	// memoryShare of the process's limit is where the collector begins to
+	// work harder; the rest is for what it does not count.
+	memoryShare = 0.6
+	// bodyShare of the limit is the most that one request's body may take: it
+	// is held whole, more than once while it is encoded.
+	bodyShare = 1.0 / 64
+	// waitMax is how long a call may wait beside the backend server. The
+	// deepest calls have 700 ms, of which the work takes a tenth.
+	waitMax = 600 * time.Millisecond
+	// waitShare of its spare time is what a call may wait.
+	waitShare = 0.9
+	// waitMin is the number of calls that may wait before the rate at which
+	// they are served is known.
+	waitMin = 64
+	// keptIdle is how long a caller's connection without a request is kept:
+	// longer than the operators' limits ask for, since closing one that is
+	// about to be used costs its caller a request.
+	keptIdle = 5 * time.Minute
+	// reroutes that cost nothing: enough to pass a node that is leaving and
+	// one that is full.
+	reroutes = 3
+	// budgetNodes is by how many nodes the slack for extra attempts is
+	// divided: what all of them spend at once must stay within it.
+	budgetNodes = 16
+	// budgetShare of the ratio is what the nodes spend: extra attempts make
+	// their calls again, which count at the services called.
+	budgetShare = 0.5
+)
+
+func platformConfig(s platform.Settings) node.Config {
+	cfg := node.DefaultConfig()
+	cfg.Service = s.Service
+	cfg.DataCentre = s.DataCentre
+	cfg.Region = s.Region
+	cfg.PeerAddr = s.Peers
+	cfg.OpsAddr = s.Ops
+	cfg.CallerAddr = s.Callers
+	cfg.DecodeRoutes = platform.DecodeRoutes
+	cfg.Membership.Retention = s.Store.Retention
+	cfg.Backend.Dialect = platform.Target{}
+	cfg.Backend.IdleTimeout = time.Minute // the backend server states its own
+	cfg.Entry.IdleTimeout = keptIdle
+	cfg.Serve.NoGate = true
+	cfg.Serve.Queue.MaxWait = waitMax
+	cfg.Serve.Queue.MinItems = waitMin
+	cfg.Serve.Queue.WaitShare = waitShare
+	cfg.Serve.Queue.OverloadAfter = time.Duration(math.MaxInt64)
+	cfg.Dispatch.NoAdmission = true
+	cfg.Dispatch.Reroutes = reroutes
+	cfg.Dispatch.Budget.Ratio = s.Bounds.RetryRatio * budgetShare
+	cfg.Dispatch.Budget.Burst = max(1, s.Bounds.RetrySlack*budgetShare/budgetNodes)
+	return cfg
+}
+
+// platformListeners are open before anything is served.
+type platformListeners struct {
+	callers, heartbeats, ready, peers, ops net.Listener
+}
+
+func listenPlatform(s platform.Settings) (*platformListeners, error) {
+	var l platformListeners
+	for _, w := range []struct {
+		to   *net.Listener
+		name string
+		addr string
+	}{
+		{&l.callers, "callers", s.Callers},
+		{&l.heartbeats, "heartbeats", s.Heartbeats},
+		{&l.ready, "ready", s.Ready},
+		{&l.peers, "peers", s.Peers},
+		{&l.ops, "ops", s.Ops},
+	} {
+		ln, err := net.Listen("tcp", w.addr)
+		if err != nil {
+			return nil, fmt.Errorf("listen for %s: %w", w.name, err)
+		}
+		*w.to = ln
+	}
+	return &l, nil
+}
+
+func runPlatform(lc fx.Lifecycle, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
+	c *ops.Counters, on *platformListeners, log zerolog.Logger) {
+	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
+	cfg.Entry.Draining = n.Draining
+	callers := entry.NewServer(cfg.Entry, platform.NewCallers(cfg.Entry, n))
+	servers := map[*http.Server]net.Listener{
+		callers: entry.Listener(on.callers),
+		{Handler: platform.NewHeartbeats(s.Service, s.Backend, n), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}: on.heartbeats,
+		{Handler: platform.NewReady(func() bool { ok, _ := n.Ready(); return ok }), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}:                      on.ready,
+		{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout}:                                     on.peers,
+		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                      on.ops,
+	}
+	watching, stopWatching := context.WithCancel(context.Background())
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			n.Start()
+			go platform.Watch(watching, store, n, log)
+			for srv, ln := range servers {
+				go serveUntilClosed(srv, ln, log)
+			}
+			return nil
+		},
+		OnStop: func(ctx context.Context) error {
+			n.Drain()
+			err := n.Wait(ctx)
+			if closeErr := callers.Shutdown(ctx); err == nil {
+				err = closeErr
+			}
+			stopWatching()
+			n.Stop()
+			for srv := range servers {
+				srv.Close()
+			}
+			store.Close()
+			return err
+		},
+	})
+}
+
+func serveUntilClosed(srv *http.Server, ln net.Listener, log zerolog.Logger) {
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		log.Error().Err(err).Str("addr", ln.Addr().String()).Msg("server ended")
+	}
+}
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -35,6 +35,17 @@
 	noted     bool
 	tried     []wire.NodeID
 	redirects int
+	// reroutes is how often the call may still go on for nothing.
+	reroutes int
+}
+
+// free reports whether another attempt after r costs nothing, and counts it.
+func (a *attempts) free(r call.Reply) bool {
+	if r.Verdict != verdict.NotRun || r.Offered || a.reroutes == 0 {
+		return false
+	}
+	a.reroutes--
+	return true
 }
 
 // next judges one answer. spend is asked only when another attempt is allowed
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -80,6 +80,10 @@
 	// HopAttempts, if above zero, gives each hop that many extra attempts
 	// of its own instead of the request's ledger, for experiments.
 	HopAttempts int
+	// Reroutes is how often a call that nodes refused without handing it to
+	// their backend servers goes to another one for nothing: nothing ran and
+	// no backend server was troubled. Zero spends an extra attempt on each.
+	Reroutes int
 	// RoundRobin replaces the choice of a backend server, for experiments.
 	RoundRobin bool
 	Seed       uint64
@@ -176,6 +180,8 @@
 	Header []call.Field
 	Query  string
 	Body   []byte
+	// HTTP is set for a request that came by host and path.
+	HTTP call.HTTP
 }
 
 // Call makes one call and returns when its outcome is final.
@@ -225,6 +231,7 @@
 		return call.Failed(err)
 	}
 	a := newAttempts(p)
+	a.reroutes = d.cfg.Reroutes
 	hop := d.cfg.HopAttempts
 	for {
 		reply := d.once(ctx, p, &a, to)
@@ -266,7 +273,7 @@
 	if !ok {
 		return false
 	}
-	if !d.take(p, hop) {
+	if !a.free(r) && !d.take(p, hop) {
 		d.release(p, to)
 		return false
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -117,6 +117,8 @@
 		Header:      p.Header,
 		Query:       p.Query,
 		Body:        p.Body,
+		HTTP:        p.HTTP,
+		Idempotent:  p.Operation.Idempotent,
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -35,6 +35,8 @@
 	Query    string
 	Body     []byte
 	Received time.Time
+	// HTTP is the request as it came, for routes by host and path.
+	HTTP call.HTTP
 }
 
 // Doer runs requests and mints idempotency keys; the node implements it. It
@@ -70,7 +72,7 @@
 
 func refuseRoute(cfg Config, status int, detail string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		dropBody(w, req)
+		DropBody(w, req)
 		writeError(cfg, w, status, "", verdict.Refuse(verdict.BadRequest, "%s", detail))
 	})
 }
@@ -79,7 +81,7 @@
 func Exchange(cfg Config, w http.ResponseWriter, r *http.Request, do func(context.Context, Incoming) call.Outcome) {
 	in, refusal := read(cfg, w, r, time.Now())
 	if refusal != nil {
-		dropBody(w, r)
+		DropBody(w, r)
 		write(cfg, w, in.RequestID, call.Failed(refusal))
 		return
 	}
@@ -88,7 +90,7 @@
 
 // Refuse ends a request that is no call.
 func Refuse(cfg Config, w http.ResponseWriter, r *http.Request, e *verdict.Error) {
-	dropBody(w, r)
+	DropBody(w, r)
 	writeError(cfg, w, e.Reason.Status(), "", e)
 }
 
--- a/entry/read.go
+++ b/entry/read.go
@@ -33,7 +33,7 @@
 	if refusal := readHead(cfg, r, &in); refusal != nil {
 		return in, refusal
 	}
-	return in, readBody(cfg, w, r, &in)
+	return in, ReadBody(cfg, w, r, &in)
 }
 
 func readHead(cfg Config, r *http.Request, in *Incoming) *verdict.Error {
@@ -183,8 +183,8 @@
 	return hex.EncodeToString(b[:])
 }
 
-// readBody reads the whole body, within the limit and in time.
-func readBody(cfg Config, w http.ResponseWriter, r *http.Request, in *Incoming) *verdict.Error {
+// ReadBody reads the whole body, within the limit and in time.
+func ReadBody(cfg Config, w http.ResponseWriter, r *http.Request, in *Incoming) *verdict.Error {
 	body, refusal := readWithin(w, r, cfg.MaxBody, in.Received.Add(bodyTimeout(cfg, in.Budget)))
 	if refusal != nil {
 		return refusal
@@ -271,11 +271,11 @@
 	return verdict.Refuse(verdict.TooLarge, "the body is too large: at most %d bytes are allowed", limit)
 }
 
-// dropBody makes the server stop reading the request: it would otherwise wait
+// DropBody makes the server stop reading the request: it would otherwise wait
 // for the rest of a body that nobody needs, before the answer or after it. The
 // connection is closed after the answer, because the read that fails also ends
 // the context of every later request on it.
-func dropBody(w http.ResponseWriter, r *http.Request) {
+func DropBody(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
 		return
 	}
--- a/entry/write.go
+++ b/entry/write.go
@@ -52,7 +52,7 @@
 	if out.RetryAfter > 0 {
 		setRetryAfter(h, out.RetryAfter)
 	}
-	send(cfg, w, out.Status, out.Body)
+	Send(cfg, w, out.Status, out.Body)
 }
 
 // writeError sends an answer that is not the backend server's own.
@@ -82,13 +82,13 @@
 		panic(http.ErrAbortHandler) // cut off rather than answer half
 	}
 	w.Header().Set("Content-Type", "application/json")
-	send(cfg, w, status, append(body, '\n'))
+	Send(cfg, w, status, append(body, '\n'))
 }
 
-// send writes the whole answer and pushes it out at once. When that fails
+// Send writes the whole answer and pushes it out at once. When that fails
 // halfway the connection is cut: an answer that ends early must not look
 // complete, and the announced length shows it as well.
-func send(cfg Config, w http.ResponseWriter, status int, body []byte) {
+func Send(cfg Config, w http.ResponseWriter, status int, body []byte) {
 	if !bodyAllowed(status) {
 		body = nil
 	} else {
@@ -113,7 +113,7 @@
 }
 
 // Empty sends an answer without a body.
-func Empty(cfg Config, w http.ResponseWriter) { send(cfg, w, http.StatusNoContent, nil) }
+func Empty(cfg Config, w http.ResponseWriter) { Send(cfg, w, http.StatusNoContent, nil) }
 
 func bodyAllowed(status int) bool {
 	return status != http.StatusNoContent && status != http.StatusNotModified
--- a/node/instance.go
+++ b/node/instance.go
@@ -15,6 +15,11 @@
 	boot  string
 	ready bool
 	heard time.Time
+	// slots is the number of requests that it works on at once; zero if it
+	// has not said.
+	slots int
+	// sequence is that of its last heartbeat.
+	sequence uint64
 }
 
 // The states that a backend server announces.
--- a/node/node.go
+++ b/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/routes"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/transport"
 	"github.com/cassialoom/cassialoom/wire"
@@ -62,6 +63,9 @@
 	Backend    backend.Config
 	Entry      entry.Config
 	Explain    explain.Config
+	// DecodeRoutes reads published routes. If it is set the node serves
+	// those instead of a graph text.
+	DecodeRoutes func(text []byte) (*routes.Table, error)
 }
 
 // DefaultConfig returns the settings that the daemon starts from.
@@ -96,6 +100,7 @@
 
 	members *roster
 	graph   *graphs
+	routing *routing
 	server  *server
 	posts   *postman
 
@@ -104,6 +109,7 @@
 
 	stateMu  sync.Mutex
 	instance instance // what the backend server last said of itself
+	starts   starts
 
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
@@ -145,6 +151,7 @@
 		members:  newRoster(membership.New(cfg.Membership, record(cfg, id), seed)),
 		graph:    newGraphs(config.NewSpread(cfg.Spread, id, cfg.DataCentre, seed)),
 		requests: retry.NewRequests(cfg.Dispatch.Budget),
+		routing:  newRouting(cfg.DecodeRoutes),
 		started:  now,
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
@@ -177,9 +184,11 @@
 // Start begins the node's own work; Stop ends it.
 func (n *Node) Start() {
 	n.loop(serverTick, n.tickServer)
-	n.loop(bindingTick, n.tickBindings)
 	n.loop(memberTick, n.tickMembers)
-	n.loop(configTick, n.tickConfig)
+	if !n.routing.enabled() {
+		n.loop(bindingTick, n.tickBindings)
+		n.loop(configTick, n.tickConfig)
+	}
 	n.loop(noticeTick, n.tickNotices)
 	n.log.Info().Str("data_centre", n.cfg.DataCentre).Str("peer_addr", n.cfg.PeerAddr).Msg("started")
 }
--- a/node/ops.go
+++ b/node/ops.go
@@ -62,9 +62,9 @@
 	switch {
 	case n.draining.Load():
 		return false, "draining"
-	case n.graph.graph() == nil:
+	case !n.configuredYet():
 		return false, "no configuration yet"
-	case !n.backendInstance().ready:
+	case !n.routing.enabled() && !n.backendInstance().ready:
 		return false, "backend server has not announced itself"
 	case n.joining():
 		return false, "learning which other nodes there are"
@@ -75,6 +75,14 @@
 	}
 }
 
+// configuredYet reports whether the node knows where requests go.
+func (n *Node) configuredYet() bool {
+	if n.routing.enabled() {
+		return n.routing.table() != nil
+	}
+	return n.graph.graph() != nil
+}
+
 // joining reports that the list of nodes is not complete yet: a request that
 // entered now could be told that a service has no backend server. A node that
 // has met nobody for a while is alone.
--- a/node/peers.go
+++ b/node/peers.go
@@ -19,6 +19,11 @@
 func (h *peerHandler) Up(c *transport.Conn) {
 	n := (*Node)(h)
 	n.counts.PeerConnects.Add(1)
+	if v := n.routing.version(); v > 0 {
+		// A node that starts while the platform is away hears of the routes
+		// here. If the offer is lost, replies name the version, too.
+		_, _ = c.Send(wire.KindRoutes, routesMessage{Version: v})
+	}
 	now := time.Now()
 	if c.Dialed() != "" {
 		n.members.with(func(m *membership.Members) { m.Answered(now, c.Dialed(), c.Peer().ID) })
@@ -75,6 +80,8 @@
 		return decode(f, func(m membership.Message) { n.handleMembership(from, m) })
 	case wire.KindConfig:
 		return decode(f, func(m config.Message) { n.handleConfig(from, m) })
+	case wire.KindRoutes:
+		return decode(f, func(m routesMessage) { n.handleRoutes(from, m) })
 	case wire.KindPoison:
 		return decode(f, func(m poison.Notice) { n.handleNotice(m) })
 	default:
@@ -113,6 +120,10 @@
 
 func (n *Node) handleReply(from wire.NodeID, r call.Reply) {
 	n.dispatch.Reply(from, r)
+	if n.routing.enabled() {
+		n.sawRoutes(from, r.ConfigVersion)
+		return
+	}
 	if r.ConfigVersion > n.graph.asOf() {
 		n.act(n.graph.do(func(s *config.Spread) config.Actions {
 			return s.SawVersion(time.Now(), from, r.ConfigVersion)
--- a/node/run.go
+++ b/node/run.go
@@ -35,7 +35,7 @@
 }
 
 func (n *Node) arrive(req call.Request) {
-	op, configured := n.graph.operation(req.Service, req.Operation)
+	op, configured := n.operation(req)
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects {
 		return s.Arrive(now, req, op, configured)
 	})
@@ -61,6 +61,8 @@
 		Header:     req.Header,
 		Query:      req.Query,
 		Body:       req.Body,
+		HTTP:       req.HTTP,
+		Instance:   inst.boot,
 	})
 	touched := n.server.ended(r)
 	result := n.result(r, res, touched)
@@ -85,6 +87,7 @@
 		Body:       res.Body,
 		Latency:    res.Latency,
 		Crashed:    res.Crashed,
+		Offered:    res.Offered,
 		Unused:     n.dispatch.CloseLedger(r.ledger),
 	}
 	// A backend server that declines after it made calls of its own has left
@@ -115,7 +118,7 @@
 	if r.Verdict == verdict.NotRun {
 		n.notes.Note(now, explain.Event{Step: explain.Refused, Service: n.cfg.Service, Reason: r.Reason, Detail: r.Detail})
 	}
-	r.ConfigVersion = n.graph.asOf()
+	r.ConfigVersion = n.configVersion()
 	r.Levels = n.levels(now)
 	if r.To == n.id {
 		n.dispatch.Reply(n.id, r)
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -39,6 +39,11 @@
 	LogReads, LogAppends, LogFailures expvar.Int
 	// ConfigChanges put in force.
 	ConfigChanges expvar.Int
+	// RoutesRefused counts published routes that could not be taken.
+	RoutesRefused expvar.Int
+	// LateBeats counts heartbeats of the backend server that came after newer
+	// ones.
+	LateBeats expvar.Int
 
 	reasons    expvar.Map
 	reasonKeys atomic.Int32
@@ -103,6 +108,8 @@
 		{"log_appends", &c.LogAppends},
 		{"log_failures", &c.LogFailures},
 		{"config_changes", &c.ConfigChanges},
+		{"routes_refused", &c.RoutesRefused},
+		{"late_beats", &c.LateBeats},
 	}
 }
 
--- a/serve/config.go
+++ b/serve/config.go
@@ -36,6 +36,13 @@
 	// RefuseRetryAfter is proposed with refusals that have no measured
 	// time of recovery, such as a drain: another node serves at once.
 	RefuseRetryAfter time.Duration
+	// SlotShare is the part of its stated slots that a backend server is
+	// given at once. Above 95% some slow down by a third, which costs more
+	// than the last slots bring.
+	SlotShare float64
+	// NoGate turns the admission level off: what waits is bounded by the
+	// queue and its deadlines alone.
+	NoGate bool
 	// Seed is for the times to come back that are proposed.
 	Seed uint64
 	// Policy leaves parts out, for experiments.
@@ -64,6 +71,7 @@
 		Gate:             admission.DefaultGateConfig(),
 		Once:             once.DefaultConfig(),
 		Poison:           poison.DefaultConfig(),
+		SlotShare:        0.95,
 		RefuseRetryAfter: 100 * time.Millisecond,
 	}
 }
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -68,6 +68,7 @@
 	reply.Status = a.result.Status
 	reply.Header = a.result.Header
 	reply.Body = a.result.Body
+	reply.Offered = a.result.Offered
 	reply.KeyHeld = a.held(now)
 	return reply
 }
@@ -106,7 +107,7 @@
 
 // Level is what callers' nodes are told to hold back below; zero admits all.
 func (s *Server) Level(now time.Time) uint16 {
-	if s.cfg.Policy != PolicyFull {
+	if s.cfg.Policy != PolicyFull || s.cfg.NoGate {
 		return 0
 	}
 	return s.gate.Level(now)
--- a/serve/run.go
+++ b/serve/run.go
@@ -123,6 +123,9 @@
 	case PolicyFixed:
 		return s.cfg.Limit.Initial
 	default:
+		if s.slots > 0 {
+			return s.slots
+		}
 		return s.limit.Limit()
 	}
 }
--- a/serve/server.go
+++ b/serve/server.go
@@ -40,6 +40,7 @@
 	peers       []wire.NodeID       // ready nodes of the service, with this one
 	owed        map[wire.NodeID]int // answers that each node awaits
 	nextID      uint64
+	slots       int  // at once, by the backend server's own word; zero for unknown
 	ready       bool // the backend server takes requests
 	crashed     bool // it crashed and has not announced itself since
 	drain       bool
@@ -84,6 +85,20 @@
 	return e
 }
 
+// SetSlots takes the number of requests that the backend server says it works
+// on at once. From then on that number bounds the concurrency and not a
+// measured limit: latencies that hold the calls of the backend server's own
+// say nothing about its slots.
+func (s *Server) SetSlots(now time.Time, slots int) Effects {
+	var e Effects
+	s.slots = max(0, int(float64(slots)*s.cfg.SlotShare))
+	if slots > 0 {
+		s.slots = max(1, s.slots)
+	}
+	s.pump(now, &e)
+	return e
+}
+
 // Drain refuses new work from now on. What runs goes on; what waits is
 // refused, so that another node takes it at once.
 func (s *Server) Drain(now time.Time) Effects {
@@ -203,6 +218,8 @@
 	case s.guard.Check(now, t.Request.Fingerprint) == poison.Refuse:
 		s.counts.Poison++
 		return s.guard.Refusal(now, t.Request.Fingerprint)
+	case s.cfg.NoGate:
+		return nil
 	case !s.gate.Admit(now, t.priority):
 		s.counts.Shed++
 		return s.shedError(now)
@@ -256,7 +273,7 @@
 // few milliseconds.
 func (s *Server) Tick(now time.Time) Effects {
 	var e Effects
-	if s.cfg.Policy == PolicyFull {
+	if s.cfg.Policy == PolicyFull && !s.cfg.NoGate {
 		for _, item := range s.queue.Shed(s.gate.Own(now)) {
 			s.shed(now, item.Value, &e)
 		}
--- a/serve/task.go
+++ b/serve/task.go
@@ -58,6 +58,9 @@
 	// Crashed says that the backend server's process ended while the task
 	// ran there.
 	Crashed bool
+	// Offered says that a request which did not run had reached the backend
+	// server.
+	Offered bool
 	// Unused is what is left of the request's grant of extra attempts.
 	Unused uint32
 }
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -21,6 +21,7 @@
 	KindMint
 	KindMinted
 	KindPoison
+	KindRoutes
 )
 
 // Limits for what a peer may send. A peer that exceeds them is disconnected:
