--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"reflect"
 	"runtime/debug"
 	"time"
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	app := fx.New(PlatformModule(s))
+	app := fx.New(PlatformModule(path, s))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -43,10 +44,13 @@
 	return app.Stop(ctx)
 }
 
+// settingsPath is where the platform's settings file lies.
+type settingsPath string
+
 // PlatformModule provides a node with the platform's interfaces around it.
-func PlatformModule(s platform.Settings) fx.Option {
+func PlatformModule(path string, s platform.Settings) fx.Option {
 	return fx.Options(
-		fx.Supply(s),
+		fx.Supply(s, settingsPath(path)),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Provide(newPlatformLogger, newStore, newCounters, listenPlatform, platformConfig, newPlatformNode),
 		fx.Invoke(runPlatform),
@@ -145,7 +149,7 @@
 	return &l, nil
 }
 
-func runPlatform(lc fx.Lifecycle, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
+func runPlatform(lc fx.Lifecycle, path settingsPath, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
 	c *ops.Counters, on *platformListeners, log zerolog.Logger) {
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	cfg.Entry.Draining = n.Draining
@@ -158,10 +162,12 @@
 		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                      on.ops,
 	}
 	watching, stopWatching := context.WithCancel(context.Background())
+	settings := newReloader(string(path), s, reapply(s), log)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			n.Start()
 			go platform.Watch(watching, store, n, log)
+			go settings.run(watching)
 			for srv, ln := range servers {
 				go serveUntilClosed(srv, ln, log)
 			}
@@ -189,3 +195,16 @@
 		log.Error().Err(err).Str("addr", ln.Addr().String()).Msg("server ended")
 	}
 }
+
+// reapply returns what a reload changes in a running node. Nothing of the
+// platform's settings can change while the process holds its addresses and its
+// place, but for the bounds, which the next start takes.
+func reapply(started platform.Settings) func(platform.Settings) []string {
+	return func(next platform.Settings) []string {
+		next.Seeds = started.Seeds // read at a start alone
+		if reflect.DeepEqual(next, started) {
+			return nil
+		}
+		return []string{"addresses, place, limits and bounds"}
+	}
+}
