--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -156,10 +156,10 @@
 	callers := entry.NewServer(cfg.Entry, platform.NewCallers(cfg.Entry, n))
 	servers := map[*http.Server]net.Listener{
 		callers: entry.Listener(on.callers),
-		{Handler: platform.NewHeartbeats(s.Service, s.Backend, n), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}: on.heartbeats,
-		{Handler: platform.NewReady(func() bool { ok, _ := n.Ready(); return ok }), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}:                      on.ready,
-		{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout}:                                     on.peers,
-		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                      on.ops,
+		{Handler: platform.NewHeartbeats(s.Service, s.Backend, n), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}:                  on.heartbeats,
+		{Handler: platform.NewReady(func() bool { ok, _ := n.Ready(); return ok }), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}: on.ready,
+		{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout}:                                                      on.peers,
+		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                                       on.ops,
 	}
 	watching, stopWatching := context.WithCancel(context.Background())
 	settings := newReloader(string(path), s, reapply(s), log)
