reach: what a route leads to is learned, and requests are turned away at the entry

Ruled out: a longer queue there (600 ms are there already). Change: a call is known by the request that runs beside it and ranks like that; answers name the services reached; levels of those are checked where a request enters, and calls of requests under way are never refused by them (TellOnly, Admitted). Routes reach nodes that the store does not: the offer went to members alone.

--- a/call/message.go
+++ b/call/message.go
@@ -50,6 +50,18 @@
 	HTTP HTTP `cbor:"16,keyasint,omitzero"`
 	// Idempotent says that a second run does no harm.
 	Idempotent bool `cbor:"17,keyasint,omitempty"`
+	// Root names the request that the call is made for, as it entered the
+	// system; empty if that is this one.
+	Root string `cbor:"18,keyasint,omitempty"`
+}
+
+// RootID returns the id of the request as it entered the system. All its calls
+// fare alike by it.
+func (r *Request) RootID() string {
+	if r.Root != "" {
+		return r.Root
+	}
+	return r.RequestID
 }
 
 // HTTP is a request as its caller sent it, for backend servers that get it
@@ -98,6 +110,9 @@
 	// Offered says that a request which did not run had reached the backend
 	// server: it counts as an attempt there.
 	Offered bool `cbor:"18,keyasint,omitempty"`
+	// Reached lists the services that the run is known to have called, and
+	// those that its calls reached.
+	Reached []string `cbor:"19,keyasint,omitempty"`
 }
 
 // Level is the least priority that a service admits.
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -19,6 +19,8 @@
 	Body       []byte
 	// KeyHeld is how long a resend with the same key stays safe.
 	KeyHeld time.Duration
+	// Reached lists the services that the request is known to have reached.
+	Reached []string
 }
 
 // Failed is the outcome for an error.
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -39,7 +39,7 @@
 		return err
 	}
 	<-app.Wait()
-	ctx, cancel = context.WithTimeout(context.Background(), s.Bounds.Grace)
+	ctx, cancel = context.WithTimeout(context.Background(), time.Duration(float64(s.Bounds.Grace)*stopShare))
 	defer cancel()
 	return app.Stop(ctx)
 }
@@ -89,6 +89,12 @@
 	// reroutes that cost nothing: enough to pass a node that is leaving and
 	// one that is full.
 	reroutes = 3
+	// enterGrace is two questions whether the node is ready, a second apart,
+	// and a margin: after two misses the clients are sent no more.
+	enterGrace = 2200 * time.Millisecond
+	// stopShare of the grace time is what a planned stop may use: after it the
+	// process is ended by force.
+	stopShare = 0.95
 	// budgetNodes is by how many nodes the slack for extra attempts is
 	// divided: what all of them spend at once must stay within it.
 	budgetNodes = 16
@@ -105,17 +111,17 @@
 	cfg.PeerAddr = s.Peers
 	cfg.OpsAddr = s.Ops
 	cfg.CallerAddr = s.Callers
+	cfg.EnterGrace = enterGrace
 	cfg.DecodeRoutes = platform.DecodeRoutes
 	cfg.Membership.Retention = s.Store.Retention
 	cfg.Backend.Dialect = platform.Target{}
 	cfg.Backend.IdleTimeout = time.Minute // the backend server states its own
 	cfg.Entry.IdleTimeout = keptIdle
-	cfg.Serve.NoGate = true
+	cfg.Serve.TellOnly = true
 	cfg.Serve.Queue.MaxWait = waitMax
 	cfg.Serve.Queue.MinItems = waitMin
 	cfg.Serve.Queue.WaitShare = waitShare
 	cfg.Serve.Queue.OverloadAfter = time.Duration(math.MaxInt64)
-	cfg.Dispatch.NoAdmission = true
 	cfg.Dispatch.Reroutes = reroutes
 	cfg.Dispatch.Budget.Ratio = s.Bounds.RetryRatio * budgetShare
 	cfg.Dispatch.Budget.Burst = max(1, s.Bounds.RetrySlack*budgetShare/budgetNodes)
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -127,5 +127,6 @@
 		Header:     r.Header,
 		Body:       r.Body,
 		KeyHeld:    r.KeyHeld,
+		Reached:    r.Reached,
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -182,6 +182,31 @@
 	Body   []byte
 	// HTTP is set for a request that came by host and path.
 	HTTP call.HTTP
+	// Root names the request that this call is made for; empty if it is one
+	// that enters here.
+	Root string
+	// Admitted says that the call belongs to a request under way. To refuse
+	// it by a learned level would waste what was spent on the request.
+	Admitted bool
+	// Reach lists the services that the call is known to lead to, besides
+	// those that its operation declares.
+	Reach []string
+}
+
+// reach lists all services that the call may lead to.
+func (p *Params) reach() []string {
+	if len(p.Reach) > 0 {
+		return p.Reach
+	}
+	return p.Operation.Reach()
+}
+
+// root is the id by which all calls of a request fare alike.
+func (p *Params) root() string {
+	if p.Root != "" {
+		return p.Root
+	}
+	return p.RequestID
 }
 
 // Call makes one call and returns when its outcome is final.
@@ -210,11 +235,11 @@
 	if !p.Resend {
 		d.budget.Call(now)
 	}
-	if d.cfg.NoAdmission {
+	if d.cfg.NoAdmission || p.Admitted {
 		return nil
 	}
-	prio := admission.Priority(p.Importance, p.RequestID)
-	service, after, ok := d.levels(p).Admit(now, p.Operation.Reach(), prio)
+	prio := admission.Priority(p.Importance, p.root())
+	service, after, ok := d.levels(p).Admit(now, p.reach(), prio)
 	if ok {
 		return nil
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -119,6 +119,7 @@
 		Body:        p.Body,
 		HTTP:        p.HTTP,
 		Idempotent:  p.Operation.Idempotent,
+		Root:        p.Root,
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,10 @@
 	Received time.Time
 	// HTTP is the request as it came, for routes by host and path.
 	HTTP call.HTTP
+	// Parent is the request that this one says it is a call of, empty for
+	// none. It is a hint: the node believes it only while that request runs
+	// at its own backend server.
+	Parent string
 }
 
 // Doer runs requests and mints idempotency keys; the node implements it. It
--- a/node/entry.go
+++ b/node/entry.go
@@ -159,6 +159,7 @@
 	if out.Verdict != verdict.NotRun {
 		n.server.touch(r)
 	}
+	n.server.reach(r, append(out.Reached, p.Operation.Service))
 	n.server.calling(time.Now(), r, -1)
 	return out
 }
--- a/node/graphs.go
+++ b/node/graphs.go
@@ -68,10 +68,10 @@
 	if g == nil {
 		return nil
 	}
-	own := reach(g, service)
+	own := reachIn(g, service)
 	var names []string
 	for name := range own {
-		if name != service && !reach(g, name)[service] {
+		if name != service && !reachIn(g, name)[service] {
 			names = append(names, name)
 		}
 	}
@@ -79,7 +79,7 @@
 	return names
 }
 
-func reach(g *graph.Graph, service string) map[string]bool {
+func reachIn(g *graph.Graph, service string) map[string]bool {
 	names := make(map[string]bool)
 	s, ok := g.Service(service)
 	if !ok {
--- a/node/node.go
+++ b/node/node.go
@@ -49,6 +49,10 @@
 	// DrainGrace is how long a leaving node still takes work from peers
 	// that have not heard of it; the users allow a few seconds.
 	DrainGrace time.Duration
+	// EnterGrace is how long a leaving node still takes requests that come by
+	// host and path: their callers have no other node until they hear that
+	// this one is not ready. What comes later could not be finished in time.
+	EnterGrace time.Duration
 	// BackendSilence is how long a backend server may go without announcing
 	// itself before it counts as gone. It announces every second.
 	BackendSilence time.Duration
@@ -114,6 +118,7 @@
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
+	leaving  atomic.Int64 // when the planned stop began, in Unix nanoseconds
 	entered  atomic.Int64 // callers' requests under way
 	replying atomic.Int64 // effects of the callee's decisions being carried out
 	stop     context.CancelFunc
--- a/node/ops.go
+++ b/node/ops.go
@@ -26,6 +26,7 @@
 	Config     config.Dump     `json:"config"`
 	Membership membership.Dump `json:"membership"`
 	Explain    explain.Dump    `json:"explain"`
+	Routes     RoutesState     `json:"routes"`
 }
 
 // BackendState is what the backend server last said of itself.
@@ -52,6 +53,7 @@
 		Dispatch:   n.dispatch.Dump(now),
 		Config:     n.graph.dump(),
 		Explain:    n.notes.Dump(),
+		Routes:     n.routing.dump(now),
 	}
 	n.members.with(func(m *membership.Members) { s.Membership = m.Dump() })
 	return s
--- a/node/post.go
+++ b/node/post.go
@@ -55,6 +55,14 @@
 	p.postTo(letter{to: to, addr: rec.PeerAddr, kind: kind, msg: msg})
 }
 
+// answer sends a message to a peer that has just been heard from, member or
+// not yet. Without a connection there is nobody to answer any more.
+func (p *postman) answer(to wire.NodeID, kind wire.Kind, msg any) {
+	if c, ok := p.n.peers.Lookup(to); ok {
+		p.send(c, letter{to: to, kind: kind, msg: msg})
+	}
+}
+
 func (p *postman) postTo(l letter) {
 	if c, ok := p.n.peers.Lookup(l.to); ok {
 		p.send(c, l)
--- a/node/routing.go
+++ b/node/routing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/reach"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/routes"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -27,6 +29,9 @@
 	splitter *routes.Splitter
 	// askedAt is when a peer was last asked for a newer version.
 	askedAt time.Time
+	// book holds what requests that entered here have reached, by route and
+	// service, and calls the same of the backend server's own calls.
+	book, calls *reach.Book
 }
 
 // published is a version of the routes with the text that it was made from,
@@ -51,7 +56,8 @@
 }
 
 func newRouting(decode func([]byte) (*routes.Table, error)) *routing {
-	return &routing{decode: decode, splitter: routes.NewSplitter()}
+	return &routing{decode: decode, splitter: routes.NewSplitter(),
+		book: reach.New(reach.DefaultConfig()), calls: reach.New(reach.DefaultConfig())}
 }
 
 // enabled reports whether the node serves published routes instead of a graph
@@ -91,6 +97,63 @@
 	return r.splitter.Next(t, route)
 }
 
+// bookKey tells the parts of a split route apart: each service calls others.
+func bookKey(op *graph.Operation) string { return op.Name + " " + op.Service }
+
+// reach lists the services that requests for the operation lead to, its own
+// among them; nil before any is known.
+func (r *routing) reach(op *graph.Operation) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.book.Reach(bookKey(op))
+}
+
+func (r *routing) learn(now time.Time, op *graph.Operation, reached []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.book.Learn(now, bookKey(op), append(reached, op.Service))
+}
+
+// ownCalls is the key of what the backend server's calls reach.
+const ownCalls = ""
+
+// learnOwn notes what a call of the backend server reached, and reports whether
+// that is new.
+func (r *routing) learnOwn(now time.Time, service string, reached []string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.calls.Learn(now, ownCalls, append(reached, service))
+}
+
+// below lists the services that the backend server's calls reach, without its
+// own.
+func (r *routing) below(own string) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(r.calls.Reach(ownCalls)), func(name string) bool { return name == own })
+}
+
+// RoutesState is the state for people.
+type RoutesState struct {
+	Version uint64 `json:"version"`
+	Count   int    `json:"count"`
+	AgeMs   int64  `json:"age_ms"`
+	// Reach is what requests that entered here have reached.
+	Reach []reach.State `json:"reach"`
+}
+
+func (r *routing) dump(now time.Time) RoutesState {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := RoutesState{Reach: r.book.Dump(now)}
+	if p := r.force.Load(); p != nil {
+		s.Version = p.table.Version
+		s.Count = p.table.Len()
+		s.AgeMs = now.Sub(p.since).Milliseconds()
+	}
+	return s
+}
+
 // mayAsk reports whether it is time to ask a peer for newer routes.
 func (r *routing) mayAsk(now time.Time) bool {
 	r.mu.Lock()
@@ -130,7 +193,7 @@
 	if version <= own || !n.routing.mayAsk(time.Now()) {
 		return
 	}
-	n.posts.post(from, wire.KindRoutes, routesMessage{Version: own, Want: true})
+	n.posts.answer(from, wire.KindRoutes, routesMessage{Version: own, Want: true})
 }
 
 func (n *Node) handleRoutes(from wire.NodeID, m routesMessage) {
@@ -152,7 +215,7 @@
 	if p == nil || p.table.Version <= have {
 		return
 	}
-	n.posts.post(to, wire.KindRoutes, routesMessage{Version: p.table.Version, Text: p.text})
+	n.posts.answer(to, wire.KindRoutes, routesMessage{Version: p.table.Version, Text: p.text})
 }
 
 // configVersion is what replies say is in force here.
@@ -188,6 +251,9 @@
 }
 
 func (n *Node) forward(ctx context.Context, in entry.Incoming, path string) call.Outcome {
+	if n.closedToCallers(time.Now()) {
+		return call.Failed(verdict.Refuse(verdict.Draining, "this node is leaving").After(refuseRetryAfter))
+	}
 	table := n.routing.table()
 	if table == nil {
 		return call.Failed(verdict.Refuse(verdict.NoConfiguration, "this node has no routes yet").After(refuseRetryAfter))
@@ -197,22 +263,58 @@
 		return call.Failed(verdict.Refuse(verdict.UnknownOperation, "no route for %s%s in version %d", in.HTTP.Host, path, table.Version))
 	}
 	op := n.routing.pick(table, route).Operation
-	ledger := retry.New(uint32(op.ExtraAttempts))
-	defer n.dispatch.CloseLedger(ledger)
 	in.HTTP.Origin = n.cfg.Service
-	return n.dispatch.Call(ctx, dispatch.Params{
+	p := routeParams(in, op)
+	if parent, ok := n.server.running(in.Parent); ok && in.Parent != "" {
+		return n.forwardCall(ctx, parent, p)
+	}
+	return n.forwardRoot(ctx, p)
+}
+
+func routeParams(in entry.Incoming, op *graph.Operation) dispatch.Params {
+	return dispatch.Params{
 		RequestID:   in.RequestID,
 		Operation:   op,
 		Importance:  op.Importance,
 		Deadline:    in.Received.Add(budget(in, op)),
-		Ledger:      ledger,
-		Entering:    true,
+		Ledger:      retry.New(uint32(op.ExtraAttempts)),
 		Fanout:      1,
 		Fingerprint: poison.Fingerprint(op.Service, in.HTTP.Origin, in.HTTP.Method+in.HTTP.Target, in.Body),
 		Header:      in.Header,
 		Body:        in.Body,
 		HTTP:        in.HTTP,
-	})
+	}
+}
+
+// forwardRoot takes a request that enters the system here.
+func (n *Node) forwardRoot(ctx context.Context, p dispatch.Params) call.Outcome {
+	defer n.dispatch.CloseLedger(p.Ledger)
+	p.Entering = true
+	p.Reach = n.routing.reach(p.Operation)
+	out := n.dispatch.Call(ctx, p)
+	if out.Verdict == verdict.Ran {
+		n.routing.learn(time.Now(), p.Operation, out.Reached)
+	}
+	return out
+}
+
+// forwardCall makes a call for a request that runs at the backend server. It
+// ends with that request and ranks like the one that it was made for.
+func (n *Node) forwardCall(ctx context.Context, parent *run, p dispatch.Params) call.Outcome {
+	defer n.dispatch.CloseLedger(p.Ledger)
+	req := &parent.task.Request
+	p.Root = req.RootID()
+	p.Importance = req.Importance
+	p.Depth = req.Depth + 1
+	p.Admitted = true
+	if parent.task.Deadline.Before(p.Deadline) {
+		p.Deadline = parent.task.Deadline
+	}
+	out := n.callFor(ctx, parent, p)
+	if n.routing.learnOwn(time.Now(), p.Operation.Service, out.Reached) {
+		n.dispatch.PassOn(n.routing.below(n.cfg.Service))
+	}
+	return out
 }
 
 // budget is the time that a request has: its caller's, but no more than the
--- /dev/null
+++ b/node/routing_test.go
@@ -0,0 +1,183 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/routes"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// routesText lists services that each serve /NAME/ of every test's one host.
+type routesText struct {
+	Version  uint64
+	Services []string
+}
+
+const testHost = "x.example"
+
+func (r routesText) encode(t testing.TB) []byte {
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func decodeTestRoutes(text []byte) (*routes.Table, error) {
+	var r routesText
+	if err := json.Unmarshal(text, &r); err != nil {
+		return nil, err
+	}
+	var list []routes.Route
+	for _, s := range r.Services {
+		list = append(list, routes.Route{
+			Name: "to-" + s, Host: testHost, Prefix: "/" + s + "/", Idempotent: true, Timeout: 5 * time.Second,
+			MaxAttempts: 2, Shares: []routes.Share{{Service: s, Weight: 1}},
+		})
+	}
+	return routes.New(r.Version, list, routes.Limits{MaxHeaderBytes: 1, HeaderTimeout: 1, IdleTimeout: 1})
+}
+
+func startRouted(t *testing.T, change func(*node.Config)) *testnode.Cluster {
+	cfg := testnode.DefaultConfig()
+	cfg.Change = func(c *node.Config) {
+		c.DecodeRoutes = decodeTestRoutes
+		c.Dispatch.Reroutes = 3
+		if change != nil {
+			change(c)
+		}
+	}
+	return testnode.Start(t, cfg)
+}
+
+// forward sends a request to a service through a node.
+func forward(i *testnode.Instance, service, id, parent string) call.Outcome {
+	return i.Node.Forward(context.Background(), entry.Incoming{
+		RequestID: id,
+		Parent:    parent,
+		Received:  time.Now(),
+		HTTP:      call.HTTP{Method: "GET", Host: testHost, Target: "/" + service + "/x"},
+	}, "/"+service+"/x")
+}
+
+// onward calls another service and answers with its answer. The call's id names
+// the request that it is made for.
+func onward(i **testnode.Instance, service string) testnode.Script {
+	return func(_ context.Context, w *testnode.Work) testnode.Answer {
+		out := forward(*i, service, w.RequestID+".c", w.RequestID)
+		if out.Reason != verdict.None {
+			return testnode.Answer{Status: 502}
+		}
+		return testnode.Answer{Status: out.Status, Body: out.Body}
+	}
+}
+
+// One node reads new routes from the store, the others cannot reach it. They
+// serve them, too, since peers tell each other; an older version that comes
+// late, and a text that cannot be read, change nothing.
+func TestRoutesReachNodesThatTheStoreDoesNot(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	a := c.Add("a", testnode.Echo)
+	first := routesText{Version: 3, Services: []string{"a"}}.encode(t)
+	a.Node.Publish(first, "store")
+	is.Equal(a.Node.Routes().Version, uint64(3))
+	b := c.Add("b", testnode.Echo)
+	testnode.Await(t, "the new node has the routes", func() bool { return b.Node.Routes() != nil })
+
+	c.AwaitWhole()
+	b.Node.Publish(routesText{Version: 7, Services: []string{"a", "b"}}.encode(t), "store")
+	testnode.Await(t, "replies bring the news", func() bool {
+		forward(a, "a", "r", "")
+		forward(b, "a", "r", "")
+		forward(a, "b", "r", "")
+		return a.Node.Routes().Version == 7
+	})
+	a.Node.Publish(first, "store")
+	a.Node.Publish([]byte("{"), "store")
+	is.Equal(a.Node.Routes().Version, uint64(7))
+	is.Equal(a.Counters.RoutesRefused.Value(), int64(1))
+	is.Equal(forward(a, "nowhere", "r", "").Reason, verdict.UnknownOperation)
+}
+
+// A request enters at one service, which calls a second, which calls a third.
+// The node at the entry learns from the answer what the route leads to, with
+// nothing declared. A request that claims to be a call of one that does not run
+// here counts as entering here.
+func TestReachIsLearnedFromAnswers(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	var top, middle *testnode.Instance
+	top = c.Add("top", onward(&top, "middle"))
+	middle = c.Add("middle", onward(&middle, "deep"))
+	c.Add("deep", testnode.Echo)
+	c.AwaitWhole()
+	top.Node.Publish(routesText{Version: 1, Services: []string{"top", "middle", "deep"}}.encode(t), "store")
+	testnode.Await(t, "all have the routes", func() bool {
+		return forward(top, "top", "r1", "no-such-request").Status == 200
+	})
+
+	learned := map[string]string{}
+	for _, r := range top.State().Routes.Reach {
+		learned[strings.Fields(r.Route)[0]] = strings.Join(r.Services, " ")
+	}
+	is.Equal(learned["to-top"], "deep middle top")
+	is.Equal(learned["to-middle"], "") // its calls entered elsewhere
+}
+
+// The backend server says that it is leaving. From the acknowledgement on it is
+// handed nothing, and a heartbeat that was held up on its way, from before or
+// of an earlier start, does not bring it back. The next start does.
+func TestLateHeartbeatsBringNothingBack(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	a := c.Add("a", testnode.Echo)
+	a.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), "store")
+	beat := func(instance string, sequence uint64, leaving bool) {
+		a.Node.Beat(time.Now(), node.Heartbeat{Instance: instance, URL: a.Backend.URL, Slots: 4, Sequence: sequence, Leaving: leaving})
+	}
+	serves := func() bool { return forward(a, "a", "r", "").Verdict == verdict.Ran }
+
+	beat("one", 5, false)
+	testnode.Await(t, "it serves", serves)
+	beat("one", 6, true)
+	is.True(!serves())
+	beat("one", 4, false)
+	beat("one", 7, false)
+	is.True(!serves())
+	beat("two", 1, false)
+	testnode.Await(t, "the next start serves", serves)
+	beat("one", 9, false)
+	is.Equal(a.State().Backend.Boot, "two")
+	a.Node.BackendLeaves("two")
+	beat("two", 2, false)
+	is.True(!serves())
+	is.Equal(a.Counters.LateBeats.Value(), int64(4))
+}
+
+// A node that is leaving takes requests for a while, since their callers have
+// not heard that it is not ready; what comes later is refused with a promise.
+func TestLeavingNodeTakesRequestsForAWhile(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, func(cfg *node.Config) { cfg.EnterGrace = 200 * time.Millisecond })
+	a, b := c.Add("a", testnode.Echo), c.Add("b", testnode.Echo)
+	c.AwaitWhole()
+	a.Node.Publish(routesText{Version: 1, Services: []string{"b"}}.encode(t), "store")
+	a.Node.Drain()
+	is.Equal(forward(a, "b", "r1", "").Verdict, verdict.Ran)
+	testnode.Await(t, "it is closed", func() bool {
+		out := forward(a, "b", "r2", "")
+		return out.Verdict == verdict.NotRun && out.Reason == verdict.Draining
+	})
+	is.True(b.Backend != nil)
+}
--- a/node/server.go
+++ b/node/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	serve   *serve.Server
 	runs    map[uint64]*run
 	byToken map[string]*run
+	// byRequest finds a run by the id that the backend server knows.
+	byRequest map[string]*run
 
 	mintMu  sync.Mutex
 	mints   map[uint64]mintWait
@@ -39,14 +42,17 @@
 	// touched is set when a call made for the task may have run: the task
 	// itself can then no longer claim "not run".
 	touched bool
+	// reached are the services that calls made for the task have reached.
+	reached []string
 }
 
 func newServer(s *serve.Server) *server {
 	return &server{
-		serve:   s,
-		runs:    make(map[uint64]*run),
-		byToken: make(map[string]*run),
-		mints:   make(map[uint64]mintWait),
+		serve:     s,
+		runs:      make(map[uint64]*run),
+		byToken:   make(map[string]*run),
+		byRequest: make(map[string]*run),
+		mints:     make(map[uint64]mintWait),
 	}
 }
 
@@ -73,6 +79,7 @@
 	r := &run{task: t, token: newToken(), ctx: ctx, stop: stop, ledger: retry.New(t.Request.Grant)}
 	s.runs[t.ID] = r
 	s.byToken[r.token] = r
+	s.byRequest[t.Request.RequestID] = r
 	return r
 }
 
@@ -92,9 +99,39 @@
 	defer s.mu.Unlock()
 	delete(s.runs, r.task.ID)
 	delete(s.byToken, r.token)
+	if s.byRequest[r.task.Request.RequestID] == r {
+		delete(s.byRequest, r.task.Request.RequestID)
+	}
 	return r.touched || r.calls > 0
 }
 
+// running returns the run of the request that the backend server is working
+// on, false if it is not.
+func (s *server) running(requestID string) (*run, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.byRequest[requestID]
+	return r, ok
+}
+
+// reach notes what a call made for a run has reached.
+func (s *server) reach(r *run, services []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, name := range services {
+		if !slices.Contains(r.reached, name) {
+			r.reached = append(r.reached, name)
+		}
+	}
+}
+
+// reached lists what the calls made for a run have reached.
+func (s *server) reached(r *run) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(r.reached)
+}
+
 // find returns the run that a token names.
 func (s *server) find(token string) (*run, bool) {
 	s.mu.Lock()
--- a/node/stop.go
+++ b/node/stop.go
@@ -22,6 +22,7 @@
 	}
 	n.log.Info().Msg("draining")
 	now := time.Now()
+	n.leaving.Store(now.UnixNano())
 	connected := n.peers.Connected()
 	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send {
 		return m.Drain(now, connected...)
@@ -40,6 +41,13 @@
 // Draining reports whether the planned stop has begun.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
+// closedToCallers reports whether a request that came by host and path is too
+// late for a node that is leaving.
+func (n *Node) closedToCallers(now time.Time) bool {
+	since := n.leaving.Load()
+	return since != 0 && now.Sub(time.Unix(0, since)) > n.cfg.EnterGrace
+}
+
 const waitPoll = 20 * time.Millisecond
 
 // Wait returns when the drain's grace has passed and nothing is in flight, or
--- a/serve/config.go
+++ b/serve/config.go
@@ -40,9 +40,10 @@
 	// given at once. Above 95% some slow down by a third, which costs more
 	// than the last slots bring.
 	SlotShare float64
-	// NoGate turns the admission level off: what waits is bounded by the
-	// queue and its deadlines alone.
-	NoGate bool
+	// TellOnly leaves the admission level to the nodes at which requests
+	// enter. What arrives here then belongs to requests under way: refusing
+	// it would waste what was spent on them, and only the queue's bounds do.
+	TellOnly bool
 	// Seed is for the times to come back that are proposed.
 	Seed uint64
 	// Policy leaves parts out, for experiments.
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -69,6 +69,7 @@
 	reply.Header = a.result.Header
 	reply.Body = a.result.Body
 	reply.Offered = a.result.Offered
+	reply.Reached = a.result.Reached
 	reply.KeyHeld = a.held(now)
 	return reply
 }
@@ -107,7 +108,7 @@
 
 // Level is what callers' nodes are told to hold back below; zero admits all.
 func (s *Server) Level(now time.Time) uint16 {
-	if s.cfg.Policy != PolicyFull || s.cfg.NoGate {
+	if s.cfg.Policy != PolicyFull {
 		return 0
 	}
 	return s.gate.Level(now)
--- a/serve/server.go
+++ b/serve/server.go
@@ -174,7 +174,7 @@
 		Operation: op,
 		Deadline:  now.Add(req.Budget),
 		waiter:    waiter{from: req.From, seq: req.Seq},
-		priority:  admission.Priority(req.Importance, req.RequestID),
+		priority:  admission.Priority(req.Importance, req.RootID()),
 		class:     uint32(xxhash.Sum64String(req.Operation)),
 	}
 }
@@ -218,9 +218,7 @@
 	case s.guard.Check(now, t.Request.Fingerprint) == poison.Refuse:
 		s.counts.Poison++
 		return s.guard.Refusal(now, t.Request.Fingerprint)
-	case s.cfg.NoGate:
-		return nil
-	case !s.gate.Admit(now, t.priority):
+	case !s.gate.Admit(now, t.priority) && !s.cfg.TellOnly:
 		s.counts.Shed++
 		return s.shedError(now)
 	}
@@ -273,7 +271,7 @@
 // few milliseconds.
 func (s *Server) Tick(now time.Time) Effects {
 	var e Effects
-	if s.cfg.Policy == PolicyFull && !s.cfg.NoGate {
+	if s.cfg.Policy == PolicyFull && !s.cfg.TellOnly {
 		for _, item := range s.queue.Shed(s.gate.Own(now)) {
 			s.shed(now, item.Value, &e)
 		}
--- a/serve/task.go
+++ b/serve/task.go
@@ -61,6 +61,8 @@
 	// Offered says that a request which did not run had reached the backend
 	// server.
 	Offered bool
+	// Reached lists the services that calls made for the task reached.
+	Reached []string
 	// Unused is what is left of the request's grant of extra attempts.
 	Unused uint32
 }
