retry: budgets by service and rank; a declined call may be offered again

One budget for all services let calls to the others earn the attempts. Change: a budget a service, with a floor by priority while attempts are scarce; calls of repeated runs are charged; a declined call may be offered to the same backend server again, out of the budget.

--- a/call/message.go
+++ b/call/message.go
@@ -53,6 +53,9 @@
 	// Root names the request that the call is made for, as it entered the
 	// system; empty if that is this one.
 	Root string `cbor:"18,keyasint,omitempty"`
+	// Repeat says that the call, or the request that it is made for, may have
+	// run before: its own calls are extra attempts.
+	Repeat bool `cbor:"20,keyasint,omitempty"`
 }
 
 // RootID returns the id of the request as it entered the system. All its calls
--- a/caller/client.go
+++ b/caller/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"math"
 	mathrand "math/rand/v2"
 	"net/http"
 	"sync"
@@ -152,7 +153,7 @@
 func (c *Client) allowResend() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.budget.Allow(time.Now())
+	return c.budget.Allow(time.Now(), math.MaxUint16) // all resends of one caller count alike
 }
 
 func (c *Client) random() float64 {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -95,12 +95,15 @@
 	// stopShare of the grace time is what a planned stop may use: after it the
 	// process is ended by force.
 	stopShare = 0.95
+	// reoffers of a call that its backend server declined: one that declines
+	// half of what it gets takes a call within six offers 63 times in 64.
+	reoffers = 5
 	// budgetNodes is by how many nodes the slack for extra attempts is
 	// divided: what all of them spend at once must stay within it.
 	budgetNodes = 16
-	// budgetShare of the ratio is what the nodes spend: extra attempts make
-	// their calls again, which count at the services called.
-	budgetShare = 0.5
+	// budgetShare of the bound is what the nodes spend; the rest covers what
+	// they cannot see, such as attempts counted in another window than theirs.
+	budgetShare = 0.8
 )
 
 func platformConfig(s platform.Settings) node.Config {
@@ -123,6 +126,7 @@
 	cfg.Serve.Queue.WaitShare = waitShare
 	cfg.Serve.Queue.OverloadAfter = time.Duration(math.MaxInt64)
 	cfg.Dispatch.Reroutes = reroutes
+	cfg.Dispatch.Reoffers = reoffers
 	cfg.Dispatch.Budget.Ratio = s.Bounds.RetryRatio * budgetShare
 	cfg.Dispatch.Budget.Burst = max(1, s.Bounds.RetrySlack*budgetShare/budgetNodes)
 	return cfg
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -37,8 +37,14 @@
 	redirects int
 	// reroutes is how often the call may still go on for nothing.
 	reroutes int
+	// reoffers is how often the call may still be offered again to a backend
+	// server that declined it.
+	reoffers int
 }
 
+// declined reports whether r is the refusal of a backend server itself.
+func declined(r call.Reply) bool { return r.Verdict == verdict.NotRun && r.Offered }
+
 // free reports whether another attempt after r costs nothing, and counts it.
 func (a *attempts) free(r call.Reply) bool {
 	if r.Verdict != verdict.NotRun || r.Offered || a.reroutes == 0 {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -84,6 +85,10 @@
 	// their backend servers goes to another one for nothing: nothing ran and
 	// no backend server was troubled. Zero spends an extra attempt on each.
 	Reroutes int
+	// Reoffers is how often a call that backend servers declined is offered
+	// again to one of them, when no other may or can be tried. Each takes an
+	// extra attempt from the node's budget.
+	Reoffers int
 	// RoundRobin replaces the choice of a backend server, for experiments.
 	RoundRobin bool
 	Seed       uint64
@@ -116,7 +121,7 @@
 	// the calls of the node's backend server; only own is passed on.
 	entering *admission.Levels
 	own      *admission.Levels
-	budget   *retry.Budget
+	budgets  *retry.Budgets
 	random   *rand.Rand
 	counts   Counts
 }
@@ -151,7 +156,7 @@
 		pickers:  make(map[string]*picker),
 		entering: admission.NewLevels(cfg.Levels, cfg.Seed),
 		own:      admission.NewLevels(cfg.Levels, cfg.Seed+1),
-		budget:   retry.NewBudget(cfg.Budget, time.Now()),
+		budgets:  retry.NewBudgets(cfg.Budget),
 	}
 }
 
@@ -185,12 +190,18 @@
 	// Root names the request that this call is made for; empty if it is one
 	// that enters here.
 	Root string
+	// Repeat says that the request that the call is made for has been run
+	// before: the call is an extra attempt, whatever comes of it.
+	Repeat bool
 	// Admitted says that the call belongs to a request under way. To refuse
 	// it by a learned level would waste what was spent on the request.
 	Admitted bool
 	// Reach lists the services that the call is known to lead to, besides
 	// those that its operation declares.
 	Reach []string
+
+	// repeated says that an attempt of the call itself may have run before.
+	repeated bool
 }
 
 // reach lists all services that the call may lead to.
@@ -232,8 +243,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.counts.Calls++
-	if !p.Resend {
-		d.budget.Call(now)
+	switch budget := d.budgets.Of(now, p.Operation.Service); {
+	case p.Repeat:
+		budget.Charge(now)
+	case !p.Resend:
+		budget.Call(now)
 	}
 	if d.cfg.NoAdmission || p.Admitted {
 		return nil
@@ -257,6 +271,7 @@
 	}
 	a := newAttempts(p)
 	a.reroutes = d.cfg.Reroutes
+	a.reoffers = d.cfg.Reoffers
 	hop := d.cfg.HopAttempts
 	for {
 		reply := d.once(ctx, p, &a, to)
@@ -273,6 +288,7 @@
 			}
 			to = target{id: reply.BoundTo, holder: a.keyed}
 		case again:
+			p.repeated = p.repeated || reply.Verdict != verdict.NotRun
 			d.note(p, explain.Retried, reply.Reason, reply.Detail)
 			to = next
 		}
@@ -298,7 +314,7 @@
 	if !ok {
 		return false
 	}
-	if !a.free(r) && !d.take(p, hop) {
+	if !a.free(r) && !d.take(p, a, to, hop) {
 		d.release(p, to)
 		return false
 	}
@@ -306,20 +322,28 @@
 	return true
 }
 
-func (d *Dispatcher) take(p Params, hop *int) bool {
+// take takes the extra attempt at a target from the bounds. Offering a call again
+// to one that declined it is an attempt for the budget, but sends the request to
+// no further backend server.
+func (d *Dispatcher) take(p Params, a *attempts, to target, hop *int) bool {
 	if d.cfg.HopAttempts > 0 {
 		*hop--
 		return *hop >= 0
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.budget.Allow(time.Now()) {
-		d.counts.OverBudget++
+	further := d.cfg.Reoffers == 0 || !slices.Contains(a.tried, to.id)
+	if further && p.Ledger.Left() == 0 {
 		return false
 	}
-	if !p.Ledger.Spend() {
+	now := time.Now()
+	if !d.budgets.Of(now, p.Operation.Service).Allow(now, admission.Priority(p.Importance, p.root())) {
+		d.counts.OverBudget++
 		return false
 	}
+	if further {
+		p.Ledger.Spend()
+	}
 	d.counts.Retries++
 	return true
 }
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -11,9 +11,10 @@
 
 // Dump is the state for people.
 type Dump struct {
-	Waiting int               `json:"waiting"`
-	Counts  Counts            `json:"counts"`
-	Budget  retry.BudgetState `json:"retry_budget"`
+	Waiting int    `json:"waiting"`
+	Counts  Counts `json:"counts"`
+	// Budgets are those for extra attempts, by service.
+	Budgets map[string]retry.BudgetState `json:"retry_budgets"`
 	// Entering are the levels for requests that enter here, Own those for
 	// calls of the node's backend server.
 	Entering []admission.LevelState `json:"levels_entering"`
@@ -34,7 +35,7 @@
 	dump := Dump{
 		Waiting:  len(d.waiting),
 		Counts:   d.counts,
-		Budget:   d.budget.Dump(),
+		Budgets:  d.budgets.Dump(),
 		Entering: d.entering.Dump(now),
 		Own:      d.own.Dump(now),
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -120,6 +120,7 @@
 		HTTP:        p.HTTP,
 		Idempotent:  p.Operation.Idempotent,
 		Root:        p.Root,
+		Repeat:      p.Repeat || p.repeated,
 	}
 }
 
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -51,7 +51,28 @@
 	if a.keyed && r.Verdict != verdict.NotRun {
 		return target{id: a.tried[len(a.tried)-1], holder: true}, true
 	}
-	return d.pick(p, a.tried)
+	if !declined(r) || a.reoffers == 0 {
+		return d.pick(p, a.tried)
+	}
+	if p.Ledger.Left() > 0 {
+		if to, ok := d.pick(p, a.tried); ok {
+			return to, true
+		}
+	}
+	a.reoffers--
+	return d.pickAmong(p, a.tried)
+}
+
+// pickAmong chooses among the nodes that were tried already.
+func (d *Dispatcher) pickAmong(p Params, tried []wire.NodeID) (target, bool) {
+	candidates, _ := d.members.Candidates(p.Operation.Service)
+	var others []wire.NodeID
+	for _, c := range candidates {
+		if !slices.Contains(tried, c.ID) {
+			others = append(others, c.ID)
+		}
+	}
+	return d.pick(p, others)
 }
 
 // pick chooses the node for an attempt. A caller's own key goes to the same
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -6,6 +6,7 @@
 type Budget struct {
 	cfg     Config
 	tokens  float64
+	floor   floor
 	last    time.Time
 	calls   uint64
 	allowed uint64
@@ -14,10 +15,12 @@
 
 // BudgetState is the state of a Budget for the dump.
 type BudgetState struct {
-	Tokens  float64 `json:"tokens"`
-	Calls   uint64  `json:"calls"`
-	Allowed uint64  `json:"allowed"`
-	Denied  uint64  `json:"denied"`
+	Tokens float64 `json:"tokens"`
+	// Floor is the least priority that gets a token.
+	Floor   uint16 `json:"floor"`
+	Calls   uint64 `json:"calls"`
+	Allowed uint64 `json:"allowed"`
+	Denied  uint64 `json:"denied"`
 }
 
 // NewBudget returns a full budget: a node that has just started may need its
@@ -33,10 +36,12 @@
 	b.add(b.cfg.Ratio)
 }
 
-// Allow reports whether an extra attempt may be made now, and takes it.
-func (b *Budget) Allow(now time.Time) bool {
+// Allow reports whether an extra attempt may be made now, and takes it. While
+// there are fewer tokens than attempts that want one, those of low priority get
+// none.
+func (b *Budget) Allow(now time.Time, priority uint16) bool {
 	b.refill(now)
-	if b.tokens < 1 {
+	if b.tokens < 1 || float64(priority) < b.floor.level {
 		b.denied++
 		return false
 	}
@@ -45,9 +50,20 @@
 	return true
 }
 
+// Charge takes an extra attempt that cannot be refused: the first attempt of a
+// call that is made again because the request above it is. What is taken beyond
+// the last token is owed.
+func (b *Budget) Charge(now time.Time) {
+	b.refill(now)
+	b.tokens = max(b.tokens-1, -b.cfg.Burst)
+	b.allowed++
+}
+
 // Dump returns the state for the dump.
 func (b *Budget) Dump() BudgetState {
-	return BudgetState{Tokens: b.tokens, Calls: b.calls, Allowed: b.allowed, Denied: b.denied}
+	return BudgetState{
+		Tokens: b.tokens, Floor: uint16(b.floor.level), Calls: b.calls, Allowed: b.allowed, Denied: b.denied,
+	}
 }
 
 // refill ignores a clock that went back, and Burst bounds what one that went
@@ -58,6 +74,7 @@
 	if elapsed > 0 {
 		b.add(elapsed.Seconds() * b.cfg.MinPerSecond)
 	}
+	b.floor.follow(now, b.tokens/max(b.cfg.Burst, 1))
 }
 
 func (b *Budget) add(tokens float64) {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -40,6 +40,9 @@
 	// traffic can make an extra attempt too. At 0.1 a quiet node makes one in
 	// ten seconds, which loads nobody.
 	MinPerSecond float64
+	// Services bounds the services with a budget of their own; the rest share
+	// one.
+	Services int
 	// MaxRequests bounds the requests remembered for their resends.
 	// 16384 are 40 s of entries at 400 a second.
 	MaxRequests int
@@ -51,7 +54,7 @@
 // DefaultConfig returns the settings that the defaults' reasons are given for.
 func DefaultConfig() Config {
 	return Config{
-		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1,
+		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1, Services: 1024,
 		MaxRequests: 16384, RequestMemory: time.Minute,
 	}
 }
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -238,7 +238,7 @@
 				b.Call(now)
 				calls++
 			}
-			if b.Allow(now) {
+			if b.Allow(now, rapid.Uint16().Draw(t, "priority")) {
 				allowed++
 			}
 			bound := cfg.Burst + cfg.Ratio*calls + cfg.MinPerSecond*forward.Seconds()
@@ -249,6 +249,62 @@
 	})
 }
 
+// Every call fails and wants extra attempts, more than there are. They go to
+// the important half each time, instead of to whoever asks at the right moment;
+// when the failures end, all get them again.
+func TestScarceAttemptsGoToTheImportant(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	now := time.Unix(0, 0)
+	b := NewBudget(cfg, now)
+	const half = 1 << 15
+	var high, low int
+	for i := range 40_000 { // 40 s of 1,000 calls a second
+		now = now.Add(time.Millisecond)
+		b.Call(now)
+		important := i%10 == 0
+		priority := uint16(half / 2)
+		if important {
+			priority = half + half/2
+		}
+		if b.Allow(now, priority) && i > 5000 {
+			if important {
+				high++
+			} else {
+				low++
+			}
+		}
+	}
+	is.True(high > 3000)  // nearly all of its 3,500 attempts
+	is.True(low < high/4) // the rest of the 10%
+	for range 10_000 {
+		now = now.Add(time.Millisecond)
+		b.Call(now)
+	}
+	is.True(b.Allow(now, 0))
+}
+
+// A call that is made again, since the request above it is, cannot be refused
+// its attempt. What it takes is owed: others wait until it is earned.
+func TestChargedAttemptsAreOwed(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.MinPerSecond = 0
+	now := time.Unix(0, 0)
+	b := NewBudget(cfg, now)
+	for range 15 {
+		b.Charge(now)
+	}
+	for range 55 { // half a token short of one
+		is.True(!b.Allow(now, 1<<15))
+		b.Call(now)
+	}
+	for range 10 {
+		b.Call(now)
+	}
+	is.True(b.Allow(now, 1<<15))
+}
+
 // A caller sends one request again and again, and many others come between:
 // memory stays bounded and a resend that is remembered brings no allowance.
 func TestCallersOwnResendsBringNoAllowance(t *testing.T) {
