logs: one bounded line for each decision, through a ring that never blocks

Cause: on-call engineers have only logs and metrics. Change: explain events carry their inputs (version, target, attempt, waits, time left) and go to a sink with a rate for each kind; the ring counts what a slow reader lost.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/cassialoom/cassialoom/entry"
+	"github.com/cassialoom/cassialoom/logs"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/platform"
@@ -57,8 +58,12 @@
 	)
 }
 
-func newPlatformLogger(s platform.Settings) zerolog.Logger {
-	return zerolog.New(os.Stdout).With().Timestamp().Str("machine", s.Node).Logger()
+// newPlatformLogger writes to standard output through a ring that never holds up
+// whoever writes; what waits in it is written before the process ends.
+func newPlatformLogger(lc fx.Lifecycle, s platform.Settings) zerolog.Logger {
+	log, end := logs.Open(logs.DefaultConfig(), os.Stdout)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return end.Close() }})
+	return log.With().Str("machine", s.Node).Logger()
 }
 
 func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store.Addr) }
@@ -106,8 +111,9 @@
 	budgetShare = 0.8
 )
 
-func platformConfig(s platform.Settings) node.Config {
+func platformConfig(s platform.Settings, log zerolog.Logger) node.Config {
 	cfg := node.DefaultConfig()
+	cfg.Explain.Sink = logs.NewDecisions(logs.DefaultConfig(), log)
 	cfg.Service = s.Service
 	cfg.DataCentre = s.DataCentre
 	cfg.Region = s.Region
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -199,6 +199,8 @@
 	// Reach lists the services that the call is known to lead to, besides
 	// those that its operation declares.
 	Reach []string
+	// Version is that of the routes or the graph that decided, for the notes.
+	Version uint64
 
 	// repeated says that an attempt of the call itself may have run before.
 	repeated bool
@@ -223,12 +225,12 @@
 // Call makes one call and returns when its outcome is final.
 func (d *Dispatcher) Call(ctx context.Context, p Params) call.Outcome {
 	if err := d.admit(p); err != nil {
-		d.note(p, explain.Refused, err.Reason, err.Detail)
+		d.noteRefused(p, err)
 		return call.Failed(err)
 	}
 	if !p.Holder.IsZero() && !d.members.Known(p.Holder) {
 		err := verdict.Doubt(verdict.KeyHolderGone, "the node %s that the key names is not there", p.Holder.Short())
-		d.note(p, explain.Refused, err.Reason, err.Detail)
+		d.noteRefused(p, err)
 		return call.Failed(err)
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
@@ -266,20 +268,21 @@
 	if !ok {
 		err := verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", p.Operation.Service)
 		err = err.After(d.cfg.NoBackendRetryAfter)
-		d.note(p, explain.Refused, err.Reason, err.Detail)
+		d.noteRefused(p, err)
 		return call.Failed(err)
 	}
 	a := newAttempts(p)
 	a.reroutes = d.cfg.Reroutes
 	a.reoffers = d.cfg.Reoffers
 	hop := d.cfg.HopAttempts
+	start := time.Now()
 	for {
 		reply := d.once(ctx, p, &a, to)
 		var next target
 		switch a.next(reply, func() bool { return d.spend(ctx, p, &a, reply, &next, &hop) }) {
 		case finish:
 			out := a.conclude(reply)
-			d.noteOutcome(p, out)
+			d.noteOutcome(p, &a, out, start)
 			return out
 		case redirect:
 			d.count(func(c *Counts) { c.Redirects++ })
@@ -289,7 +292,7 @@
 			to = target{id: reply.BoundTo, holder: a.keyed}
 		case again:
 			p.repeated = p.repeated || reply.Verdict != verdict.NotRun
-			d.note(p, explain.Retried, reply.Reason, reply.Detail)
+			d.noteAgain(p, &a, reply)
 			to = next
 		}
 	}
@@ -300,7 +303,7 @@
 		return a.conclude(r)
 	}
 	err := verdict.Doubt(verdict.KeyHolderGone, "the node %s that the key is bound to is not there", r.BoundTo.Short())
-	d.note(p, explain.Refused, err.Reason, err.Detail)
+	d.noteRefused(p, err)
 	return call.Failed(err)
 }
 
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -252,21 +252,43 @@
 	return l.Close()
 }
 
-func (d *Dispatcher) note(p Params, step explain.Step, reason verdict.Reason, detail string) {
-	d.notes.Note(time.Now(), explain.Event{
+// newEvent is what all notes about a call say.
+func newEvent(now time.Time, p Params, step explain.Step) explain.Event {
+	return explain.Event{
 		RequestID: p.RequestID,
+		Root:      p.Root,
 		Service:   p.Operation.Service,
 		Operation: p.Operation.Name,
 		Step:      step,
-		Reason:    reason,
-		Detail:    detail,
-	})
+		Version:   p.Version,
+		Left:      p.Deadline.Sub(now),
+	}
 }
 
-func (d *Dispatcher) noteOutcome(p Params, o call.Outcome) {
-	if o.Reason == verdict.None {
-		d.note(p, explain.Answered, verdict.None, "")
-		return
+// noteRefused notes that a call ends before anything was sent.
+func (d *Dispatcher) noteRefused(p Params, err *verdict.Error) {
+	now := time.Now()
+	e := newEvent(now, p, explain.Refused)
+	e.Verdict, e.Reason, e.Detail, e.RetryAfter = err.Verdict.String(), err.Reason, err.Detail, err.RetryAfter
+	d.notes.Note(now, e)
+}
+
+// noteAgain notes that an attempt is followed by another one.
+func (d *Dispatcher) noteAgain(p Params, a *attempts, r call.Reply) {
+	now := time.Now()
+	e := newEvent(now, p, explain.Retried)
+	e.Verdict, e.Reason, e.Detail = r.Verdict.String(), r.Reason, r.Detail
+	e.Target, e.Attempt = a.tried[len(a.tried)-1].Short(), len(a.tried)
+	d.notes.Note(now, e)
+}
+
+func (d *Dispatcher) noteOutcome(p Params, a *attempts, o call.Outcome, start time.Time) {
+	now := time.Now()
+	e := newEvent(now, p, explain.Answered)
+	if o.Reason != verdict.None {
+		e.Step = explain.Refused
 	}
-	d.note(p, explain.Refused, o.Reason, o.Verdict.String()+": "+o.Detail)
+	e.Verdict, e.Reason, e.Detail, e.RetryAfter = o.Verdict.String(), o.Reason, o.Detail, o.RetryAfter
+	e.Target, e.Attempt, e.Took = a.tried[len(a.tried)-1].Short(), len(a.tried), now.Sub(start)
+	d.notes.Note(now, e)
 }
--- a/explain/recorder.go
+++ b/explain/recorder.go
@@ -31,9 +31,11 @@
 	Cancelled Step = "cancelled"
 	Replayed  Step = "replayed"
 	Suspected Step = "suspected"
+	// Declined: this node refused an attempt that another one sent.
+	Declined Step = "declined"
 )
 
-var notable = []Step{Shed, Refused, Retried, Lost, Expired, Cancelled, Replayed, Suspected}
+var notable = []Step{Shed, Refused, Retried, Lost, Expired, Cancelled, Replayed, Suspected, Declined}
 
 // Event is one decision about one request.
 type Event struct {
@@ -44,6 +46,28 @@
 	Step      Step           `json:"step"`
 	Reason    verdict.Reason `json:"reason,omitempty"`
 	Detail    string         `json:"detail,omitempty"`
+	// Verdict is what was concluded about the request.
+	Verdict string `json:"verdict,omitempty"`
+	// Root is the request that a call was made for, as it entered.
+	Root string `json:"root,omitempty"`
+	// Target is who was asked: a node, or a start of a backend server.
+	Target string `json:"target,omitempty"`
+	// Attempt counts the sends of the call up to this decision.
+	Attempt int `json:"attempt,omitempty"`
+	// Version is that of the routes or the graph that decided.
+	Version uint64 `json:"version,omitempty"`
+	// Waited is the time in the queue, Took that from the start of what the
+	// step ends, Left that until the deadline.
+	Waited time.Duration `json:"waited_ns,omitempty"`
+	Took   time.Duration `json:"took_ns,omitempty"`
+	Left   time.Duration `json:"left_ns,omitempty"`
+	// RetryAfter is what the caller was told.
+	RetryAfter time.Duration `json:"retry_after_ns,omitempty"`
+}
+
+// Sink is told of every event, besides the rings. It must not block.
+type Sink interface {
+	Write(e Event)
 }
 
 // Notable reports whether the event goes into the ring of notable events: its
@@ -63,6 +87,8 @@
 	// MaxText is the longest text kept of one field, in bytes: callers
 	// choose the request id, and a detail may quote them.
 	MaxText int
+	// Sink may be nil.
+	Sink Sink
 }
 
 // DefaultConfig returns the defaults explained at Config.
@@ -75,6 +101,7 @@
 // concurrent use.
 type Recorder struct {
 	maxText int
+	sink    Sink
 
 	mu       sync.Mutex
 	notable  ring
@@ -86,6 +113,7 @@
 func New(cfg Config) *Recorder {
 	return &Recorder{
 		maxText:  cfg.MaxText,
+		sink:     cfg.Sink,
 		notable:  newRing(cfg.Notable),
 		ordinary: newRing(cfg.Ordinary),
 	}
@@ -95,6 +123,9 @@
 func (r *Recorder) Note(now time.Time, e Event) {
 	e.Time = now
 	r.trim(&e)
+	if r.sink != nil {
+		r.sink.Write(e)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if e.Notable() {
--- a/node/routing.go
+++ b/node/routing.go
@@ -265,6 +265,7 @@
 	op := n.routing.pick(table, route).Operation
 	in.HTTP.Origin = n.cfg.Service
 	p := routeParams(in, op)
+	p.Version = table.Version
 	if parent, ok := n.server.running(in.Parent); ok && in.Parent != "" {
 		return n.forwardCall(ctx, parent, p)
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -72,7 +72,7 @@
 	if res.Crashed {
 		n.backendCrashed(inst.boot)
 	}
-	n.noteRun(req, result)
+	n.noteRun(r.task, inst, result)
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
 
@@ -99,25 +99,36 @@
 	return result
 }
 
-func (n *Node) noteRun(req call.Request, r serve.Result) {
+// noteRun notes what became of a task that was handed to the backend server.
+func (n *Node) noteRun(t *serve.Task, inst instance, r serve.Result) {
 	step := explain.Ran
 	if r.Reason != verdict.None {
 		step = explain.Lost
 	}
-	n.notes.Note(time.Now(), explain.Event{
-		RequestID: req.RequestID,
-		Service:   req.Service,
-		Operation: req.Operation,
+	now := time.Now()
+	n.notes.Note(now, explain.Event{
+		RequestID: t.Request.RequestID,
+		Root:      t.Request.Root,
+		Service:   t.Request.Service,
+		Operation: t.Request.Operation,
 		Step:      step,
+		Verdict:   r.Verdict.String(),
 		Reason:    r.Reason,
 		Detail:    r.Detail,
+		Target:    inst.boot,
+		Waited:    t.Waited(),
+		Took:      r.Latency,
+		Left:      t.Deadline.Sub(now),
 	})
 }
 
 // reply sends an answer to the node that asked.
 func (n *Node) reply(now time.Time, r call.Reply) {
 	if r.Verdict == verdict.NotRun {
-		n.notes.Note(now, explain.Event{Step: explain.Refused, Service: n.cfg.Service, Reason: r.Reason, Detail: r.Detail})
+		n.notes.Note(now, explain.Event{
+			Step: explain.Declined, RequestID: r.RequestID, Service: n.cfg.Service, Verdict: r.Verdict.String(),
+			Reason: r.Reason, Detail: r.Detail, RetryAfter: r.RetryAfter, Target: r.To.Short(),
+		})
 	}
 	r.ConfigVersion = n.configVersion()
 	r.Levels = n.levels(now)
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -75,7 +75,9 @@
 }
 
 func (s *Server) refusal(req call.Request, err *verdict.Error) call.Reply {
-	return s.refusalTo(waiter{from: req.From, seq: req.Seq}, req.Grant, err)
+	reply := s.refusalTo(waiter{from: req.From, seq: req.Seq}, req.Grant, err)
+	reply.RequestID = req.RequestID
+	return reply
 }
 
 func (s *Server) refusalTo(w waiter, unused uint32, err *verdict.Error) call.Reply {
--- a/serve/run.go
+++ b/serve/run.go
@@ -132,6 +132,7 @@
 
 func (s *Server) start(now time.Time, t *Task, e *Effects) {
 	s.counts.Started++
+	t.started = now
 	s.running[t.ID] = t
 	t.inFlight = s.limit.Begin(now)
 	e.Start = append(e.Start, t)
--- a/serve/server.go
+++ b/serve/server.go
@@ -173,6 +173,7 @@
 		Request:   req,
 		Operation: op,
 		Deadline:  now.Add(req.Budget),
+		arrived:   now,
 		waiter:    waiter{from: req.From, seq: req.Seq},
 		priority:  admission.Priority(req.Importance, req.RootID()),
 		class:     uint32(xxhash.Sum64String(req.Operation)),
--- a/serve/task.go
+++ b/serve/task.go
@@ -28,6 +28,8 @@
 	waiter   waiter
 	priority uint16
 	class    uint32
+	// arrived and started are when it came and when it was handed over.
+	arrived, started time.Time
 	// heldUntil is when a resend with the same key stops being safe.
 	heldUntil time.Time
 	// alone says that nothing else may run beside it.
@@ -41,6 +43,9 @@
 	downstream time.Duration
 }
 
+// Waited is the time that the task waited for its turn.
+func (t *Task) Waited() time.Duration { return t.started.Sub(t.arrived) }
+
 // Result is what became of a task that was handed to the backend server.
 type Result struct {
 	Verdict verdict.Verdict
