node: a planned stop keeps the backend server in use; hedged calls; calls wait for a target

Idempotent calls that stay without an answer are asked of a second target within the budgets; calls of requests under way wait up to half their time for a target, and are not refused by an estimate.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -100,9 +100,16 @@
 	// stopShare of the grace time is what a planned stop may use: after it the
 	// process is ended by force.
 	stopShare = 0.95
+	// slowStart is the ramp of a node that starts: its backend server may have
+	// run all the while, and one that is cold is slow for a few seconds.
+	slowStart = 2 * time.Second
 	// reoffers of a call that its backend server declined: one that declines
 	// half of what it gets takes a call within six offers 63 times in 64.
 	reoffers = 5
+	// drainAfter leaves the peers a moment of enterGrace to hear that the
+	// backend server is not to be used, drainGrace is that moment.
+	drainAfter = 1900 * time.Millisecond
+	drainGrace = 200 * time.Millisecond
 	// budgetNodes is by how many nodes the slack for extra attempts is
 	// divided: what all of them spend at once must stay within it.
 	budgetNodes = 16
@@ -121,6 +128,8 @@
 	cfg.OpsAddr = s.Ops
 	cfg.CallerAddr = s.Callers
 	cfg.EnterGrace = enterGrace
+	cfg.DrainAfter = drainAfter
+	cfg.DrainGrace = drainGrace
 	cfg.DecodeRoutes = platform.DecodeRoutes
 	cfg.Membership.Retention = s.Store.Retention
 	cfg.Backend.Dialect = platform.Target{}
@@ -133,6 +142,8 @@
 	cfg.Serve.Queue.OverloadAfter = time.Duration(math.MaxInt64)
 	cfg.Dispatch.Reroutes = reroutes
 	cfg.Dispatch.Reoffers = reoffers
+	cfg.Dispatch.Hedge = true
+	cfg.Dispatch.Balancer.SlowStart = slowStart
 	cfg.Dispatch.Budget.Ratio = s.Bounds.RetryRatio * budgetShare
 	cfg.Dispatch.Budget.Burst = max(1, s.Bounds.RetrySlack*budgetShare/budgetNodes)
 	return cfg
@@ -184,6 +195,9 @@
 			n.Start()
 			go platform.Watch(watching, store, n, log)
 			go settings.run(watching)
+			if !s.First {
+				go findBackend(watching, s, n, log)
+			}
 			for srv, ln := range servers {
 				go serveUntilClosed(srv, ln, log)
 			}
@@ -224,3 +238,34 @@
 		return []string{"addresses, place, limits and bounds"}
 	}
 }
+
+const (
+	// findEvery is the pause between two looks whether the routes are known,
+	// which name the path to ask.
+	findEvery = 20 * time.Millisecond
+	// findFor ends the search: by then a heartbeat has come.
+	findFor = 2 * time.Second
+)
+
+// findBackend asks the backend server once, at the start of the node, whether it
+// runs.
+func findBackend(ctx context.Context, s platform.Settings, n *node.Node, log zerolog.Logger) {
+	ctx, cancel := context.WithTimeout(ctx, findFor)
+	defer cancel()
+	for {
+		if table := n.Routes(); table != nil && table.Health(s.Service) != "" {
+			b, err := platform.AskHealth(ctx, s.Backend, table.Health(s.Service))
+			if err != nil {
+				log.Info().Err(err).Msg("backend server not found at the start")
+				return
+			}
+			n.Found(time.Now(), b)
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(findEvery):
+		}
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -89,6 +89,9 @@
 	// again to one of them, when no other may or can be tried. Each takes an
 	// extra attempt from the node's budget.
 	Reoffers int
+	// Hedge asks another backend server as well when an idempotent call stays
+	// without an answer for unusually long.
+	Hedge bool
 	// RoundRobin replaces the choice of a backend server, for experiments.
 	RoundRobin bool
 	Seed       uint64
@@ -122,6 +125,7 @@
 	entering *admission.Levels
 	own      *admission.Levels
 	budgets  *retry.Budgets
+	usual    map[string]*usual // by operation
 	random   *rand.Rand
 	counts   Counts
 }
@@ -132,6 +136,7 @@
 	Attempts   uint64 `json:"attempts"`
 	Retries    uint64 `json:"retries"`
 	Redirects  uint64 `json:"redirects"`
+	Hedges     uint64 `json:"hedges"`
 	OverBudget uint64 `json:"over_budget"`
 	Refused    uint64 `json:"refused_by_levels"`
 	Unmatched  uint64 `json:"unmatched_replies"`
@@ -157,6 +162,7 @@
 		entering: admission.NewLevels(cfg.Levels, cfg.Seed),
 		own:      admission.NewLevels(cfg.Levels, cfg.Seed+1),
 		budgets:  retry.NewBudgets(cfg.Budget),
+		usual:    make(map[string]*usual),
 	}
 }
 
@@ -264,7 +270,7 @@
 }
 
 func (d *Dispatcher) attempt(ctx context.Context, p Params) call.Outcome {
-	to, ok := d.firstTarget(p)
+	to, ok := d.awaitTarget(ctx, p)
 	if !ok {
 		err := verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", p.Operation.Service)
 		err = err.After(d.cfg.NoBackendRetryAfter)
@@ -277,7 +283,7 @@
 	hop := d.cfg.HopAttempts
 	start := time.Now()
 	for {
-		reply := d.once(ctx, p, &a, to)
+		reply := d.hedged(ctx, p, &a, to, &hop)
 		var next target
 		switch a.next(reply, func() bool { return d.spend(ctx, p, &a, reply, &next, &hop) }) {
 		case finish:
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -12,11 +12,12 @@
 
 // once makes one attempt. Its reply is the callee's, or stands for what is
 // known without one.
-func (d *Dispatcher) once(ctx context.Context, p Params, a *attempts, to target) call.Reply {
-	a.tried = append(a.tried, to.id)
+func (d *Dispatcher) once(ctx context.Context, p Params, to target) call.Reply {
 	sent := time.Now()
 	reply := d.send(ctx, p, to)
-	d.picked(p, to, time.Since(sent), reply)
+	took := time.Since(sent)
+	d.picked(p, to, took, reply)
+	d.timed(p, took, reply)
 	d.learn(p, reply)
 	return reply
 }
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -85,7 +85,7 @@
 	defer n.stateMu.Unlock()
 	before = n.instance
 	same := before.boot == b.Instance
-	if same && b.Sequence <= before.sequence || n.starts.has(b.Instance) {
+	if same && before.beaten && b.Sequence <= before.sequence || n.starts.has(b.Instance) {
 		return before, before, false
 	}
 	if !same {
@@ -101,10 +101,28 @@
 		heard:    now,
 		slots:    b.Slots,
 		sequence: b.Sequence,
+		beaten:   true,
 	}
 	return before, n.instance, true
 }
 
+// Found takes what the backend server itself says at this node's start, if no
+// heartbeat has come yet: between two heartbeats a node that was restarted alone
+// would leave a backend server without work that runs and is ready.
+func (n *Node) Found(now time.Time, b Heartbeat) {
+	n.stateMu.Lock()
+	known := n.instance.boot != "" || n.starts.has(b.Instance)
+	if !known {
+		n.instance = instance{url: b.URL, boot: b.Instance, ready: true, heard: now, slots: b.Slots}
+	}
+	n.stateMu.Unlock()
+	if known {
+		return
+	}
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetSlots(now, b.Slots) })
+	n.setReady(true, "found at the start")
+}
+
 // BackendLeaves takes the last word of one start of the backend server. Once
 // it returns, nothing more is handed to it.
 func (n *Node) BackendLeaves(id string) {
--- a/node/instance.go
+++ b/node/instance.go
@@ -18,8 +18,9 @@
 	// slots is the number of requests that it works on at once; zero if it
 	// has not said.
 	slots int
-	// sequence is that of its last heartbeat.
+	// sequence is that of its last heartbeat, beaten is false before one.
 	sequence uint64
+	beaten   bool
 }
 
 // The states that a backend server announces.
--- a/node/node.go
+++ b/node/node.go
@@ -46,6 +46,11 @@
 	CallerAddr string
 	// Seeds are peer addresses to try besides those in the log.
 	Seeds []string
+	// DrainAfter is how long a node that is stopped as planned goes on as
+	// before, but for telling its callers that it is not ready. Its backend
+	// server stays in use meanwhile: while the callers are led away nothing is
+	// gained by losing its capacity, too.
+	DrainAfter time.Duration
 	// DrainGrace is how long a leaving node still takes work from peers
 	// that have not heard of it; the users allow a few seconds.
 	DrainGrace time.Duration
--- a/node/routing_test.go
+++ b/node/routing_test.go
@@ -181,3 +181,96 @@
 	})
 	is.True(b.Backend != nil)
 }
+
+// The answers of one backend server are lost: it runs what it gets and nothing
+// comes back. An idempotent request is asked of the other one as well after a
+// few times the usual wait, and its caller gets that answer long before the
+// deadline. A request that is not idempotent is never run twice.
+func TestSilentBackendServerIsHedged(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, func(cfg *node.Config) { cfg.Dispatch.Hedge = true })
+	release := make(chan struct{})
+	defer close(release)
+	lossy := func(ctx context.Context, w *testnode.Work) testnode.Answer {
+		if w.RequestID == "lost" {
+			select {
+			case <-ctx.Done():
+			case <-release:
+			}
+		}
+		return testnode.OK(nil)
+	}
+	entering := c.Add("entry", testnode.Echo)
+	c.Add("a", lossy)
+	c.Add("a", testnode.Echo)
+	c.AwaitWhole()
+	entering.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), "store")
+	for range 30 {
+		is.Equal(forward(entering, "a", "warm", "").Verdict, verdict.Ran)
+	}
+	for range 20 {
+		is.Equal(forward(entering, "a", "lost", "").Verdict, verdict.Ran)
+	}
+	is.True(entering.State().Dispatch.Counts.Hedges > 0)
+}
+
+// A node is restarted alone; its backend server runs all the while and beats
+// only every second or so. Asked at the start, it is in use at once. What it said
+// is not taken once a heartbeat has come, nor for a start that has said it leaves.
+func TestBackendServerIsFoundBeforeItsHeartbeat(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	a := c.Add("a", nil)
+	url := c.Add("b", testnode.Echo).Backend.URL
+	a.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), "store")
+	found := func(instance string) {
+		a.Node.Found(time.Now(), node.Heartbeat{Instance: instance, URL: url, Slots: 4})
+	}
+	a.Node.BackendLeaves("gone")
+	found("gone")
+	is.True(forward(a, "a", "r", "").Verdict == verdict.NotRun)
+	found("one")
+	testnode.Await(t, "it serves", func() bool { return forward(a, "a", "r", "").Verdict == verdict.Ran })
+	a.Node.Beat(time.Now(), node.Heartbeat{Instance: "one", URL: url, Slots: 4}) // the first, with sequence 0
+	is.Equal(a.Counters.LateBeats.Value(), int64(0))
+	found("two")
+	is.Equal(a.State().Backend.Boot, "one")
+}
+
+// The one backend server of a service changes hands while a request under way
+// needs it. The call waits for the next one; a request that enters does not,
+// and hears when to come back.
+func TestCallUnderWayWaitsForABackendServer(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	var top *testnode.Instance
+	top = c.Add("top", onward(&top, "deep"))
+	top.Node.Publish(routesText{Version: 1, Services: []string{"top", "deep"}}.encode(t), "store")
+	testnode.Await(t, "the top is in use", func() bool { return forward(top, "top", "r", "").Verdict == verdict.Ran || top.State().Backend.Ready })
+
+	out := make(chan call.Outcome, 1)
+	go func() { out <- forward(top, "top", "waits", "") }()
+	testnode.Await(t, "the request runs", func() bool { return top.State().Serve.Running == 1 })
+	refused := forward(top, "deep", "enters", "")
+	is.Equal(refused.Reason, verdict.NoBackend)
+	is.True(refused.RetryAfter > 0)
+	c.Add("deep", testnode.Echo)
+	is.Equal((<-out).Status, 200)
+}
+
+// A planned stop leads the callers away first: the node is not ready, but its
+// backend server goes on working for the other nodes until shortly before the
+// end, so that its capacity is missing for a moment only.
+func TestPlannedStopKeepsTheBackendServerInUse(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, func(cfg *node.Config) { cfg.DrainAfter = 300 * time.Millisecond })
+	a, b := c.Add("a", testnode.Echo), c.Add("b", testnode.Echo)
+	c.AwaitWhole()
+	a.Node.Publish(routesText{Version: 1, Services: []string{"b"}}.encode(t), "store")
+	b.Node.Drain()
+	ready, _ := b.Node.Ready()
+	is.True(!ready)
+	is.Equal(forward(a, "b", "r1", "").Verdict, verdict.Ran)
+	testnode.Await(t, "the others know", func() bool { return forward(a, "b", "r2", "").Reason == verdict.NoBackend })
+	is.NoErr(b.Node.Wait(t.Context()))
+}
--- a/node/stop.go
+++ b/node/stop.go
@@ -14,30 +14,51 @@
 var ErrStopTimeout = errors.New("requests still in flight at the end of the stop timeout")
 
 // Drain starts the planned stop and returns at once. The other nodes are told
-// immediately; work that peers send before they have heard is taken for
+// after DrainAfter; work that peers send before they have heard is taken for
 // DrainGrace, then refused, so that no new work starts after that.
 func (n *Node) Drain() {
 	if n.draining.Swap(true) {
 		return
 	}
 	n.log.Info().Msg("draining")
+	n.leaving.Store(time.Now().UnixNano())
+	if n.cfg.DrainAfter == 0 {
+		n.drainPeers()
+		return
+	}
+	n.background(func() {
+		if n.sleep(n.cfg.DrainAfter) {
+			n.drainPeers()
+		}
+	})
+}
+
+// drainPeers tells the other nodes, and refuses their work a little later.
+func (n *Node) drainPeers() {
 	now := time.Now()
-	n.leaving.Store(now.UnixNano())
 	connected := n.peers.Connected()
 	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send {
 		return m.Drain(now, connected...)
 	}))
 	n.background(func() {
-		select {
-		case <-n.ctx.Done():
+		if !n.sleep(n.cfg.DrainGrace) {
 			return
-		case <-time.After(n.cfg.DrainGrace):
 		}
 		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Drain(now) })
 		n.log.Info().Msg("drained: no new work is taken")
 	})
 }
 
+// sleep waits; false if the node stopped meanwhile.
+func (n *Node) sleep(d time.Duration) bool {
+	select {
+	case <-n.ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // Draining reports whether the planned stop has begun.
 func (n *Node) Draining() bool { return n.draining.Load() }
 
@@ -53,7 +74,7 @@
 // Wait returns when the drain's grace has passed and nothing is in flight, or
 // with the context's end.
 func (n *Node) Wait(ctx context.Context) error {
-	grace := time.NewTimer(n.cfg.DrainGrace + waitPoll)
+	grace := time.NewTimer(n.cfg.DrainAfter + n.cfg.DrainGrace + waitPoll)
 	defer grace.Stop()
 	select {
 	case <-grace.C:
--- a/routes/route.go
+++ b/routes/route.go
@@ -115,8 +115,16 @@
 	Limits  Limits
 	byHost  map[string][]*Route // longest prefix first
 	count   int
+	health  map[string]string
 }
 
+// Health names the path at which backend servers of a service tell their
+// health, empty if it is not known.
+func (t *Table) Health(service string) string { return t.health[service] }
+
+// SetHealth names those paths by service. It belongs to the making of a table.
+func (t *Table) SetHealth(paths map[string]string) { t.health = paths }
+
 // New checks the routes and makes a table of them.
 func New(version uint64, list []Route, limits Limits) (*Table, error) {
 	if err := limits.check(); err != nil {
--- a/serve/server.go
+++ b/serve/server.go
@@ -194,10 +194,10 @@
 		item.Priority = t.priority
 		item.Need = s.limit.Expect(t.class)
 	}
-	if s.queue.Late(now, &item) {
+	if s.queue.Late(now, &item) && !s.mayTry() {
 		s.counts.Expired++
 		s.observe(now, admission.Shed)
-		s.finishUnstarted(t, verdict.Refuse(verdict.Deadline, "would expire before its turn"), e)
+		s.finishUnstarted(t, s.tooLate(), e)
 		return
 	}
 	s.tasks[t.ID] = t
@@ -208,6 +208,21 @@
 	s.pump(now, e)
 }
 
+// mayTry reports whether a task that seems to come too late is started all the
+// same: it belongs to a request under way and nothing waits before it. The
+// time that it will need is only what such tasks usually took.
+func (s *Server) mayTry() bool { return s.cfg.TellOnly && s.queue.Len() == 0 }
+
+// tooLate refuses a task that would not get its turn in time. Where only the
+// levels at the entry shed, another node may still have a place for it.
+func (s *Server) tooLate() *verdict.Error {
+	const detail = "would expire before its turn"
+	if s.cfg.TellOnly {
+		return verdict.Refuse(verdict.Shed, detail)
+	}
+	return verdict.Refuse(verdict.Deadline, detail)
+}
+
 func (s *Server) refuseNow(now time.Time, t *Task) *verdict.Error {
 	switch {
 	case s.drain:
