--- a/node/entry.go
+++ b/node/entry.go
@@ -154,6 +154,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(r.ctx, cancel)()
+	return n.callBeside(ctx, r, p)
+}
+
+// callBeside makes a call on behalf of a run.
+func (n *Node) callBeside(ctx context.Context, r *run, p dispatch.Params) call.Outcome {
 	n.server.calling(time.Now(), r, 1)
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
--- a/node/loops.go
+++ b/node/loops.go
@@ -29,6 +29,7 @@
 func (n *Node) tickServer(now time.Time) {
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Tick(now) })
 	n.checkSilence(now)
+	n.tickPressure(now)
 }
 
 func (n *Node) tickMembers(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -120,6 +120,8 @@
 	instance instance // what the backend server last said of itself
 	starts   starts
 
+	pressure pressure // used by one loop alone
+
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
--- a/node/routing.go
+++ b/node/routing.go
@@ -299,8 +299,13 @@
 	return out
 }
 
-// forwardCall makes a call for a request that runs at the backend server. It
-// ends with that request and ranks like the one that it was made for.
+// forwardCall makes a call for a request that runs at the backend server. It has
+// no more time than that request and ranks like the one that it was made for.
+//
+// It does not end when the request is cancelled: the backend server is told of
+// that, and closes the connections of its calls if it gives up. An answer from
+// here in place of one that is on its way would be a false failure for a
+// backend server that goes on.
 func (n *Node) forwardCall(ctx context.Context, parent *run, p dispatch.Params) call.Outcome {
 	defer n.dispatch.CloseLedger(p.Ledger)
 	req := &parent.task.Request
@@ -312,7 +317,7 @@
 	if parent.task.Deadline.Before(p.Deadline) {
 		p.Deadline = parent.task.Deadline
 	}
-	out := n.callFor(ctx, parent, p)
+	out := n.callBeside(ctx, parent, p)
 	if n.routing.learnOwn(time.Now(), p.Operation.Service, out.Reached) {
 		n.dispatch.PassOn(n.routing.below(n.cfg.Service))
 	}
--- a/node/routing_test.go
+++ b/node/routing_test.go
@@ -274,3 +274,39 @@
 	testnode.Await(t, "the others know", func() bool { return forward(a, "b", "r2", "").Reason == verdict.NoBackend })
 	is.NoErr(b.Node.Wait(t.Context()))
 }
+
+// A request is cancelled while its backend server waits for a call. The node
+// does not answer the call in the callee's place: the backend server may go on
+// without its caller, and gets the answer.
+func TestCallOutlivesItsCancelledRequest(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	var top *testnode.Instance
+	got := make(chan call.Outcome, 1)
+	top = c.Add("top", func(_ context.Context, w *testnode.Work) testnode.Answer {
+		got <- forward(top, "deep", w.RequestID+".c", w.RequestID)
+		return testnode.OK(nil)
+	})
+	release := make(chan struct{})
+	deep := c.Add("deep", func(context.Context, *testnode.Work) testnode.Answer {
+		<-release
+		return testnode.OK([]byte("whole"))
+	})
+	c.AwaitWhole()
+	top.Node.Publish(routesText{Version: 1, Services: []string{"top", "deep"}}.encode(t), "store")
+
+	ctx, cancel := context.WithCancel(t.Context())
+	gone := make(chan call.Outcome, 1)
+	go func() {
+		gone <- top.Node.Forward(ctx, entry.Incoming{
+			RequestID: "r", Received: time.Now(),
+			HTTP: call.HTTP{Method: "GET", Host: testHost, Target: "/top/x"},
+		}, "/top/x")
+	}()
+	testnode.Await(t, "the call runs", func() bool { return deep.State().Serve.Running == 1 })
+	cancel()
+	is.Equal((<-gone).Reason, verdict.Canceled)
+	testnode.Await(t, "the backend server was told", func() bool { return top.State().Serve.Running == 0 })
+	close(release)
+	is.Equal(string((<-got).Body), "whole")
+}
