--- a/call/message.go
+++ b/call/message.go
@@ -116,6 +116,8 @@
 	// Reached lists the services that the run is known to have called, and
 	// those that its calls reached.
 	Reached []string `cbor:"19,keyasint,omitempty"`
+	// RanFor is the time that the backend server took.
+	RanFor time.Duration `cbor:"21,keyasint,omitempty"`
 	// RequestID is for the notes of the replying node.
 	RequestID string `cbor:"-"`
 }
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -21,6 +21,8 @@
 	KeyHeld time.Duration
 	// Reached lists the services that the request is known to have reached.
 	Reached []string
+	// RanFor is the time that the backend server took for the answer.
+	RanFor time.Duration
 }
 
 // Failed is the outcome for an error.
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -134,5 +134,6 @@
 		Body:       r.Body,
 		KeyHeld:    r.KeyHeld,
 		Reached:    r.Reached,
+		RanFor:     r.RanFor,
 	}
 }
--- a/node/ops.go
+++ b/node/ops.go
@@ -126,4 +126,43 @@
 	n.counts.ExtraAttempts.Set(int64(c.Retries))
 	n.counts.ExtraRefused.Set(int64(c.OverBudget))
 	n.counts.LateReplies.Set(int64(c.Unmatched))
+	n.counts.Hedges.Set(int64(c.Hedges))
+	n.counts.Strays.Set(n.backend.Strays())
+}
+
+// Gauges implements ops.Node.
+func (n *Node) Gauges() []ops.Gauge {
+	now := time.Now()
+	s := n.server.dump(now)
+	routes := n.routing.dump(now)
+	gauges := []ops.Gauge{
+		{Name: "routes_version", Value: float64(routes.Version)},
+		{Name: "routes_age_seconds", Value: float64(routes.AgeMs) / 1000},
+		{Name: "routes_learned", Value: float64(len(routes.Reach))},
+		{Name: "members", Value: float64(len(n.members.view()))},
+		{Name: "connected_peers", Value: float64(len(n.peers.Connected()))},
+		{Name: "requests_under_way", Value: float64(n.entered.Load())},
+		{Name: "running", Value: float64(s.Running)},
+		{Name: "waiting", Value: float64(s.Queue.Waiting)},
+		{Name: "concurrency_limit", Value: float64(s.Concurrency)},
+		{Name: "admission_level", Value: float64(s.Gate.Level)},
+		{Name: "backend_ready", Value: number(n.backendInstance().ready)},
+	}
+	return append(gauges, n.budgetGauge(now))
+}
+
+// budgetGauge tells how many extra attempts are left where they are scarcest.
+func (n *Node) budgetGauge(now time.Time) ops.Gauge {
+	g := ops.Gauge{Name: "retry_tokens_least", Value: n.cfg.Dispatch.Budget.Burst}
+	for _, b := range n.dispatch.Dump(now).Budgets {
+		g.Value = min(g.Value, b.Tokens)
+	}
+	return g
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
 }
--- a/node/routing.go
+++ b/node/routing.go
@@ -11,6 +11,7 @@
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/reach"
 	"github.com/cassialoom/cassialoom/retry"
@@ -250,6 +251,16 @@
 	return out
 }
 
+// timed adds the latency of a request that was answered by a backend server.
+func (n *Node) timed(p dispatch.Params, received time.Time, out call.Outcome) {
+	if out.Reason != verdict.None {
+		return
+	}
+	whole := time.Since(received)
+	n.counts.Latencies.Observe(p.Operation.Name, ops.HopWhole, whole)
+	n.counts.Latencies.Observe(p.Operation.Name, ops.HopAdded, whole-out.RanFor)
+}
+
 func (n *Node) forward(ctx context.Context, in entry.Incoming, path string) call.Outcome {
 	if n.closedToCallers(time.Now()) {
 		return call.Failed(verdict.Refuse(verdict.Draining, "this node is leaving").After(refuseRetryAfter))
@@ -266,10 +277,14 @@
 	in.HTTP.Origin = n.cfg.Service
 	p := routeParams(in, op)
 	p.Version = table.Version
+	var out call.Outcome
 	if parent, ok := n.server.running(in.Parent); ok && in.Parent != "" {
-		return n.forwardCall(ctx, parent, p)
+		out = n.forwardCall(ctx, parent, p)
+	} else {
+		out = n.forwardRoot(ctx, p)
 	}
-	return n.forwardRoot(ctx, p)
+	n.timed(p, in.Received, out)
+	return out
 }
 
 func routeParams(in entry.Incoming, op *graph.Operation) dispatch.Params {
--- a/node/run.go
+++ b/node/run.go
@@ -6,6 +6,7 @@
 	"github.com/cassialoom/cassialoom/backend"
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -105,6 +106,8 @@
 	if r.Reason != verdict.None {
 		step = explain.Lost
 	}
+	n.counts.Latencies.Observe(t.Request.Operation, ops.HopWaiting, t.Waited())
+	n.counts.Latencies.Observe(t.Request.Operation, ops.HopBackend, r.Latency)
 	now := time.Now()
 	n.notes.Note(now, explain.Event{
 		RequestID: t.Request.RequestID,
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -44,6 +44,11 @@
 	// LateBeats counts heartbeats of the backend server that came after newer
 	// ones.
 	LateBeats expvar.Int
+	// Hedges counts second attempts beside a first one that stayed silent,
+	// Strays answers of the backend server that came to no request of theirs.
+	Hedges, Strays expvar.Int
+	// Latencies of requests by route and hop.
+	Latencies Latencies
 
 	reasons    expvar.Map
 	reasonKeys atomic.Int32
@@ -110,6 +115,8 @@
 		{"config_changes", &c.ConfigChanges},
 		{"routes_refused", &c.RoutesRefused},
 		{"late_beats", &c.LateBeats},
+		{"hedges", &c.Hedges},
+		{"strays", &c.Strays},
 	}
 }
 
--- /dev/null
+++ b/ops/metrics.go
@@ -0,0 +1,57 @@
+package ops
+
+import (
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+)
+
+// Gauge is a value that goes up and down.
+type Gauge struct {
+	Name  string
+	Value float64
+}
+
+// metricPrefix begins the names of all metrics.
+const metricPrefix = "cassialoom_"
+
+// metrics serves all counters, gauges and latencies as text, a line each:
+// NAME{LABELS} VALUE.
+func metrics(n Node, c *Counters) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		n.Sync()
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		writeCounters(w, c)
+		for _, g := range n.Gauges() {
+			fmt.Fprintf(w, "%s%s %g\n", metricPrefix, g.Name, g.Value)
+		}
+		writeLatencies(w, &c.Latencies)
+	}
+}
+
+// Errors of writing are left out: whoever asked has gone, and asks again.
+func writeCounters(w io.Writer, c *Counters) {
+	for _, v := range c.list() {
+		if m, ok := v.value.(*expvar.Map); ok {
+			m.Do(func(kv expvar.KeyValue) {
+				fmt.Fprintf(w, "%s%s{reason=%q} %s\n", metricPrefix, v.name, kv.Key, kv.Value)
+			})
+			continue
+		}
+		fmt.Fprintf(w, "%s%s %s\n", metricPrefix, v.name, v.value)
+	}
+}
+
+func writeLatencies(w io.Writer, l *Latencies) {
+	for _, s := range l.Summaries() {
+		labels := fmt.Sprintf("route=%q,hop=%q", s.Route, string(s.Hop))
+		fmt.Fprintf(w, "%slatency_count{%s} %d\n", metricPrefix, labels, s.Count)
+		for _, q := range []struct {
+			name  string
+			value float64
+		}{{"0.5", s.P50.Seconds()}, {"0.99", s.P99.Seconds()}, {"1", s.Max.Seconds()}} {
+			fmt.Fprintf(w, "%slatency_seconds{%s,quantile=%q} %g\n", metricPrefix, labels, q.name, q.value)
+		}
+	}
+}
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -28,6 +28,8 @@
 	Explain(requestID string) []explain.Event
 	// Sync brings the counters up to date that the node's slices keep.
 	Sync()
+	// Gauges are the sizes and ages of the moment.
+	Gauges() []Gauge
 	// Drain starts the planned stop and returns at once.
 	Drain()
 }
@@ -95,7 +97,7 @@
 
 // New returns the interface:
 //
-//	GET  /healthz /readyz /version /members /state /explain/{id} /debug/vars
+//	GET  /healthz /readyz /version /members /state /explain/{id} /debug/vars /metrics
 //	POST /drain
 func New(n Node, c *Counters) http.Handler {
 	r := mux.NewRouter().SkipClean(true)
@@ -114,6 +116,7 @@
 		n.Sync()
 		return http.StatusOK, vars(c)
 	})
+	r.HandleFunc("/metrics", metrics(n, c)).Methods(http.MethodGet, http.MethodHead)
 	r.HandleFunc("/drain", serve(func(*http.Request) (int, any) {
 		n.Drain()
 		return http.StatusAccepted, Draining{Draining: true}
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -26,6 +29,7 @@
 func (n *fakeNode) Version() Version             { return Version{Node: wire.NodeID{1}, Version: 7} }
 func (n *fakeNode) Members() []membership.Record { return nil }
 func (n *fakeNode) Sync()                        { n.synced++ }
+func (n *fakeNode) Gauges() []Gauge              { return []Gauge{{Name: "g", Value: 1.5}} }
 func (n *fakeNode) Drain()                       { n.drained++ }
 
 func (n *fakeNode) Explain(id string) []explain.Event {
@@ -123,3 +127,34 @@
 	is.Equal(got.Reasons["other"], int64(9*maxReasons))
 	is.Equal(got.Reasons["made-up-0"], int64(2))
 }
+
+func TestMetricsAreOneLineEach(t *testing.T) {
+	is := is.New(t)
+	c := &Counters{}
+	c.Outcome(verdict.NotRun, verdict.Shed)
+	c.Latencies.Observe("r", HopWhole, 20*time.Millisecond)
+	c.Latencies.Observe("r", HopWhole, -time.Second) // a clock that stood still
+	w := httptest.NewRecorder()
+	New(&fakeNode{}, c).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{
+		"cassialoom_requests 1\n", `cassialoom_reasons{reason="shed"} 1` + "\n", "cassialoom_g 1.5\n",
+		`cassialoom_latency_count{route="r",hop="whole"} 2` + "\n",
+		`cassialoom_latency_seconds{route="r",hop="whole",quantile="1"} 0.02`,
+	} {
+		is.True(strings.Contains(w.Body.String(), want))
+	}
+}
+
+// Routes come and go: the memory for their latencies stays bounded, and those
+// beyond the bound are counted together.
+func TestLatenciesAreBounded(t *testing.T) {
+	is := is.New(t)
+	var l Latencies
+	for i := range 1000 {
+		l.Observe(fmt.Sprint("r", i), HopBackend, time.Millisecond)
+	}
+	all := l.Summaries()
+	is.Equal(len(all), maxLatencies+1)
+	is.Equal(all[0].Route, otherRoutes)
+	is.Equal(all[0].Count, int64(1000-maxLatencies))
+}
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -27,38 +27,41 @@
 
 // Dump is the state for people.
 type Dump struct {
-	Ready    bool                `json:"backend_ready"`
-	Crashed  bool                `json:"backend_crashed"`
-	Draining bool                `json:"draining"`
-	Running  int                 `json:"running"`
-	Parked   int                 `json:"waiting_for_binding"`
-	Alone    bool                `json:"running_alone"`
-	Counts   Counts              `json:"counts"`
-	Limit    limit.State         `json:"limit"`
-	Queue    queue.State         `json:"queue"`
-	Gate     admission.GateState `json:"admission"`
-	Poison   poison.Dump         `json:"poison"`
-	Senders  once.SendersState   `json:"senders"`
-	Keys     once.KeysState      `json:"keys"`
-	Bindings once.BinderState    `json:"bindings"`
+	Ready    bool `json:"backend_ready"`
+	Crashed  bool `json:"backend_crashed"`
+	Draining bool `json:"draining"`
+	Running  int  `json:"running"`
+	// Concurrency is how many may run at once.
+	Concurrency int                 `json:"concurrency"`
+	Parked      int                 `json:"waiting_for_binding"`
+	Alone       bool                `json:"running_alone"`
+	Counts      Counts              `json:"counts"`
+	Limit       limit.State         `json:"limit"`
+	Queue       queue.State         `json:"queue"`
+	Gate        admission.GateState `json:"admission"`
+	Poison      poison.Dump         `json:"poison"`
+	Senders     once.SendersState   `json:"senders"`
+	Keys        once.KeysState      `json:"keys"`
+	Bindings    once.BinderState    `json:"bindings"`
 }
 
 // Dump returns the state as of now.
 func (s *Server) Dump(now time.Time) Dump {
 	return Dump{
-		Ready:    s.ready,
-		Crashed:  s.crashed,
-		Draining: s.drain,
-		Running:  len(s.running),
-		Parked:   len(s.parked),
-		Alone:    s.lone != nil,
-		Counts:   s.counts,
-		Limit:    s.limit.Dump(),
-		Queue:    s.queue.Dump(now),
-		Gate:     s.gate.Dump(),
-		Poison:   s.guard.Dump(now),
-		Senders:  s.senders.Dump(),
-		Keys:     s.keys.Dump(),
-		Bindings: s.binder.Dump(),
+		Ready:       s.ready,
+		Crashed:     s.crashed,
+		Draining:    s.drain,
+		Running:     len(s.running),
+		Concurrency: s.concurrency(),
+		Parked:      len(s.parked),
+		Alone:       s.lone != nil,
+		Counts:      s.counts,
+		Limit:       s.limit.Dump(),
+		Queue:       s.queue.Dump(now),
+		Gate:        s.gate.Dump(),
+		Poison:      s.guard.Dump(now),
+		Senders:     s.senders.Dump(),
+		Keys:        s.keys.Dump(),
+		Bindings:    s.binder.Dump(),
 	}
 }
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -70,6 +70,7 @@
 	reply.Body = a.result.Body
 	reply.Offered = a.result.Offered
 	reply.Reached = a.result.Reached
+	reply.RanFor = a.result.Latency
 	reply.KeyHeld = a.held(now)
 	return reply
 }
