--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -103,6 +103,13 @@
 	// slowStart is the ramp of a node that starts: its backend server may have
 	// run all the while, and one that is cold is slow for a few seconds.
 	slowStart = 2 * time.Second
+	// joinInterval and joinAddrs let a node that restarts with all others meet
+	// them within half a second, of which one tick of the membership is 200 ms.
+	joinInterval = 200 * time.Millisecond
+	joinAddrs    = 4
+	// reconnectInterval is how often a node that is gone is looked for at its
+	// address: one that restarts while the store is away is found only so.
+	reconnectInterval = 2 * time.Second
 	// reoffers of a call that its backend server declined: one that declines
 	// half of what it gets takes a call within six offers 63 times in 64.
 	reoffers = 5
@@ -131,7 +138,10 @@
 	cfg.DrainAfter = drainAfter
 	cfg.DrainGrace = drainGrace
 	cfg.DecodeRoutes = platform.DecodeRoutes
-	cfg.Membership.Retention = s.Store.Retention
+	cfg.Directory = true
+	cfg.Membership.JoinInterval = joinInterval
+	cfg.Membership.JoinAddrs = joinAddrs
+	cfg.Membership.ReconnectInterval = reconnectInterval
 	cfg.Backend.Dialect = platform.Target{}
 	cfg.Backend.IdleTimeout = time.Minute // the backend server states its own
 	cfg.Entry.IdleTimeout = keptIdle
@@ -194,6 +204,7 @@
 		OnStart: func(context.Context) error {
 			n.Start()
 			go platform.Watch(watching, store, n, log)
+			go platform.Announce(watching, store, s.Peers, n, log)
 			go settings.run(watching)
 			if !s.First {
 				go findBackend(watching, s, n, log)
--- a/node/loops.go
+++ b/node/loops.go
@@ -34,7 +34,9 @@
 
 func (n *Node) tickMembers(now time.Time) {
 	n.sendMembership(n.members.send(func(m *membership.Members) []membership.Send { return m.Tick(now) }))
-	n.tickMemberLog(now)
+	if !n.cfg.Directory {
+		n.tickMemberLog(now)
+	}
 	peers := n.members.ofService(n.cfg.Service)
 	n.serve(func(_ time.Time, s *serve.Server) serve.Effects {
 		s.SetPeers(peers)
@@ -42,6 +44,12 @@
 	})
 }
 
+// Meet names addresses at which other nodes may be.
+func (n *Node) Meet(addrs []string) { n.members.seeds(addrs) }
+
+// Alone reports whether the node knows no other one.
+func (n *Node) Alone() bool { return len(n.members.view()) <= 1 }
+
 func (n *Node) tickMemberLog(now time.Time) {
 	n.members.with(func(m *membership.Members) {
 		if from, limit, ok := m.WantLog(now); ok {
--- a/node/node.go
+++ b/node/node.go
@@ -72,6 +72,9 @@
 	Backend    backend.Config
 	Entry      entry.Config
 	Explain    explain.Config
+	// Directory says that others tell the node where its peers may be (Meet),
+	// in place of a stream of the log.
+	Directory bool
 	// DecodeRoutes reads published routes. If it is set the node serves
 	// those instead of a graph text.
 	DecodeRoutes func(text []byte) (*routes.Table, error)
