node: two readers a data centre follow the routes closely, the others seldom

Ruled out: readers alone, since a node that is cut off from all others and reaches the store must still apply a version in time.

--- a/node/routing.go
+++ b/node/routing.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/reach"
@@ -183,6 +185,38 @@
 	n.counts.ConfigChanges.Add(1)
 	n.log.Info().Uint64("version", table.Version).Uint64("before", before).Int("routes", table.Len()).
 		Str("source", source).Msg("routes in force")
+	if source == SourceStore && n.Reader() {
+		n.offerRoutes(table.Version)
+	}
+}
+
+// SourceStore names the store as where routes were read.
+const SourceStore = "store"
+
+// readersPerDataCentre is the number of nodes that read the store often. One may
+// be cut off from it, or gone and not yet missed.
+const readersPerDataCentre = 2
+
+// Reader reports whether this node is one of the readers of its data centre: the
+// first by identity of those that are known. It is harmless if two views differ
+// and more or fewer nodes take themselves for readers for a while.
+func (n *Node) Reader() bool {
+	before := 0
+	for _, rec := range n.members.view() {
+		if rec.DataCentre == n.cfg.DataCentre && rec.State == membership.Alive && bytes.Compare(rec.ID[:], n.id[:]) < 0 {
+			before++
+		}
+	}
+	return before < readersPerDataCentre
+}
+
+// offerRoutes tells all other nodes of a version; those that lack it ask.
+func (n *Node) offerRoutes(version uint64) {
+	for _, rec := range n.members.view() {
+		if rec.ID != n.id && !rec.State.Gone() {
+			n.posts.post(rec.ID, wire.KindRoutes, routesMessage{Version: version})
+		}
+	}
 }
 
 // Routes returns the routes in force, nil before any are known.
--- a/node/routing_test.go
+++ b/node/routing_test.go
@@ -1,8 +1,10 @@
 package node_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -310,3 +312,22 @@
 	close(release)
 	is.Equal(string((<-got).Body), "whole")
 }
+
+// Of three nodes of a data centre two read the store often. What one of them
+// reads is in force at all, without a request between them; the third keeps what
+// it reads to itself, since the readers have it, too.
+func TestReadersTellTheOthers(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	nodes := []*testnode.Instance{c.Add("a", testnode.Echo), c.Add("b", testnode.Echo), c.Add("c", testnode.Echo)}
+	c.AwaitWhole()
+	slices.SortFunc(nodes, func(a, b *testnode.Instance) int {
+		x, y := a.Node.ID(), b.Node.ID()
+		return bytes.Compare(x[:], y[:])
+	})
+	is.True(nodes[0].Node.Reader() && nodes[1].Node.Reader() && !nodes[2].Node.Reader())
+	nodes[1].Node.Publish(routesText{Version: 5, Services: []string{"a"}}.encode(t), node.SourceStore)
+	testnode.Await(t, "all have the routes", func() bool {
+		return nodes[0].Node.Routes() != nil && nodes[2].Node.Routes() != nil
+	})
+}
