cassialoom: trace a request through the logs of several machines; check routes and settings

Cause: an on-call engineer has a request's id and log files. Change: trace joins the lines about the request and its calls into one timeline; check-routes and check-settings refuse what a node would refuse. The command line's list of commands in its test grows by the three.

--- a/cmd/cassialoom/main_test.go
+++ b/cmd/cassialoom/main_test.go
@@ -22,7 +22,7 @@
 	}{
 		"--help":                                {operator.ExitOK, "First steps:"},
 		"publish --help":                        {operator.ExitOK, "--delete=SERVICE"},
-		"":                                      {operator.ExitUsage, "check, diff, dump, explain, publish or status"},
+		"":                                      {operator.ExitUsage, "check, check-routes, check-settings, diff, dump, explain, publish, status or trace"},
 		"check":                                 {operator.ExitUsage, "`FILE` was not provided"},
 		"check a.hcl b.hcl":                     {operator.ExitUsage, `unexpected argument "b.hcl"`},
 		"check --color a.hcl":                   {operator.ExitUsage, "unknown flag `color'"},
@@ -53,3 +53,26 @@
 	is.Equal(run(context.Background(), []string{"status"}, &out, &out), operator.ExitUsage)
 	is.True(strings.Contains(out.String(), `"elsewhere"`))
 }
+
+// What the platform would refuse is refused before it is published or started,
+// with the row or field and the cause.
+func TestPlatformFilesAreChecked(t *testing.T) {
+	dir := t.TempDir()
+	for _, c := range []struct {
+		command, text, want string
+		code                int
+	}{
+		{"check-routes", `{"version":3,"routes":{"columns":["name"],"rows":[["r"]]},"limits":{}}`, "kind", 1},
+		{"check-routes", `{"version":3,"routes":{"columns":[],"rows":[]},"limits":{"max-header-bytes":1,"max-body-bytes":1,"header-timeout-s":1,"idle-timeout-s":1}}`, "version 3 with 0 routes", 0},
+		{"check-settings", "node-id: x", "service", 1},
+	} {
+		t.Run(c.command, func(t *testing.T) {
+			is := is.New(t)
+			path := filepath.Join(dir, "file")
+			is.NoErr(os.WriteFile(path, []byte(c.text), 0o600))
+			var stdout, stderr bytes.Buffer
+			is.Equal(run(t.Context(), []string{c.command, path}, &stdout, &stderr), c.code)
+			is.True(strings.Contains(stdout.String()+stderr.String(), c.want))
+		})
+	}
+}
--- a/cmd/cassialoom/options.go
+++ b/cmd/cassialoom/options.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/operator"
+	"github.com/cassialoom/cassialoom/platform"
 )
 
 const longDescription = `cassialoom checks and publishes the text that declares your services, and asks the ` +
@@ -25,6 +26,11 @@
   cassialoom --node IP:PORT status                 is it in force everywhere?
   cassialoom --node IP:PORT explain REQUEST-ID     why was this request refused?
 
+On the users' platform:
+  cassialoom trace REQUEST-ID LOG...               what became of it, from the logs
+  cassialoom check-routes manifest.json            would the nodes take it?
+  cassialoom check-settings node.yaml              would a node start with it?
+
 Exit codes: 0 done, 1 refused (problems in the text, a lost race, nothing found), ` +
 	`2 wrong usage, 3 not carried out or outcome not known.`
 
@@ -39,6 +45,10 @@
 	Status  statusCommand  `command:"status" description:"show which version is in force where"`
 	Dump    dumpCommand    `command:"dump" description:"print the state of one node as JSON"`
 	Explain explainCommand `command:"explain" description:"ask every node what it decided about a request"`
+	Trace   traceCommand   `command:"trace" description:"one timeline of a request from the logs of several machines"`
+
+	CheckRoutes   checkRoutesCommand   `command:"check-routes" description:"check the routes that the platform's operators publish: row and cause"`
+	CheckSettings checkSettingsCommand `command:"check-settings" description:"check the platform's settings file of a machine: every wrong field"`
 }
 
 type fileArgument struct {
@@ -76,6 +86,25 @@
 	} `positional-args:"yes" required:"yes"`
 }
 
+type traceCommand struct {
+	Args struct {
+		ID   string   `positional-arg-name:"REQUEST-ID" description:"id that the caller gave its request"`
+		Logs []string `positional-arg-name:"LOG" description:"log files of nodes; - for standard input" required:"1"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type checkRoutesCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"routes as they lie in the platform's store, in JSON"`
+	} `positional-args:"yes" required:"yes"`
+}
+
+type checkSettingsCommand struct {
+	Args struct {
+		File string `positional-arg-name:"FILE" description:"settings file of a machine, in YAML"`
+	} `positional-args:"yes" required:"yes"`
+}
+
 // command is a subcommand with its arguments.
 type command interface {
 	run(ctx context.Context, o *operator.Operator) error
@@ -121,6 +150,45 @@
 	return o.Explain(ctx, c.Args.ID)
 }
 
+func (c traceCommand) run(_ context.Context, o *operator.Operator) error {
+	logs := make([]io.Reader, 0, len(c.Args.Logs))
+	for _, name := range c.Args.Logs {
+		if name == "-" {
+			logs = append(logs, os.Stdin)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return fmt.Errorf("%w: %w", operator.ErrUsage, err)
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	return o.Trace(c.Args.ID, logs)
+}
+
+func (c checkRoutesCommand) run(_ context.Context, o *operator.Operator) error {
+	text, err := os.ReadFile(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", operator.ErrUsage, err)
+	}
+	table, err := platform.DecodeRoutes(text)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", operator.ErrRefused, c.Args.File, err)
+	}
+	o.Report("%s: version %d with %d routes is right\n", c.Args.File, table.Version, table.Len())
+	return nil
+}
+
+func (c checkSettingsCommand) run(_ context.Context, o *operator.Operator) error {
+	s, err := platform.ReadSettings(c.Args.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", operator.ErrRefused, err)
+	}
+	o.Report("%s: right; node %s beside %s of service %s\n", c.Args.File, s.Node, s.Backend, s.Service)
+	return nil
+}
+
 func (o *options) command(name string) command {
 	return map[string]command{
 		"check":   o.Check,
@@ -129,6 +197,10 @@
 		"status":  o.Status,
 		"dump":    o.Dump,
 		"explain": o.Explain,
+		"trace":   o.Trace,
+
+		"check-routes":   o.CheckRoutes,
+		"check-settings": o.CheckSettings,
 	}[name]
 }
 
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rs/zerolog"
 	"github.com/rs/zerolog/diode"
@@ -42,7 +43,11 @@
 }
 
 // Open returns a logger that writes to out through a ring, and what ends it.
+//
+// It sets zerolog's time format for the whole process: the steps of a request
+// are closer than the seconds of its default.
 func Open(cfg Config, out io.Writer) (zerolog.Logger, io.Closer) {
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	lost := &lostLines{}
 	ring := diode.NewWriter(out, cfg.Ring, 0, lost.add)
 	lost.log = zerolog.New(ring).With().Timestamp().Logger()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -99,6 +99,9 @@
 	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 }
 
+// Report prints a line of a command that needs no more of the Operator.
+func (o *Operator) Report(format string, args ...any) { o.printf(format, args...) }
+
 func (o *Operator) printf(format string, args ...any) {
 	fmt.Fprintf(o.out, format, args...)
 }
--- /dev/null
+++ b/operator/trace_test.go
@@ -0,0 +1,31 @@
+package operator
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// The logs of two machines hold one request, a call made for it, other requests
+// and other programs' lines. The trace has the lines of the one, in order.
+func TestTraceJoinsLogs(t *testing.T) {
+	is := is.New(t)
+	entry := `{"time":"2026-01-02T03:04:05.9Z","machine":"m1","message":"request","request":"r1","step":"refused","reason":"lost","verdict":"may have run","took_ms":12.5}
+{"time":"2026-01-02T03:04:05.1Z","machine":"m1","message":"request","request":"r10","step":"answered"}
+not JSON r1
+`
+	callee := `  5.2 m2 {"time":"2026-01-02T03:04:05.5Z","machine":"m2","message":"request","request":"r1.c7","root":"r1","step":"declined","reason":"shed"}
+{"time":"2026-01-02T03:04:05.4Z","machine":"m2","message":"request","request":"r1","step":"lost","target":"i-1"
+`
+	var out bytes.Buffer
+	o := FromSettings(Settings{}, &out)
+	is.NoErr(o.Trace("r1", []io.Reader{strings.NewReader(entry), strings.NewReader(callee)}))
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	is.Equal(len(lines), 3)
+	is.True(strings.Contains(lines[1], "m2") && strings.Contains(lines[1], "shed"))
+	is.True(strings.Contains(lines[2], "12.5ms"))
+	is.Equal(ExitCode(o.Trace("nobody", nil)), ExitRefused)
+}
