backend: connections that may have been forgotten carry no request that must run once

Change: non-idempotent requests use connections idle for under a second, else new ones; a reset within 3 ms of the send halves the idle time that is trusted, which doubles again every 10 s.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -38,6 +38,8 @@
 	Body   []byte
 	// HTTP is the request as its caller sent it, for routes by host and path.
 	HTTP call.HTTP
+	// Idempotent says that the request does no harm if it has to be sent again.
+	Idempotent bool
 	// Instance is the start of the backend server that is meant, empty for
 	// any.
 	Instance string
@@ -128,11 +130,11 @@
 		if reason := ended(ctx); reason != verdict.None {
 			return failed(verdict.Refuse(reason, "not handed to the backend server in time"))
 		}
-		conn, reused, err := c.pool.take(ctx, r.address)
+		conn, reused, err := c.pool.take(ctx, r.address, !r.Idempotent)
 		if err != nil {
 			return failed(notHandedOver(ctx, err))
 		}
-		x := &exchange{client: c, conn: conn, run: r, msg: msg}
+		x := &exchange{client: c, conn: conn, run: r, msg: msg, reused: reused}
 		res, unsent := x.do(ctx, head)
 		if !unsent {
 			return res
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -351,3 +351,39 @@
 		client.Run(context.Background(), srv.URL, r)
 	}
 }
+
+// The backend server forgets connections that were idle for a while, without
+// telling: what is sent next on one is reset. A request that must not run twice
+// goes on a new connection then, and gets its answer; the others learn from the
+// first loss to leave such connections alone.
+func TestForgottenConnections(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ *rawServer, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, whole)
+		return false
+	})
+	client := newClient(t)
+	age := func(idle time.Duration) {
+		for _, c := range client.pool.idle {
+			c.idleSince = time.Now().Add(-idle)
+		}
+	}
+	is.Equal(client.Run(context.Background(), s.url, run("first")).Verdict, verdict.Ran)
+	kept := client.pool.idle[0]
+	age(2 * onceIdle)
+	is.Equal(client.Run(context.Background(), s.url, run("once")).Verdict, verdict.Ran)
+	is.Equal(len(client.pool.idle), 2) // the old one is kept for others
+	is.True(client.pool.idle[0] == kept)
+
+	r := run("idempotent")
+	r.Idempotent = true
+	age(2 * onceIdle)
+	is.Equal(client.Run(context.Background(), s.url, r).Verdict, verdict.Ran)
+	is.Equal(len(client.pool.idle), 2) // it used one of them
+
+	client.pool.distrust(time.Now(), 2*time.Second)
+	age(1500 * time.Millisecond)
+	is.Equal(client.Run(context.Background(), s.url, r).Verdict, verdict.Ran)
+	is.Equal(len(client.pool.idle), 1) // both were dropped for a new one
+	is.Equal(client.pool.trust(time.Now().Add(widenEvery)), 2*time.Second)
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -92,22 +92,46 @@
 	addr   string
 	idle   []*conn
 	closed bool
+	// trusted is how long a connection may have been idle to be used again.
+	trusted time.Duration
+	// widened is when it last changed.
+	widened time.Time
 }
 
+const (
+	// onceIdle is how long a connection may have been idle to carry a request
+	// that must not run twice. A backend server may have forgotten an idle
+	// connection, which only shows when the request is sent on it: the request
+	// is then in doubt, and its caller gets no answer. Under load connections
+	// are used again within milliseconds, so few new ones are opened for it.
+	onceIdle = time.Second
+	// forgotten is the part of the idle time of a connection that turned out
+	// to be forgotten that is still trusted, and widenEvery the time after
+	// which twice as much is tried again.
+	forgotten  = 0.5
+	widenEvery = 10 * time.Second
+)
+
 func newPool(cfg Config) *pool {
-	return &pool{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout}}
+	return &pool{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout}, trusted: cfg.IdleTimeout}
 }
 
 // take returns a connection to addr; reused says that it carried a request
-// before.
-func (p *pool) take(ctx context.Context, addr string) (c *conn, reused bool, err error) {
+// before. once asks for one that has hardly been idle.
+func (p *pool) take(ctx context.Context, addr string, once bool) (c *conn, reused bool, err error) {
 	now := time.Now()
+	limit := p.trust(now)
 	for {
 		c := p.pop(addr)
 		if c == nil {
 			break
 		}
-		if now.Sub(c.idleSince) < c.idleFor && c.silent() {
+		idle := now.Sub(c.idleSince)
+		if once && idle >= onceIdle && idle < limit {
+			p.restore(c) // the others have been idle for longer
+			break
+		}
+		if idle < min(c.idleFor, limit) && c.silent() {
 			return c, true, nil
 		}
 		c.Close()
@@ -124,6 +148,41 @@
 	return newConn(raw, p.cfg.IdleTimeout), nil
 }
 
+// trust returns how long a connection may have been idle, which grows again with
+// time.
+func (p *pool) trust(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.trusted < p.cfg.IdleTimeout && now.Sub(p.widened) >= widenEvery {
+		p.trusted = min(2*p.trusted, p.cfg.IdleTimeout)
+		p.widened = now
+	}
+	return p.trusted
+}
+
+// leastTrust is what is trusted at least: time for one request after the other.
+const leastTrust = 50 * time.Millisecond
+
+// distrust notes that a connection which had been idle for a time was forgotten
+// by the other side.
+func (p *pool) distrust(now time.Time, idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.trusted = max(leastTrust, min(p.trusted, time.Duration(float64(idle)*forgotten)))
+	p.widened = now
+}
+
+// restore puts back a connection that was not used.
+func (p *pool) restore(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		c.Close()
+		return
+	}
+	p.idle = append(p.idle, c)
+}
+
 // pop takes an idle connection. Those to an earlier address are closed.
 func (p *pool) pop(addr string) *conn {
 	p.mu.Lock()
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -23,6 +23,11 @@
 // otherwise never be heard.
 const backgroundWrite = 16 << 10
 
+// forgottenWithin tells a connection that was forgotten, on which a request is
+// reset at once, from one that broke while the backend server worked: the
+// shortest work takes longer.
+const forgottenWithin = 3 * time.Millisecond
+
 var (
 	errStray = errors.New("answers to other requests came")
 	errField = errors.New("a header field that HTTP forbids")
@@ -34,6 +39,8 @@
 	conn   *conn
 	run    Run
 	msg    Message
+	reused bool // the connection carried a request before
+	sentAt time.Time
 	start  int64      // what had been sent on the connection before
 	writer chan error // of a body that is written beside the reading
 }
@@ -65,7 +72,7 @@
 
 // do sends the request and reads its answer. unsent says that no byte left.
 func (x *exchange) do(ctx context.Context, head []byte) (res Result, unsent bool) {
-	x.start = x.conn.sent
+	x.start, x.sentAt = x.conn.sent, time.Now()
 	// The end of the context ends a read or write at once.
 	stop := context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
 	err := x.conn.write(head)
@@ -239,6 +246,9 @@
 	if reason := ended(ctx); reason != verdict.None {
 		return failed(verdict.Doubt(reason, "no answer in time"))
 	}
+	if now := time.Now(); x.reused && x.conn.broken && now.Sub(x.sentAt) < forgottenWithin {
+		x.client.pool.distrust(now, x.sentAt.Sub(x.conn.idleSince))
+	}
 	res := failed(verdict.Doubt(verdict.Lost, "no answer: %v", err))
 	x.client.notice(ctx, x.run.address, x.conn, &res)
 	return res
--- a/node/run.go
+++ b/node/run.go
@@ -64,6 +64,7 @@
 		Body:       req.Body,
 		HTTP:       req.HTTP,
 		Instance:   inst.boot,
+		Idempotent: req.Idempotent || r.task.Operation != nil && r.task.Operation.Idempotent,
 	})
 	touched := n.server.ended(r)
 	result := n.result(r, res, touched)
