--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -30,7 +31,7 @@
 	if err != nil {
 		return err
 	}
-	app := fx.New(PlatformModule(path, s))
+	app := fx.New(PlatformModule(path, s, os.Stdout))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -48,20 +49,21 @@
 // settingsPath is where the platform's settings file lies.
 type settingsPath string
 
-// PlatformModule provides a node with the platform's interfaces around it.
-func PlatformModule(path string, s platform.Settings) fx.Option {
+// PlatformModule provides a node with the platform's interfaces around it; its
+// log goes to out.
+func PlatformModule(path string, s platform.Settings, out io.Writer) fx.Option {
 	return fx.Options(
-		fx.Supply(s, settingsPath(path)),
+		fx.Supply(s, settingsPath(path), fx.Annotate(out, fx.As(new(io.Writer)))),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Provide(newPlatformLogger, newStore, newCounters, listenPlatform, platformConfig, newPlatformNode),
 		fx.Invoke(runPlatform),
 	)
 }
 
-// newPlatformLogger writes to standard output through a ring that never holds up
+// newPlatformLogger writes to out through a ring that never holds up
 // whoever writes; what waits in it is written before the process ends.
-func newPlatformLogger(lc fx.Lifecycle, s platform.Settings) zerolog.Logger {
-	log, end := logs.Open(logs.DefaultConfig(), os.Stdout)
+func newPlatformLogger(lc fx.Lifecycle, s platform.Settings, out io.Writer) zerolog.Logger {
+	log, end := logs.Open(logs.DefaultConfig(), out)
 	lc.Append(fx.Hook{OnStop: func(context.Context) error { return end.Close() }})
 	return log.With().Str("machine", s.Node).Logger()
 }
--- /dev/null
+++ b/daemon/platform_test.go
@@ -0,0 +1,172 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/fx"
+
+	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/platform/standin"
+)
+
+// site is a small stand-in platform with nodes in this process.
+type site struct {
+	t       *testing.T
+	store   *standin.Store
+	journal *standin.Journal
+	client  *http.Client
+	dir     string
+}
+
+const siteHost = "x.example"
+
+func newSite(t *testing.T) *site {
+	store, err := standin.StartStore("127.77.1.250:8309")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &site{t: t, store: store, journal: standin.NewJournal(), dir: t.TempDir(),
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	t.Cleanup(store.Close)
+	s.publish(1, "top", "deep")
+	return s
+}
+
+func (s *site) publish(version uint64, services ...string) {
+	var list []standin.Route
+	for _, name := range services {
+		list = append(list, standin.Route{Name: "to-" + name, Host: siteHost, Prefix: "/" + name + "/", Service: name, Idempotent: name != "deep"})
+	}
+	text, err := standin.Manifest(version, list)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.store.Put(text)
+}
+
+// add starts a machine with a backend server, whose requests call another
+// service if calls is not empty.
+func (s *site) add(n int, service, calls string) (standin.Machine, *standin.Target) {
+	m := standin.Machine{Name: fmt.Sprintf("m%d", n), IP: fmt.Sprintf("127.77.1.%d", n), Service: service}
+	cfg := standin.TargetConfig{Service: service, Addr: m.Backend(), Node: m.Heartbeats(), Calls: m.Callers(), Slots: 20,
+		Work: 5 * time.Millisecond, Beat: 100 * time.Millisecond, Seed: uint64(n)}
+	if calls != "" {
+		cfg.CallHost, cfg.CallPath = siteHost, "/"+calls+"/c"
+	}
+	target, err := standin.StartTarget(cfg, s.journal)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(target.Crash)
+	s.start(m)
+	return m, target
+}
+
+// start runs the node of a machine and returns what stops it as planned.
+func (s *site) start(m standin.Machine) (stop func()) {
+	path, err := m.WriteSettings(s.dir, s.store.Addr(), false)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	app := fx.New(PlatformModule(path, settings, io.Discard))
+	if err := app.Start(s.t.Context()); err != nil {
+		s.t.Fatal(err)
+	}
+	stopped := false
+	stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		if err := app.Stop(context.Background()); err != nil {
+			s.t.Errorf("stop of %s: %v", m.Name, err)
+		}
+	}
+	s.t.Cleanup(stop)
+	return stop
+}
+
+// ask sends a request; zero is the status without an answer.
+func (s *site) ask(m standin.Machine, service, id string) (status int, body string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+m.Callers()+"/"+service+"/x", nil)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	req.Host = siteHost
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("X-Request-Timeout-Ms", "4000")
+	resp, err := s.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+func (s *site) await(what string, f func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if f() {
+			return
+		}
+	}
+	s.t.Fatalf("not in time: %s", what)
+}
+
+// The whole path on the platform: machines find each other through the store, a
+// request enters anywhere, its backend server's call goes on to a second
+// service, routes change, the store goes silent, a backend server leaves and its
+// node stops. No request that must run once runs twice.
+func TestPlatformWholePath(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	a, _ := s.add(1, "top", "deep")
+	b, first := s.add(2, "deep", "")
+	c, _ := s.add(3, "deep", "")
+	for i, m := range []standin.Machine{a, b, c} {
+		s.await("served through "+m.Name, func() bool {
+			status, _ := s.ask(m, "top", fmt.Sprint("warm", i))
+			return status == 200
+		})
+	}
+	status, body := s.ask(c, "top", "r1")
+	is.Equal(status, 200)
+	is.Equal(body, standin.Body("r1", "/top/x"))
+	is.Equal(len(s.journal.Runs("r1")), 1)
+	status, _ = s.ask(a, "nowhere", "r2")
+	is.Equal(status, 404)
+
+	s.store.Set(standin.Silent)
+	s.publish(4, "deep")
+	is.NoErr(first.Leave(t.Context()))
+	for i := range 50 {
+		id := "once" + strconv.Itoa(i)
+		status, _ := s.ask(a, "deep", id)
+		is.Equal(status, 200)
+		is.Equal(len(s.journal.Runs(id)), 1)
+		is.True(s.journal.Runs(id)[0] != first.ID()) // it had said that it leaves
+	}
+	s.store.Set(standin.Well)
+	s.await("the new routes are in force everywhere", func() bool {
+		one, _ := s.ask(a, "top", "gone")
+		two, _ := s.ask(b, "top", "gone")
+		three, _ := s.ask(c, "top", "gone")
+		return one == 404 && two == 404 && three == 404
+	})
+	is.Equal(first.Violation(), "")
+}
