soak: nodes as processes, broken from outside at random, judged by clients and targets

Change: cmd/soak and internal/soak on the stand-in platform and the rig: kills, pauses, planned stops, reloads, crashes and replacements of backend servers, lost and second answers, routes published, a store that is busy, silent, forgetful or loses answers, and links to it reset, silent, one way or slow.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 BIN := bin
 OUT ?= $(or $(TMPDIR),/tmp)/cassialoom-measure
 
-.PHONY: build test check demo prove measure bench capacity clean
+.PHONY: build test check demo prove measure bench capacity soak clean
 
 build:
 	$(GO) build -o $(BIN)/ ./cmd/...
@@ -39,5 +39,13 @@
 capacity:
 	$(GO) test ./internal/capacity -run '^$$' -bench . -benchtime 1x -timeout 120m
 
+# make soak SEED=1 SECONDS=20 RUNS=1   breaks real processes at random
+SEED ?= 0
+SECONDS ?= 20
+RUNS ?= 1
+
+soak: build
+	$(BIN)/soak --bin $(BIN) --seed $(SEED) --seconds $(SECONDS) --runs $(RUNS)
+
 clean:
 	rm -rf $(BIN)
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -22,6 +22,7 @@
 	Log     string // file with all that it wrote
 	program string
 	args    []string
+	env     []string // besides the rig's own
 	cmd     *exec.Cmd
 	done    chan struct{} // closed when it has ended
 	err     error         // of Wait; read after done
@@ -116,6 +117,11 @@
 // Start starts a program with the arguments. A process that is started again
 // under its name continues the same log.
 func (r *Rig) Start(name, program string, args ...string) (*Process, error) {
+	return r.StartWith(name, program, nil, args...)
+}
+
+// StartWith is Start with variables added to the environment.
+func (r *Rig) StartWith(name, program string, env []string, args ...string) (*Process, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.closed {
@@ -126,6 +132,7 @@
 		Log:     filepath.Join(r.dir, name+".log"),
 		program: program,
 		args:    args,
+		env:     env,
 		done:    make(chan struct{}),
 	}
 	if err := p.start(r.Program(program)); err != nil {
@@ -136,7 +143,9 @@
 }
 
 // Restart starts a process that has ended again, with the same arguments.
-func (r *Rig) Restart(p *Process) (*Process, error) { return r.Start(p.Name, p.program, p.args...) }
+func (r *Rig) Restart(p *Process) (*Process, error) {
+	return r.StartWith(p.Name, p.program, p.env, p.args...)
+}
 
 func (p *Process) start(path string) error {
 	out, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -145,6 +154,7 @@
 	}
 	defer out.Close()
 	p.cmd = exec.Command(path, p.args...)
+	p.cmd.Env = append(os.Environ(), p.env...)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	p.cmd.SysProcAttr = childAttributes()
--- /dev/null
+++ b/internal/soak/faults.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"github.com/cassialoom/cassialoom/platform/standin"
+)
+
+// fault is one kind of trouble. Its function brings the trouble about and ends
+// it; the context is the whole run's.
+type fault struct {
+	name string
+	do   func(ctx context.Context, w *world, b *box, d time.Duration) error
+}
+
+// leaveFor is how long a leaving backend server goes on after its node has
+// acknowledged it.
+const leaveFor = 2200 * time.Millisecond
+
+var faults = []fault{
+	{"kill the node", func(ctx context.Context, w *world, b *box, _ time.Duration) error {
+		if err := b.node.Signal(syscall.SIGKILL); err != nil {
+			return err
+		}
+		return w.restart(ctx, b)
+	}},
+	{"stop the node as planned", func(ctx context.Context, w *world, b *box, _ time.Duration) error {
+		if err := b.node.Signal(syscall.SIGTERM); err != nil {
+			return err
+		}
+		return w.restart(ctx, b)
+	}},
+	{"pause the node", func(ctx context.Context, _ *world, b *box, d time.Duration) error {
+		if err := b.node.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		wait(ctx, d)
+		return b.node.Signal(syscall.SIGCONT)
+	}},
+	{"reload the settings", func(_ context.Context, _ *world, b *box, _ time.Duration) error { return b.node.Signal(syscall.SIGHUP) }},
+	{"crash the backend server", func(ctx context.Context, w *world, b *box, d time.Duration) error {
+		b.target.Crash()
+		wait(ctx, d)
+		return w.startTarget(b)
+	}},
+	{"replace the backend server", func(ctx context.Context, w *world, b *box, _ time.Duration) error {
+		if err := b.target.Leave(ctx); err != nil {
+			return nil // the run ended first
+		}
+		wait(ctx, leaveFor)
+		if v := b.target.Violation(); v != "" {
+			w.broken = append(w.broken, Broken{Promise: "a leaving backend server gets no work for long", What: v})
+		}
+		b.target.Crash()
+		return w.startTarget(b)
+	}},
+	{"lose answers", func(ctx context.Context, _ *world, b *box, d time.Duration) error {
+		b.target.Faults(0.3, 0)
+		wait(ctx, d)
+		b.target.Faults(0, 0)
+		return nil
+	}},
+	{"send second answers", func(ctx context.Context, _ *world, b *box, d time.Duration) error {
+		b.target.Faults(0, 0.3)
+		wait(ctx, d)
+		b.target.Faults(0, 0)
+		return nil
+	}},
+	{"publish routes", func(_ context.Context, w *world, _ *box, _ time.Duration) error { return w.publish() }},
+	{"store busy", storeFault(standin.Busy)},
+	{"store silent", storeFault(standin.Silent)},
+	{"store loses answers", storeFault(standin.LosesAnswers)},
+	{"store forgets", func(_ context.Context, w *world, _ *box, _ time.Duration) error { w.store.Forget(); return nil }},
+	{"link to the store reset", linkFault(linkReset)},
+	{"link to the store silent", linkFault(linkSilent)},
+	{"link to the store one way", linkFault(linkOneWay)},
+	{"link to the store slow", linkFault(linkSlow)},
+}
+
+func storeFault(f standin.Fault) func(context.Context, *world, *box, time.Duration) error {
+	return func(ctx context.Context, w *world, _ *box, d time.Duration) error {
+		w.store.Set(f)
+		wait(ctx, d)
+		w.store.Set(standin.Well)
+		return nil
+	}
+}
+
+func linkFault(m linkMode) func(context.Context, *world, *box, time.Duration) error {
+	return func(ctx context.Context, _ *world, b *box, d time.Duration) error {
+		b.toStore.set(m)
+		wait(ctx, d)
+		b.toStore.set(linkOpen)
+		return nil
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// event is one fault of the timeline.
+type event struct {
+	at    time.Duration
+	lasts time.Duration
+	fault fault
+	box   int
+}
+
+// The faults of a run: at most so long apart, and each so long.
+const (
+	mostApart = 900 * time.Millisecond
+	leastLong = 200 * time.Millisecond
+	mostLong  = 2500 * time.Millisecond
+)
+
+// timeline draws the faults of a run from its seed. Faults overlap; on one
+// machine they follow each other.
+func timeline(seed uint64, total time.Duration, boxes int) []event {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var out []event
+	for at := time.Duration(0); at < total; at += time.Duration(rng.Int64N(int64(mostApart))) {
+		out = append(out, event{
+			at:    at,
+			lasts: leastLong + time.Duration(rng.Int64N(int64(mostLong-leastLong))),
+			fault: faults[rng.IntN(len(faults))],
+			box:   rng.IntN(boxes),
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/platform/standin"
+)
+
+// Each lie that a client can be told is found, and the truth is left alone: a
+// judge that never objects would let every run pass.
+func TestJudgeFindsEveryLie(t *testing.T) {
+	j := standin.NewJournal()
+	j.Note("ran", "i-1")
+	j.Note("twice", "i-1")
+	j.Note("twice", "i-2")
+	good := func(id string) told {
+		return told{ID: id, Path: "/once/1", Status: 200, Body: standin.Body(id, "/once/1"), Signature: standin.Sign(id, "/once/1")}
+	}
+	cut := good("ran")
+	cut.Body = cut.Body[:5]
+	other := good("ran")
+	other.Body = standin.Body("another", "/once/1")
+	forged := good("ran")
+	forged.Signature = ""
+	repeated := good("twice")
+	repeated.Idempotent = true
+	for name, c := range map[string]struct {
+		told told
+		lies string
+	}{
+		"true success":       {good("ran"), ""},
+		"true refusal":       {told{ID: "never", Status: 503}, ""},
+		"doubt":              {told{ID: "ran", Status: 502}, ""},
+		"no answer":          {told{ID: "ran"}, ""},
+		"idempotent repeat":  {repeated, ""},
+		"cut answer":         {cut, "whole answer"},
+		"another's answer":   {other, "whole answer"},
+		"not signed":         {forged, "whole answer"},
+		"success from thin":  {good("never"), "whole answer"},
+		"ran twice":          {told{ID: "twice"}, "at most once"},
+		"refused, but ran":   {told{ID: "ran", Status: 503}, "not to have run"},
+		"misdirected, ran":   {told{ID: "ran", Status: 421}, "not to have run"},
+		"too many, but ran":  {told{ID: "ran", Status: 429}, "not to have run"},
+		"timed out, but ran": {told{ID: "ran", Status: 408}, "not to have run"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			found := judge([]told{c.told}, j)
+			is.Equal(len(found) > 0, c.lies != "")
+			for _, b := range found {
+				is.True(strings.Contains(b.Promise, c.lies))
+			}
+		})
+	}
+}
+
+func TestTimelineFollowsItsSeed(t *testing.T) {
+	is := is.New(t)
+	a, b, other := timeline(7, time.Minute, 6), timeline(7, time.Minute, 6), timeline(8, time.Minute, 6)
+	is.Equal(len(a), len(b))
+	same := len(a) == len(other)
+	for i := range a {
+		is.Equal(a[i].at, b[i].at)
+		is.Equal(a[i].fault.name, b[i].fault.name)
+		same = same && a[i].at == other[i].at
+	}
+	is.True(!same)
+	is.True(len(a) > 60)
+}
+
+// A link goes silent and comes back: connections of that time never carry
+// anything again, new ones do.
+func TestProxyModes(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() { defer c.Close(); io.Copy(c, c) }()
+		}
+	}()
+	p, err := startProxy(ln.Addr().String())
+	is.NoErr(err)
+	defer p.close()
+	echo := func(c net.Conn) bool {
+		c.SetDeadline(time.Now().Add(300 * time.Millisecond))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return false
+		}
+		var one [1]byte
+		_, err := c.Read(one[:])
+		return err == nil
+	}
+	dial := func() net.Conn {
+		c, err := net.Dial("tcp", p.addr())
+		is.NoErr(err)
+		t.Cleanup(func() { c.Close() })
+		return c
+	}
+	c := dial()
+	is.True(echo(c))
+	p.set(linkOneWay)
+	is.True(!echo(c))
+	p.set(linkOpen)
+	is.True(!echo(c))
+	c = dial()
+	is.True(echo(c))
+	p.set(linkReset)
+	is.True(!echo(c))
+}
+
+// A short run over real processes: everything that breaks in it is one seed's,
+// and the verdict must be the same each time.
+func TestShortRun(t *testing.T) {
+	is := is.New(t)
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", filepath.Join(bin, "cassialoomd"), "../../cmd/cassialoomd").CombinedOutput()
+	is.Equal(string(out), "")
+	is.NoErr(err)
+	res, err := Run(t.Context(), Config{Seed: 1, Faults: 4 * time.Second, Bin: bin, Machines: 4, Clients: 2, Net: 79, Say: t.Logf})
+	is.NoErr(err)
+	is.Equal(res.Broken, nil)
+	is.True(res.Requests > 0)
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,178 @@
+// Package soak runs nodes as separate processes on a stand-in platform, breaks
+// things around them at random from a seed, and checks the promises from what
+// clients and backend servers see.
+package soak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"syscall"
+	"time"
+
+	"github.com/cassialoom/cassialoom/internal/rig"
+	"github.com/cassialoom/cassialoom/platform/standin"
+)
+
+// Config of a run.
+type Config struct {
+	Seed uint64
+	// Faults is how long things are broken; after it the system has recoverIn
+	// to serve again.
+	Faults time.Duration
+	// Bin is the folder with cassialoomd.
+	Bin string
+	// Machines are dealt to the services in turn; at least one each.
+	Machines int
+	// Clients is the number of clients on each machine.
+	Clients int
+	// Net tells runs on one machine apart: the second number of their loopback
+	// addresses, 1 to 254.
+	Net int
+	// Say gets a line for each event; it must not be nil.
+	Say func(format string, args ...any)
+}
+
+// The services: each request of the first calls the second.
+const (
+	host       = "soak.example"
+	topService = "top"
+	endService = "end"
+)
+
+const (
+	slots = 16
+	work  = 10 * time.Millisecond
+	beat  = 500 * time.Millisecond
+	// stopLimit is the platform's grace time.
+	stopLimit = 6 * time.Second
+)
+
+// box is one machine: its node, its backend server and the links to it.
+type box struct {
+	standin.Machine
+	settings string
+	node     *rig.Process
+	target   *standin.Target
+	toStore  *proxy
+	starts   int
+}
+
+// world is all that a run started.
+type world struct {
+	cfg     Config
+	rig     *rig.Rig
+	store   *standin.Store
+	journal *standin.Journal
+	record  record
+	boxes   []*box
+	version uint64
+	// broken are violations that were seen while it ran.
+	broken []Broken
+}
+
+func newWorld(cfg Config) (*world, error) {
+	r, err := rig.New(cfg.Bin)
+	if err != nil {
+		return nil, err
+	}
+	store, err := standin.StartStore(fmt.Sprintf("127.%d.0.250:8309", cfg.Net))
+	if err != nil {
+		return nil, errors.Join(err, r.RemoveLogs())
+	}
+	w := &world{cfg: cfg, rig: r, store: store, journal: standin.NewJournal()}
+	if err := w.publish(); err != nil {
+		return w, err
+	}
+	for i := range cfg.Machines {
+		if err := w.addBox(i); err != nil {
+			return w, err
+		}
+	}
+	return w, nil
+}
+
+// close ends all that the run started, and nothing else.
+func (w *world) close() error {
+	for _, b := range w.boxes {
+		if b.node != nil {
+			_ = b.node.Signal(syscall.SIGCONT) // it may have ended
+		}
+	}
+	err := w.rig.Close(stopLimit)
+	for _, b := range w.boxes {
+		b.target.Crash()
+		b.toStore.close()
+	}
+	w.store.Close()
+	return err
+}
+
+func (w *world) publish() error {
+	w.version++
+	text, err := standin.Manifest(w.version, []standin.Route{
+		{Name: "top", Host: host, Prefix: "/top/", Service: topService, Idempotent: true, Priority: 1},
+		{Name: "top-once", Host: host, Prefix: "/once/", Service: topService},
+		{Name: "end", Host: host, Prefix: "/end/", Service: endService, Idempotent: true, Priority: 2},
+	})
+	if err != nil {
+		return err
+	}
+	w.store.Put(text)
+	return nil
+}
+
+func (w *world) addBox(i int) error {
+	b := &box{Machine: standin.Machine{
+		Name: fmt.Sprintf("m%d", i), IP: fmt.Sprintf("127.%d.0.%d", w.cfg.Net, i+1), Service: []string{topService, endService}[i%2],
+	}}
+	var err error
+	if b.toStore, err = startProxy(w.store.Addr()); err != nil {
+		return err
+	}
+	if b.settings, err = b.WriteSettings(w.rig.Dir(), b.toStore.addr(), true); err != nil {
+		return err
+	}
+	if err := w.startTarget(b); err != nil {
+		return err
+	}
+	w.boxes = append(w.boxes, b)
+	return w.startNode(b)
+}
+
+func (w *world) startTarget(b *box) error {
+	b.starts++
+	cfg := standin.TargetConfig{Service: b.Service, Addr: b.Backend(), Node: b.Heartbeats(), Calls: b.Callers(),
+		Slots: slots, Work: work, Beat: beat, Seed: w.cfg.Seed + uint64(b.starts)}
+	if b.Service == topService {
+		cfg.CallHost, cfg.CallPath = host, "/end/c"
+	}
+	t, err := standin.StartTarget(cfg, w.journal)
+	if err == nil {
+		b.target = t
+	}
+	return err
+}
+
+func (w *world) startNode(b *box) error {
+	p, err := w.rig.StartWith(b.Name, "cassialoomd", []string{"CASSIALOOM_CONFIG=" + b.settings})
+	if err == nil {
+		b.node = p
+	}
+	return err
+}
+
+// restart waits for the end of a node's process and starts it again.
+func (w *world) restart(ctx context.Context, b *box) error {
+	select {
+	case <-b.node.Done():
+	case <-time.After(stopLimit):
+		w.broken = append(w.broken, Broken{Promise: "a planned stop ends within its grace time", What: b.Name})
+		if err := b.node.Kill(); err != nil {
+			return err
+		}
+	case <-ctx.Done():
+		return nil
+	}
+	return w.startNode(b)
+}
