node: the callee's decisions are asked often only while something waits

Cause: a tick every 10 ms on every node, charged by the platform for each wake-up. Change: 10 ms while a request waits beside the backend server, 200 ms at rest.

--- a/node/loops.go
+++ b/node/loops.go
@@ -13,7 +13,10 @@
 
 // How often each duty is asked what is due.
 const (
+	// serverTick holds while something waits beside the backend server: what
+	// expires there is refused that late at most. restTick holds otherwise.
 	serverTick  = 10 * time.Millisecond
+	restTick    = 200 * time.Millisecond
 	bindingTick = 5 * time.Millisecond
 	memberTick  = 200 * time.Millisecond
 	configTick  = 100 * time.Millisecond
@@ -26,6 +29,30 @@
 // gossipNotices is how many suspects are repeated to one peer at a time.
 const gossipNotices = 64
 
+// watchServer asks the callee's decisions what is due: often while something
+// waits, and seldom at rest, since each of 100 wake-ups a second costs a node
+// that has nothing to do.
+func (n *Node) watchServer() {
+	timer := time.NewTimer(restTick)
+	defer timer.Stop()
+	for {
+		select {
+		case <-n.ctx.Done():
+			return
+		case <-n.server.queued:
+			timer.Reset(serverTick)
+			continue
+		case <-timer.C:
+		}
+		n.tickServer(time.Now())
+		if n.server.waiting() {
+			timer.Reset(serverTick)
+		} else {
+			timer.Reset(restTick)
+		}
+	}
+}
+
 func (n *Node) tickServer(now time.Time) {
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Tick(now) })
 	n.checkSilence(now)
--- a/node/node.go
+++ b/node/node.go
@@ -198,7 +198,7 @@
 
 // Start begins the node's own work; Stop ends it.
 func (n *Node) Start() {
-	n.loop(serverTick, n.tickServer)
+	n.background(n.watchServer)
 	n.loop(memberTick, n.tickMembers)
 	if !n.routing.enabled() {
 		n.loop(bindingTick, n.tickBindings)
--- a/node/server.go
+++ b/node/server.go
@@ -24,6 +24,9 @@
 	// byRequest finds a run by the id that the backend server knows.
 	byRequest map[string]*run
 
+	// queued is told when something begins to wait.
+	queued chan struct{}
+
 	mintMu  sync.Mutex
 	mints   map[uint64]mintWait
 	mintSeq uint64
@@ -50,6 +53,7 @@
 	return &server{
 		serve:     s,
 		runs:      make(map[uint64]*run),
+		queued:    make(chan struct{}, 1),
 		byToken:   make(map[string]*run),
 		byRequest: make(map[string]*run),
 		mints:     make(map[uint64]mintWait),
@@ -61,7 +65,14 @@
 func (s *server) do(f func(*serve.Server) serve.Effects) (serve.Effects, []*run) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	waited := s.serve.Waiting()
 	e := f(s.serve)
+	if !waited && s.serve.Waiting() {
+		select {
+		case s.queued <- struct{}{}:
+		default: // told already
+		}
+	}
 	for _, id := range e.Stop {
 		if r, ok := s.runs[id]; ok {
 			r.stop()
@@ -114,6 +125,13 @@
 	return r, ok
 }
 
+// waiting reports whether something waits beside the backend server.
+func (s *server) waiting() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Waiting()
+}
+
 // reach notes what a call made for a run has reached.
 func (s *server) reach(r *run, services []string) {
 	s.mu.Lock()
--- a/serve/server.go
+++ b/serve/server.go
@@ -111,6 +111,12 @@
 // Idle reports whether nothing waits or runs.
 func (s *Server) Idle() bool { return len(s.tasks) == 0 && len(s.parked) == 0 }
 
+// Waiting reports whether a task waits for its turn, for its key's binding or
+// for the moment to run alone: Tick has something to look after.
+func (s *Server) Waiting() bool {
+	return s.queue.Len() > 0 || len(s.parked) > 0 || s.lone != nil && s.running[s.lone.ID] == nil
+}
+
 // Arrive takes one attempt. op is nil when the configuration does not know
 // the operation; configured is false while there is no configuration.
 func (s *Server) Arrive(now time.Time, req call.Request, op *graph.Operation, configured bool) Effects {
