daemon: a SIGHUP during the start does not end the node

Change: SIGHUP is caught first of all and kept; the soak starts a node that ended by itself after a short delay, as the platform does.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -27,11 +27,12 @@
 // RunPlatform runs the node on the users' platform until SIGTERM or SIGINT.
 // path is the platform's settings file.
 func RunPlatform(path string) error {
+	hup := catchHangups()
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
-	app := fx.New(PlatformModule(path, s, os.Stdout))
+	app := fx.New(PlatformModule(path, s, hup, os.Stdout))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -51,9 +52,9 @@
 
 // PlatformModule provides a node with the platform's interfaces around it; its
 // log goes to out.
-func PlatformModule(path string, s platform.Settings, out io.Writer) fx.Option {
+func PlatformModule(path string, s platform.Settings, hup hangups, out io.Writer) fx.Option {
 	return fx.Options(
-		fx.Supply(s, settingsPath(path), fx.Annotate(out, fx.As(new(io.Writer)))),
+		fx.Supply(s, settingsPath(path), hup, fx.Annotate(out, fx.As(new(io.Writer)))),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Provide(newPlatformLogger, newStore, newCounters, listenPlatform, platformConfig, newPlatformNode),
 		fx.Invoke(runPlatform),
@@ -188,7 +189,7 @@
 	return &l, nil
 }
 
-func runPlatform(lc fx.Lifecycle, path settingsPath, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
+func runPlatform(lc fx.Lifecycle, path settingsPath, hup hangups, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
 	c *ops.Counters, on *platformListeners, log zerolog.Logger) {
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	cfg.Entry.Draining = n.Draining
@@ -201,7 +202,7 @@
 		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                                       on.ops,
 	}
 	watching, stopWatching := context.WithCancel(context.Background())
-	settings := newReloader(string(path), s, reapply(s), log)
+	settings := newReloader(string(path), s, hup, reapply(s), log)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			n.Start()
--- a/daemon/reload.go
+++ b/daemon/reload.go
@@ -28,26 +28,35 @@
 	log   zerolog.Logger
 	// seen is when the file last changed.
 	seen time.Time
+	hup  hangups
 }
 
-func newReloader(path string, s platform.Settings, apply func(platform.Settings) []string, log zerolog.Logger) *reloader {
-	r := &reloader{path: path, inForce: s, apply: apply, log: log}
+// hangups gets SIGHUP.
+type hangups chan os.Signal
+
+// catchHangups has to be called before anything that takes time: a signal that
+// comes while a node starts would end it.
+func catchHangups() hangups {
+	hup := make(hangups, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	return hup
+}
+
+func newReloader(path string, s platform.Settings, hup hangups, apply func(platform.Settings) []string, log zerolog.Logger) *reloader {
+	r := &reloader{path: path, inForce: s, hup: hup, apply: apply, log: log}
 	r.seen = r.modified()
 	return r
 }
 
 // run reloads until the context ends.
 func (r *reloader) run(ctx context.Context) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	ticker := time.NewTicker(fileCheck)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-r.hup:
 			r.seen = r.modified()
 			r.reload("SIGHUP")
 		case <-ticker.C:
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -89,7 +89,14 @@
 			defer locks[e.box].Unlock()
 			b := w.boxes[e.box]
 			w.cfg.Say("%7.3f s  %s: %s for up to %v", time.Since(begin).Seconds(), b.Name, e.fault.name, e.lasts.Round(time.Millisecond))
-			if err := e.fault.do(ctx, w, b, e.lasts); err != nil {
+			err := w.keep(b)
+			if err == nil {
+				err = e.fault.do(ctx, w, b, e.lasts)
+			}
+			if err == nil {
+				err = w.keep(b)
+			}
+			if err != nil {
 				mu.Lock()
 				defer mu.Unlock()
 				if first == nil {
@@ -102,13 +109,18 @@
 	return len(events), first
 }
 
-// serves reports whether, within a time, nearly all requests through each
-// machine are served.
+// serves reports whether, within a time, nearly all requests through each machine
+// are served. Nothing is broken meanwhile.
 func (w *world) serves(ctx context.Context, within time.Duration) bool {
 	c := &client{w: w, http: newHTTP(), rng: rand.New(rand.NewPCG(w.cfg.Seed, 3))}
 	defer c.http.CloseIdleConnections()
 	const tries = 40
 	for end := time.Now().Add(within); time.Now().Before(end) && ctx.Err() == nil; {
+		for _, b := range w.boxes {
+			if err := w.keep(b); err != nil {
+				return false // the run's own verdict says so
+			}
+		}
 		good := 0
 		for i := range tries {
 			c.box = w.boxes[i%len(w.boxes)]
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -162,6 +162,19 @@
 	return err
 }
 
+// keep starts a node again whose process ended by itself, after a short delay,
+// as the platform does.
+func (w *world) keep(b *box) error {
+	if b.node.Running() {
+		return nil
+	}
+	time.Sleep(restartDelay)
+	return w.startNode(b)
+}
+
+// restartDelay is the platform's short delay before a process is started again.
+const restartDelay = 200 * time.Millisecond
+
 // restart waits for the end of a node's process and starts it again.
 func (w *world) restart(ctx context.Context, b *box) error {
 	select {
