--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net"
 	"net/http"
 	"os"
@@ -75,93 +74,6 @@
 	return node.New(cfg, s, log, c)
 }
 
-const (
-	// memoryShare of the process's limit is where the collector begins to
-	// work harder; the rest is for what it does not count.
-	memoryShare = 0.6
-	// bodyShare of the limit is the most that one request's body may take: it
-	// is held whole, more than once while it is encoded.
-	bodyShare = 1.0 / 64
-	// waitMax is how long a call may wait beside the backend server. The
-	// deepest calls have 700 ms, of which the work takes a tenth.
-	waitMax = 600 * time.Millisecond
-	// waitShare of its spare time is what a call may wait.
-	waitShare = 0.9
-	// waitMin is the number of calls that may wait before the rate at which
-	// they are served is known.
-	waitMin = 64
-	// keptIdle is how long a caller's connection without a request is kept:
-	// longer than the operators' limits ask for, since closing one that is
-	// about to be used costs its caller a request.
-	keptIdle = 5 * time.Minute
-	// reroutes that cost nothing: enough to pass a node that is leaving and
-	// one that is full.
-	reroutes = 3
-	// enterGrace is two questions whether the node is ready, a second apart,
-	// and a margin: after two misses the clients are sent no more.
-	enterGrace = 2200 * time.Millisecond
-	// stopShare of the grace time is what a planned stop may use: after it the
-	// process is ended by force.
-	stopShare = 0.95
-	// slowStart is the ramp of a node that starts: its backend server may have
-	// run all the while, and one that is cold is slow for a few seconds.
-	slowStart = 2 * time.Second
-	// joinInterval and joinAddrs let a node that restarts with all others meet
-	// them within half a second, of which one tick of the membership is 200 ms.
-	joinInterval = 200 * time.Millisecond
-	joinAddrs    = 4
-	// reconnectInterval is how often a node that is gone is looked for at its
-	// address: one that restarts while the store is away is found only so.
-	reconnectInterval = 2 * time.Second
-	// reoffers of a call that its backend server declined: one that declines
-	// half of what it gets takes a call within six offers 63 times in 64.
-	reoffers = 5
-	// drainAfter leaves the peers a moment of enterGrace to hear that the
-	// backend server is not to be used, drainGrace is that moment.
-	drainAfter = 1900 * time.Millisecond
-	drainGrace = 200 * time.Millisecond
-	// budgetNodes is by how many nodes the slack for extra attempts is
-	// divided: what all of them spend at once must stay within it.
-	budgetNodes = 16
-	// budgetShare of the bound is what the nodes spend; the rest covers what
-	// they cannot see, such as attempts counted in another window than theirs.
-	budgetShare = 0.8
-)
-
-func platformConfig(s platform.Settings, log zerolog.Logger) node.Config {
-	cfg := node.DefaultConfig()
-	cfg.Explain.Sink = logs.NewDecisions(logs.DefaultConfig(), log)
-	cfg.Service = s.Service
-	cfg.DataCentre = s.DataCentre
-	cfg.Region = s.Region
-	cfg.PeerAddr = s.Peers
-	cfg.OpsAddr = s.Ops
-	cfg.CallerAddr = s.Callers
-	cfg.EnterGrace = enterGrace
-	cfg.DrainAfter = drainAfter
-	cfg.DrainGrace = drainGrace
-	cfg.DecodeRoutes = platform.DecodeRoutes
-	cfg.Directory = true
-	cfg.Membership.JoinInterval = joinInterval
-	cfg.Membership.JoinAddrs = joinAddrs
-	cfg.Membership.ReconnectInterval = reconnectInterval
-	cfg.Backend.Dialect = platform.Target{}
-	cfg.Backend.IdleTimeout = time.Minute // the backend server states its own
-	cfg.Entry.IdleTimeout = keptIdle
-	cfg.Serve.TellOnly = true
-	cfg.Serve.Queue.MaxWait = waitMax
-	cfg.Serve.Queue.MinItems = waitMin
-	cfg.Serve.Queue.WaitShare = waitShare
-	cfg.Serve.Queue.OverloadAfter = time.Duration(math.MaxInt64)
-	cfg.Dispatch.Reroutes = reroutes
-	cfg.Dispatch.Reoffers = reoffers
-	cfg.Dispatch.Hedge = true
-	cfg.Dispatch.Balancer.SlowStart = slowStart
-	cfg.Dispatch.Budget.Ratio = s.Bounds.RetryRatio * budgetShare
-	cfg.Dispatch.Budget.Burst = max(1, s.Bounds.RetrySlack*budgetShare/budgetNodes)
-	return cfg
-}
-
 // platformListeners are open before anything is served.
 type platformListeners struct {
 	callers, heartbeats, ready, peers, ops net.Listener
@@ -252,34 +164,3 @@
 		return []string{"addresses, place, limits and bounds"}
 	}
 }
-
-const (
-	// findEvery is the pause between two looks whether the routes are known,
-	// which name the path to ask.
-	findEvery = 20 * time.Millisecond
-	// findFor ends the search: by then a heartbeat has come.
-	findFor = 2 * time.Second
-)
-
-// findBackend asks the backend server once, at the start of the node, whether it
-// runs.
-func findBackend(ctx context.Context, s platform.Settings, n *node.Node, log zerolog.Logger) {
-	ctx, cancel := context.WithTimeout(ctx, findFor)
-	defer cancel()
-	for {
-		if table := n.Routes(); table != nil && table.Health(s.Service) != "" {
-			b, err := platform.AskHealth(ctx, s.Backend, table.Health(s.Service))
-			if err != nil {
-				log.Info().Err(err).Msg("backend server not found at the start")
-				return
-			}
-			n.Found(time.Now(), b)
-			return
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(findEvery):
-		}
-	}
-}
--- /dev/null
+++ b/node/spread_routes.go
@@ -0,0 +1,127 @@
+package node
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/routes"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// askAgainAfter is how long an answer to a question for newer routes may take
+// before another peer is asked: ten round trips between regions.
+const askAgainAfter = 250 * time.Millisecond
+
+// routesMessage tells a peer which version is in force here; with the text it
+// is that version, without it an offer.
+type routesMessage struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Text    []byte `cbor:"2,keyasint,omitempty"`
+	// Want asks for the sender's routes, if they are newer than Version.
+	Want bool `cbor:"3,keyasint,omitempty"`
+}
+
+// mayAsk reports whether it is time to ask a peer for newer routes.
+func (r *routing) mayAsk(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.askedAt) < askAgainAfter {
+		return false
+	}
+	r.askedAt = now
+	return true
+}
+
+// Publish takes routes as the operator wrote them, wherever they were read. A
+// text that cannot be taken leaves the routes in force as they are.
+func (n *Node) Publish(text []byte, source string) {
+	table, err := n.routing.decode(text)
+	if err != nil {
+		n.counts.RoutesRefused.Add(1)
+		n.log.Error().Err(err).Str("source", source).Uint64("in_force", n.routing.version()).Msg("routes refused")
+		return
+	}
+	before := n.routing.version()
+	if !n.routing.take(time.Now(), table, text) {
+		return
+	}
+	n.inForce.Store(table.Version)
+	n.counts.ConfigChanges.Add(1)
+	n.log.Info().Uint64("version", table.Version).Uint64("before", before).Int("routes", table.Len()).
+		Str("source", source).Msg("routes in force")
+	if source == SourceStore && n.Reader() {
+		n.offerRoutes(table.Version)
+	}
+}
+
+// SourceStore names the store as where routes were read.
+const SourceStore = "store"
+
+// readersPerDataCentre is the number of nodes that read the store often. One may
+// be cut off from it, or gone and not yet missed.
+const readersPerDataCentre = 2
+
+// Reader reports whether this node is one of the readers of its data centre: the
+// first by identity of those that are known. It is harmless if two views differ
+// and more or fewer nodes take themselves for readers for a while.
+func (n *Node) Reader() bool {
+	before := 0
+	for _, rec := range n.members.view() {
+		if rec.DataCentre == n.cfg.DataCentre && rec.State == membership.Alive && bytes.Compare(rec.ID[:], n.id[:]) < 0 {
+			before++
+		}
+	}
+	return before < readersPerDataCentre
+}
+
+// offerRoutes tells all other nodes of a version; those that lack it ask.
+func (n *Node) offerRoutes(version uint64) {
+	for _, rec := range n.members.view() {
+		if rec.ID != n.id && !rec.State.Gone() {
+			n.posts.post(rec.ID, wire.KindRoutes, routesMessage{Version: version})
+		}
+	}
+}
+
+// Routes returns the routes in force, nil before any are known.
+func (n *Node) Routes() *routes.Table { return n.routing.table() }
+
+// sawRoutes asks a peer whose routes are newer for them.
+func (n *Node) sawRoutes(from wire.NodeID, version uint64) {
+	own := n.routing.version()
+	if version <= own || !n.routing.mayAsk(time.Now()) {
+		return
+	}
+	n.posts.answer(from, wire.KindRoutes, routesMessage{Version: own, Want: true})
+}
+
+func (n *Node) handleRoutes(from wire.NodeID, m routesMessage) {
+	if !n.routing.enabled() {
+		return
+	}
+	switch {
+	case m.Want:
+		n.giveRoutes(from, m.Version)
+	case len(m.Text) > 0:
+		n.Publish(m.Text, "peer "+from.Short())
+	default:
+		n.sawRoutes(from, m.Version)
+	}
+}
+
+func (n *Node) giveRoutes(to wire.NodeID, have uint64) {
+	p := n.routing.force.Load()
+	if p == nil || p.table.Version <= have {
+		return
+	}
+	n.posts.answer(to, wire.KindRoutes, routesMessage{Version: p.table.Version, Text: p.text})
+}
+
+// configVersion is what replies say is in force here.
+func (n *Node) configVersion() uint64 {
+	if n.routing.enabled() {
+		return n.routing.version()
+	}
+	return n.graph.asOf()
+}
--- a/settings/rules.go
+++ b/settings/rules.go
@@ -12,8 +12,8 @@
 // Bounds of the settings.
 const (
 	maxName = 64
-	// maxPayload leaves room for the fields of a call in one message.
-	maxPayload = wire.MaxMessageBytes - 512<<10
+	// MaxPayload leaves room for the fields of a call in one message.
+	MaxPayload = wire.MaxMessageBytes - 512<<10
 	maxSlots   = 100_000
 	// maxDrainGrace keeps the promise that a leaving backend server gets no
 	// new work after a few seconds.
@@ -67,8 +67,8 @@
 		func(s Settings) bool {
 			return within(s.KeyHeldFor, minKeyHeld, min(maxKeyHeld, s.LogRetention/100*maxHeldPercent))
 		}},
-	{"max-body", wantPayload, func(s Settings) any { return s.MaxBody }, func(s Settings) bool { return within(s.MaxBody, 1, maxPayload) }},
-	{"max-answer", wantPayload, func(s Settings) any { return s.MaxAnswer }, func(s Settings) bool { return within(s.MaxAnswer, 1, maxPayload) }},
+	{"max-body", wantPayload, func(s Settings) any { return s.MaxBody }, func(s Settings) bool { return within(s.MaxBody, 1, MaxPayload) }},
+	{"max-answer", wantPayload, func(s Settings) any { return s.MaxAnswer }, func(s Settings) bool { return within(s.MaxAnswer, 1, MaxPayload) }},
 	{"max-limit", wantSlots, func(s Settings) any { return s.MaxLimit }, func(s Settings) bool { return within(s.MaxLimit, 1, maxSlots) }},
 	{"initial-limit", "a number from 1 to the value of --max-limit", func(s Settings) any { return s.InitialLimit },
 		func(s Settings) bool { return within(s.InitialLimit, 1, s.MaxLimit) }},
