--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -104,6 +104,7 @@
 type servers struct {
 	callers, local, peers, ops *http.Server
 	on                         *listeners
+	kept                       *entry.Connections // of callers
 }
 
 func newServers(cfg node.Config, n *node.Node, c *ops.Counters, on *listeners) *servers {
@@ -115,6 +116,7 @@
 		peers:   &http.Server{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout},
 		ops:     ops.NewServer(opsConfig, ops.New(n, c)),
 		on:      on,
+		kept:    entry.Listener(on.callers),
 	}
 }
 
@@ -123,13 +125,13 @@
 		srv *http.Server
 		ln  net.Listener
 	}{
-		{s.callers, entry.Listener(s.on.callers)},
+		{s.callers, s.kept},
 		{s.local, entry.Listener(s.on.local)},
 		{s.peers, s.on.peers},
 		{s.ops, s.on.ops},
 	} {
 		go func() {
-			if err := w.srv.Serve(w.ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := w.srv.Serve(w.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 				log.Error().Err(err).Str("addr", w.ln.Addr().String()).Msg("server ended")
 			}
 		}()
@@ -148,11 +150,17 @@
 	})
 }
 
+// lastCall is how long callers get, once nothing is in flight, to use or give up
+// the connections that they keep: a few times the pause between two requests of
+// one that is at work.
+const lastCall = 2 * time.Second
+
 // stop is the planned stop: the others are told, what is in flight finishes,
 // its answers go out, and only then does anything close.
 func stop(ctx context.Context, n *node.Node, srv *servers) error {
 	n.Drain()
 	err := n.Wait(ctx)
+	srv.kept.LastCall(ctx, lastCall)
 	if closeErr := srv.callers.Shutdown(ctx); err == nil {
 		err = closeErr
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -318,3 +319,46 @@
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(resp.Header.Get(headers.Verdict), "not run") // a key runs nothing
 }
+
+// A node stops as planned while a caller keeps a connection that it uses only now
+// and then. Its next request is answered, with the end of the connection, and
+// the node closes nothing before; new connections are refused at once.
+func TestLastCallWaitsForKeptConnections(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	var draining atomic.Bool
+	cfg := DefaultConfig()
+	cfg.Draining = draining.Load
+	kept := Listener(ln)
+	d := &fakeDoer{out: call.Outcome{Verdict: verdict.Ran, Status: 200}, seen: make(chan Incoming, 8)}
+	srv := NewServer(cfg, New(cfg, d))
+	go srv.Serve(kept)
+	defer srv.Close()
+	c, err := net.Dial("tcp", ln.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	in := bufio.NewReader(c)
+	ask := func() *http.Response {
+		_, err := io.WriteString(c, get)
+		is.NoErr(err)
+		resp, err := http.ReadResponse(in, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		return resp
+	}
+	is.True(!ask().Close)
+
+	draining.Store(true)
+	done := make(chan struct{})
+	go func() { defer close(done); kept.LastCall(t.Context(), time.Minute) }()
+	for refused := false; !refused; {
+		probe, err := net.Dial("tcp", ln.Addr().String())
+		if refused = err != nil; !refused {
+			probe.Close()
+		}
+	}
+	is.True(ask().Close)
+	<-done
+}
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"sync/atomic"
+	"time"
 
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -18,16 +19,42 @@
 // itself and without a verdict, and a head that does not arrive in time not at
 // all: the caller would have to take a request that reached no handler for one
 // that may have run. The connections of this listener add what is missing.
-func Listener(ln net.Listener) net.Listener { return &listener{Listener: ln} }
+func Listener(ln net.Listener) *Connections { return &Connections{Listener: ln} }
 
-type listener struct{ net.Listener }
+// Connections is a listener that knows how many of its connections are open.
+type Connections struct {
+	net.Listener
+	open atomic.Int64
+}
+
+// lastCallPoll is the pause between two looks at the open connections.
+const lastCallPoll = 10 * time.Millisecond
 
-func (l *listener) Accept() (net.Conn, error) {
+// LastCall takes no new connections and waits, for a limited time, until the
+// callers have given up the ones that they keep. A server that is draining
+// answers each request with the end of its connection; one that is closed from
+// this side instead may just be carrying a request, whose caller then hears
+// nothing and cannot know whether it was taken.
+func (l *Connections) LastCall(ctx context.Context, limit time.Duration) {
+	l.Listener.Close() // refuses new connections; there is nothing else to end
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for l.open.Load() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(lastCallPoll):
+		}
+	}
+}
+
+func (l *Connections) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c}, nil
+	l.open.Add(1)
+	return &conn{Conn: c, of: l}, nil
 }
 
 // conn knows whether a handler has taken the request that is being read. Only
@@ -35,6 +62,8 @@
 // the bytes of a handler's answer.
 type conn struct {
 	net.Conn
+	of      *Connections
+	closed  atomic.Bool
 	handled atomic.Bool
 	// begun says that a part of the next request has arrived.
 	begun atomic.Bool
@@ -74,6 +103,14 @@
 	return len(p), nil
 }
 
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	if !c.closed.Swap(true) {
+		c.of.open.Add(-1)
+	}
+	return c.Conn.Close()
+}
+
 // CloseWrite lets the server end its side first, so that a caller that still
 // sends gets to read its refusal.
 func (c *conn) CloseWrite() error {
