--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -71,7 +71,7 @@
 
 // start runs the node of a machine and returns what stops it as planned.
 func (s *site) start(m standin.Machine) (stop func()) {
-	path, err := m.WriteSettings(s.dir, s.store.Addr(), false)
+	path, err := m.WriteSettings(s.dir, s.store.Addr(), m.Backend(), false)
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -20,6 +20,7 @@
 // acknowledged it.
 const leaveFor = 2200 * time.Millisecond
 
+// faults are all kinds. New ones go to the end; see Config.Kinds.
 var faults = []fault{
 	{"kill the node", func(ctx context.Context, w *world, b *box, _ time.Duration) error {
 		if err := b.node.Signal(syscall.SIGKILL); err != nil {
@@ -74,12 +75,19 @@
 	{"store silent", storeFault(standin.Silent)},
 	{"store loses answers", storeFault(standin.LosesAnswers)},
 	{"store forgets", func(_ context.Context, w *world, _ *box, _ time.Duration) error { w.store.Forget(); return nil }},
-	{"link to the store reset", linkFault(linkReset)},
-	{"link to the store silent", linkFault(linkSilent)},
-	{"link to the store one way", linkFault(linkOneWay)},
-	{"link to the store slow", linkFault(linkSlow)},
+	{"link to the store reset", linkFault(toStore, linkReset)},
+	{"link to the store silent", linkFault(toStore, linkSilent)},
+	{"link to the store one way", linkFault(toStore, linkOneWay)},
+	{"link to the store slow", linkFault(toStore, linkSlow)},
+	{"link to the backend server reset", linkFault(toBackend, linkReset)},
+	{"link to the backend server silent", linkFault(toBackend, linkSilent)},
+	{"link to the backend server one way", linkFault(toBackend, linkOneWay)},
+	{"link to the backend server slow", linkFault(toBackend, linkSlow)},
 }
 
+func toStore(b *box) *proxy   { return b.toStore }
+func toBackend(b *box) *proxy { return b.toBackend }
+
 func storeFault(f standin.Fault) func(context.Context, *world, *box, time.Duration) error {
 	return func(ctx context.Context, w *world, _ *box, d time.Duration) error {
 		w.store.Set(f)
@@ -89,11 +97,16 @@
 	}
 }
 
-func linkFault(m linkMode) func(context.Context, *world, *box, time.Duration) error {
+// linkFault changes a link for a while; a machine may have none of the kind.
+func linkFault(link func(*box) *proxy, m linkMode) func(context.Context, *world, *box, time.Duration) error {
 	return func(ctx context.Context, _ *world, b *box, d time.Duration) error {
-		b.toStore.set(m)
+		p := link(b)
+		if p == nil {
+			return nil
+		}
+		p.set(m)
 		wait(ctx, d)
-		b.toStore.set(linkOpen)
+		p.set(linkOpen)
 		return nil
 	}
 }
@@ -122,14 +135,17 @@
 
 // timeline draws the faults of a run from its seed. Faults overlap; on one
 // machine they follow each other.
-func timeline(seed uint64, total time.Duration, boxes int) []event {
+func timeline(seed uint64, total time.Duration, boxes, kinds int) []event {
+	if kinds == 0 {
+		kinds = len(faults)
+	}
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var out []event
 	for at := time.Duration(0); at < total; at += time.Duration(rng.Int64N(int64(mostApart))) {
 		out = append(out, event{
 			at:    at,
 			lasts: leastLong + time.Duration(rng.Int64N(int64(mostLong-leastLong))),
-			fault: faults[rng.IntN(len(faults))],
+			fault: faults[rng.IntN(kinds)],
 			box:   rng.IntN(boxes),
 		})
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,7 +66,7 @@
 
 func TestTimelineFollowsItsSeed(t *testing.T) {
 	is := is.New(t)
-	a, b, other := timeline(7, time.Minute, 6), timeline(7, time.Minute, 6), timeline(8, time.Minute, 6)
+	a, b, other := timeline(7, time.Minute, 6, 0), timeline(7, time.Minute, 6, 0), timeline(8, time.Minute, 6, 0)
 	is.Equal(len(a), len(b))
 	same := len(a) == len(other)
 	for i := range a {
@@ -128,9 +128,10 @@
 var keptSeeds = []struct {
 	seed    uint64
 	seconds int
+	kinds   int // of faults that there were
 	cause   string
 }{
-	{106, 12, "SIGHUP in the first milliseconds of a process ended it: the handler was installed after the settings were read"},
+	{106, 12, 17, "SIGHUP in the first milliseconds of a process ended it: the handler was installed after the settings were read"},
 }
 
 func TestKeptSeeds(t *testing.T) {
@@ -142,7 +143,7 @@
 		t.Run(fmt.Sprint(kept.seed), func(t *testing.T) {
 			is := is.New(t)
 			t.Log(kept.cause)
-			res, err := Run(t.Context(), Config{Seed: kept.seed, Faults: time.Duration(kept.seconds) * time.Second, Bin: bin,
+			res, err := Run(t.Context(), Config{Seed: kept.seed, Kinds: kept.kinds, Faults: time.Duration(kept.seconds) * time.Second, Bin: bin,
 				Machines: 6, Clients: 4, Net: 83, Say: t.Logf})
 			is.NoErr(err)
 			is.Equal(res.Broken, nil)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -20,6 +20,10 @@
 	// Faults is how long things are broken; after it the system has recoverIn
 	// to serve again.
 	Faults time.Duration
+	// Kinds is how many of the kinds of faults are drawn, zero for all. New
+	// kinds come at the end of the list: a kept seed names how many there were,
+	// and so plays the same timeline for good.
+	Kinds int
 	// Bin is the folder with cassialoomd.
 	Bin string
 	// Machines are dealt to the services in turn; at least one each.
@@ -55,7 +59,10 @@
 	node     *rig.Process
 	target   *standin.Target
 	toStore  *proxy
-	starts   int
+	// toBackend is nil on every second pair of machines: there the node sees
+	// a backend server's crash itself, without a link that takes connections.
+	toBackend *proxy
+	starts    int
 }
 
 // world is all that a run started.
@@ -103,6 +110,9 @@
 	for _, b := range w.boxes {
 		b.target.Crash()
 		b.toStore.close()
+		if b.toBackend != nil {
+			b.toBackend.close()
+		}
 	}
 	w.store.Close()
 	return err
@@ -130,7 +140,14 @@
 	if b.toStore, err = startProxy(w.store.Addr()); err != nil {
 		return err
 	}
-	if b.settings, err = b.WriteSettings(w.rig.Dir(), b.toStore.addr(), true); err != nil {
+	backend := b.Backend()
+	if i%4 >= 2 {
+		if b.toBackend, err = startProxy(backend); err != nil {
+			return err
+		}
+		backend = b.toBackend.addr()
+	}
+	if b.settings, err = b.WriteSettings(w.rig.Dir(), b.toStore.addr(), backend, true); err != nil {
 		return err
 	}
 	if err := w.startTarget(b); err != nil {
