--- a/cmd/cassialoom/options.go
+++ b/cmd/cassialoom/options.go
@@ -28,7 +28,7 @@
 
 On the users' platform:
   cassialoom trace REQUEST-ID LOG...               what became of it, from the logs
-  cassialoom check-routes manifest.json            would the nodes take it?
+  cassialoom check-routes routes.json              would the nodes take it?
   cassialoom check-settings node.yaml              would a node start with it?
 
 Exit codes: 0 done, 1 refused (problems in the text, a lost race, nothing found), ` +
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -44,7 +44,7 @@
 	for _, name := range services {
 		list = append(list, standin.Route{Name: "to-" + name, Host: siteHost, Prefix: "/" + name + "/", Service: name, Idempotent: name != "deep"})
 	}
-	text, err := standin.Manifest(version, list)
+	text, err := standin.RoutesText(version, list)
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -99,23 +99,10 @@
 
 // ask sends a request; zero is the status without an answer.
 func (s *site) ask(m standin.Machine, service, id string) (status int, body string) {
-	req, err := http.NewRequest(http.MethodGet, "http://"+m.Callers()+"/"+service+"/x", nil)
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	req.Host = siteHost
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Request-Timeout-Ms", "4000")
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return 0, err.Error()
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return 0, err.Error()
-	}
-	return resp.StatusCode, string(text)
+	a := standin.Ask(s.t.Context(), s.client, m, standin.Request{
+		Method: http.MethodGet, Host: siteHost, Path: "/" + service + "/x", ID: id, Timeout: 4 * time.Second,
+	})
+	return a.Status, a.Body
 }
 
 func (s *site) await(what string, f func() bool) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -15,11 +15,7 @@
 	Path       string
 	Idempotent bool
 	Sent       time.Time
-	Status     int // zero without an answer
-	Signature  string
-	Body       string
-	// Version is the least version of the routes that may have decided.
-	Version uint64
+	standin.Answer
 }
 
 // record keeps what clients heard. It is safe for concurrent use.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cassialoom/cassialoom/platform/standin"
 )
 
 const (
@@ -174,22 +175,8 @@
 	prefix := paths[c.rng.IntN(len(paths))]
 	t := told{ID: strconv.FormatUint(c.rng.Uint64(), 36), Machine: c.box.Name, Path: prefix + strconv.Itoa(c.sent),
 		Idempotent: prefix != "/once/", Sent: time.Now()}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.box.Callers()+t.Path, nil)
-	if err != nil {
-		return t
-	}
-	req.Host = host
-	req.Header.Set("X-Request-Id", t.ID)
-	req.Header.Set("X-Request-Timeout-Ms", strconv.FormatInt(clientTimeout.Milliseconds(), 10))
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return t
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return t // an answer that ends early is none
-	}
-	t.Status, t.Signature, t.Body = resp.StatusCode, resp.Header.Get("X-Response-Signature"), string(body)
+	t.Answer = standin.Ask(ctx, c.http, c.box.Machine, standin.Request{
+		Method: http.MethodPost, Host: host, Path: t.Path, ID: t.ID, Timeout: clientTimeout,
+	})
 	return t
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,7 +24,7 @@
 	j.Note("twice", "i-1")
 	j.Note("twice", "i-2")
 	good := func(id string) told {
-		return told{ID: id, Path: "/once/1", Status: 200, Body: standin.Body(id, "/once/1"), Signature: standin.Sign(id, "/once/1")}
+		return told{ID: id, Path: "/once/1", Answer: standin.Answer{Status: 200, Body: standin.Body(id, "/once/1"), Signature: standin.Sign(id, "/once/1")}}
 	}
 	cut := good("ran")
 	cut.Body = cut.Body[:5]
@@ -39,8 +39,8 @@
 		lies string
 	}{
 		"true success":       {good("ran"), ""},
-		"true refusal":       {told{ID: "never", Status: 503}, ""},
-		"doubt":              {told{ID: "ran", Status: 502}, ""},
+		"true refusal":       {told{ID: "never", Answer: standin.Answer{Status: 503}}, ""},
+		"doubt":              {told{ID: "ran", Answer: standin.Answer{Status: 502}}, ""},
 		"no answer":          {told{ID: "ran"}, ""},
 		"idempotent repeat":  {repeated, ""},
 		"cut answer":         {cut, "whole answer"},
@@ -48,10 +48,10 @@
 		"not signed":         {forged, "whole answer"},
 		"success from thin":  {good("never"), "whole answer"},
 		"ran twice":          {told{ID: "twice"}, "at most once"},
-		"refused, but ran":   {told{ID: "ran", Status: 503}, "not to have run"},
-		"misdirected, ran":   {told{ID: "ran", Status: 421}, "not to have run"},
-		"too many, but ran":  {told{ID: "ran", Status: 429}, "not to have run"},
-		"timed out, but ran": {told{ID: "ran", Status: 408}, "not to have run"},
+		"refused, but ran":   {told{ID: "ran", Answer: standin.Answer{Status: 503}}, "not to have run"},
+		"misdirected, ran":   {told{ID: "ran", Answer: standin.Answer{Status: 421}}, "not to have run"},
+		"too many, but ran":  {told{ID: "ran", Answer: standin.Answer{Status: 429}}, "not to have run"},
+		"timed out, but ran": {told{ID: "ran", Answer: standin.Answer{Status: 408}}, "not to have run"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -120,7 +120,7 @@
 
 func (w *world) publish() error {
 	w.version++
-	text, err := standin.Manifest(w.version, []standin.Route{
+	text, err := standin.RoutesText(w.version, []standin.Route{
 		{Name: "top", Host: host, Prefix: "/top/", Service: topService, Idempotent: true, Priority: 1},
 		{Name: "top-once", Host: host, Prefix: "/once/", Service: topService},
 		{Name: "end", Host: host, Prefix: "/end/", Service: endService, Idempotent: true, Priority: 2},
