node: a node that is asked to stop gives out no keys that name it

After SIGTERM a node takes work from peers for its grace (1 s), and made keys that name itself just as long. A caller asks the leaving node for a key and sends its request through another one; links are stalled, so that one finds no connection to the key's holder and can only say "may have run" (key-holder-gone), though the key was new. Ruled out: saying "not run" for a first sending whose holder is gone. The node asked cannot know that the key was not sent through another one before. Change: from the stop on mintHere refuses (draining); callers and peers take a key of another node. A key given out a moment before the stop and first used after it is still answered "may have run" (docs/PROOFS.md names it).

--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -4,11 +4,13 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -63,3 +65,26 @@
 	is.Equal(string(a.Body), "held")
 	is.NoErr(<-stopped)
 }
+
+// A node is asked to stop while some peers cannot hear of it for a moment. They,
+// and callers that ask the leaving node itself, want a key. A key that names it
+// would be answered "may have run" as soon as it is gone, though it was never used:
+// none is given, from the moment of the stop on.
+func TestLeavingNodeGivesOutNoKeys(t *testing.T) {
+	is := is.New(t)
+	c := start(t, func(cfg *node.Config) { cfg.DrainGrace = time.Minute })
+	leaving := c.Add("fieldlog", testnode.Echo)
+	c.AwaitWhole()
+	deaf := leaving.Dial(t, wire.NewNodeID())
+	is.NoErr(deaf.Send(wire.KindMint, mintRequest{Seq: 1, Operation: "file"}))
+	var before mintReply
+	is.NoErr(deaf.NextOf(wire.KindMinted, &before))
+	is.True(before.Key != "")
+
+	leaving.Node.Drain()
+	is.NoErr(deaf.Send(wire.KindMint, mintRequest{Seq: 2, Operation: "file"}))
+	var after mintReply
+	is.NoErr(deaf.NextOf(wire.KindMinted, &after))
+	is.Equal(after.Key, "")
+	is.Equal(after.Reason, verdict.Draining)
+}
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -16,11 +16,13 @@
 )
 
 type mintRequest struct {
-	Seq uint64 `cbor:"1,keyasint"`
+	Seq       uint64 `cbor:"1,keyasint"`
+	Operation string `cbor:"2,keyasint"`
 }
 type mintReply struct {
-	Seq uint64 `cbor:"1,keyasint"`
-	Key string `cbor:"2,keyasint"`
+	Seq    uint64         `cbor:"1,keyasint"`
+	Key    string         `cbor:"2,keyasint"`
+	Reason verdict.Reason `cbor:"4,keyasint"`
 }
 
 // A caller asks for a key. Before the node that was asked answers, another
--- a/node/mint.go
+++ b/node/mint.go
@@ -78,7 +78,14 @@
 	_, _ = c.Send(wire.KindMinted, n.mintHere(m))
 }
 
+// mintHere makes a key that names this incarnation. A node that is asked to stop
+// makes none, though it still takes work from peers that have not heard: the key
+// would outlive the node, and a request sent with it for the first time would be
+// answered "may have run".
 func (n *Node) mintHere(m mintRequest) mintReply {
+	if n.Draining() {
+		return mintReply{Seq: m.Seq, Reason: verdict.Draining, Detail: "node is leaving"}
+	}
 	n.server.mu.Lock()
 	defer n.server.mu.Unlock()
 	key, held, err := n.server.serve.Mint(time.Now(), m.Operation)
