daemon, dispatch: listeners and servers have one copy, hedges carry replies

Cause: the node on the platform opened its listeners and served on them with its own copies of daemon.go's loops, and the two had come to differ: one logged an error when its listener was closed at a planned end, the other did not. A hedge's answer carried a target that nobody read. Ruled out: one type for both daemons' servers; they have different sets and stop in a different order. Change: openAll and serveUntilClosed in daemon/listen.go serve both.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -81,23 +80,12 @@
 
 func listen(s settings.Settings) (*listeners, error) {
 	var l listeners
-	for _, w := range []struct {
-		to   *net.Listener
-		name string
-		addr string
-	}{
-		{&l.callers, "--listen", s.Listen},
-		{&l.local, "--local-listen", s.LocalListen},
-		{&l.peers, "--peer-listen", s.PeerListen},
-		{&l.ops, "--ops-listen", s.OpsListen},
-	} {
-		ln, err := net.Listen("tcp", w.addr)
-		if err != nil {
-			return nil, fmt.Errorf("%s %s: %w", w.name, w.addr, err)
-		}
-		*w.to = ln
-	}
-	return &l, nil
+	return &l, openAll([]endpoint{
+		{"--listen", s.Listen, &l.callers},
+		{"--local-listen", s.LocalListen, &l.local},
+		{"--peer-listen", s.PeerListen, &l.peers},
+		{"--ops-listen", s.OpsListen, &l.ops},
+	})
 }
 
 // servers are the node's HTTP servers with their listeners.
@@ -130,11 +118,7 @@
 		{s.peers, s.on.peers},
 		{s.ops, s.on.ops},
 	} {
-		go func() {
-			if err := w.srv.Serve(w.ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-				log.Error().Err(err).Str("addr", w.ln.Addr().String()).Msg("server ended")
-			}
-		}()
+		go serveUntilClosed(w.srv, w.ln, log)
 	}
 }
 
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -81,24 +79,13 @@
 
 func listenPlatform(s platform.Settings) (*platformListeners, error) {
 	var l platformListeners
-	for _, w := range []struct {
-		to   *net.Listener
-		name string
-		addr string
-	}{
-		{&l.callers, "callers", s.Callers},
-		{&l.heartbeats, "heartbeats", s.Heartbeats},
-		{&l.ready, "ready", s.Ready},
-		{&l.peers, "peers", s.Peers},
-		{&l.ops, "ops", s.Ops},
-	} {
-		ln, err := net.Listen("tcp", w.addr)
-		if err != nil {
-			return nil, fmt.Errorf("listen for %s: %w", w.name, err)
-		}
-		*w.to = ln
-	}
-	return &l, nil
+	return &l, openAll([]endpoint{
+		{"callers", s.Callers, &l.callers},
+		{"heartbeats", s.Heartbeats, &l.heartbeats},
+		{"ready", s.Ready, &l.ready},
+		{"peers", s.Peers, &l.peers},
+		{"ops", s.Ops, &l.ops},
+	})
 }
 
 func runPlatform(lc fx.Lifecycle, path settingsPath, hup hangups, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
@@ -146,12 +133,6 @@
 	})
 }
 
-func serveUntilClosed(srv *http.Server, ln net.Listener, log zerolog.Logger) {
-	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-		log.Error().Err(err).Str("addr", ln.Addr().String()).Msg("server ended")
-	}
-}
-
 // reapply returns what a reload changes in a running node. Nothing of the
 // platform's settings can change while the process holds its addresses and its
 // place, but for the bounds, which the next start takes.
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -51,12 +51,6 @@
 	return after, float64(after) < hedgeWithin*float64(left)
 }
 
-// answer is what came back from one target.
-type answer struct {
-	to    target
-	reply call.Reply
-}
-
 // hedged makes one attempt, and another one beside it if the first stays
 // without an answer for unusually long: a backend server whose answers are
 // lost, or a link that has gone silent, otherwise shows only when the call's
@@ -71,20 +65,20 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan answer, 2) // nobody waits for the second
-	ask := func(p Params, to target) { answers <- answer{to, d.once(ctx, p, to)} }
+	answers := make(chan call.Reply, 2) // nobody waits for the second
+	ask := func(p Params, to target) { answers <- d.once(ctx, p, to) }
 	go ask(p, to)
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
 	case first := <-answers:
-		return first.reply
+		return first
 	case <-timer.C:
 	}
 	var second target
 	silent := call.Reply{Verdict: verdict.MayHaveRun, Reason: verdict.Lost, Detail: "no answer yet"}
 	if !d.spend(ctx, p, a, silent, &second, hop) {
-		return (<-answers).reply
+		return <-answers
 	}
 	d.count(func(c *Counts) { c.Hedges++ })
 	d.noteAgain(p, a, silent)
@@ -95,13 +89,13 @@
 }
 
 // better returns the first usable answer of two.
-func (d *Dispatcher) better(a *attempts, first answer, rest <-chan answer) call.Reply {
-	if usable(first.reply) {
-		return first.reply
+func (d *Dispatcher) better(a *attempts, first call.Reply, rest <-chan call.Reply) call.Reply {
+	if usable(first) {
+		return first
 	}
 	second := <-rest
-	a.note(first.reply.Verdict)
-	return second.reply
+	a.note(first.Verdict)
+	return second
 }
 
 // usable reports whether an answer is the backend server's own and no failure
