transport, node: an answer goes by its call's connection; none is used unheard

Cause: two nodes can have two connections, after both dialled at once or a link was silent for a while. A call went by one, its answer by the other ("the one used for new messages"), which then ended: the caller's node looked at the connection of its call, which was sound, and waited until the deadline. Besides, the end that was dialled used a connection from the first hello on. Where a link passes nothing in one direction its dialer never hears the answer and gives up after a second; calls handed to it meanwhile are lost and must be told "may have run". Seen: TestProveDrainThatPeersDoNotHear: six requests had no answer after 10 s; their calls ran at fieldlog-5 within 6 ms of the links' opening, and the answers of that one node alone were lost. Ruled out: answering by every connection to the caller; two nodes that dialled at once keep both for good, and each answer would go twice. A table of the calls under way by connection: a peer that repeats calls could make it grow. Change: a call carries the number of its connection inside the node, its answer goes there. A connection is used for new messages once its dialer has sent something after its hello, which it does at once (KindOpened). Before: TestAnswerGoesByTheConnectionOfItsCall and TestConnectionIsUsedOnceItsDialerHasHeard fail. After: they pass.

--- a/call/message.go
+++ b/call/message.go
@@ -56,6 +56,8 @@
 	// Repeat says that the call, or the request that it is made for, may have
 	// run before: its own calls are extra attempts.
 	Repeat bool `cbor:"20,keyasint,omitempty"`
+	// Via is the callee's number of the connection that the call came by.
+	Via uint64 `cbor:"-"`
 }
 
 // RootID returns the id of the request as it entered the system. All its calls
@@ -120,6 +122,8 @@
 	RanFor time.Duration `cbor:"21,keyasint,omitempty"`
 	// RequestID is for the notes of the replying node.
 	RequestID string `cbor:"-"`
+	// Via is the Via of the call that is answered.
+	Via uint64 `cbor:"-"`
 }
 
 // Level is the least priority that a service admits.
--- a/node/faults_test.go
+++ b/node/faults_test.go
@@ -277,3 +277,30 @@
 		})
 	}
 }
+
+// A node has two connections to a peer, as after both dialled at once or the link
+// was silent for a while. It sends a call by the one; the peer answers by the
+// other, which ends before the answer is through. The asking node waits for an
+// answer that does not come, until the caller's time is over, because the
+// connection that it looks at is sound.
+func TestAnswerGoesByTheConnectionOfItsCall(t *testing.T) {
+	is := is.New(t)
+	c := start(t, nil)
+	release := make(chan struct{})
+	file := c.Add("fieldlog", func(ctx context.Context, w *testnode.Work) testnode.Answer {
+		<-release
+		return testnode.OK(w.Body)
+	})
+	c.AwaitWhole()
+	asking := wire.NewNodeID()
+	first := file.Dial(t, asking)
+	is.NoErr(first.Send(wire.KindCall, request(first, file, 1, "x")))
+	testnode.Await(t, "the call runs", func() bool { return file.Backend.Runs("x") == 1 })
+	later := file.Dial(t, asking)
+	is.NoErr(later.Sync())
+
+	close(release)
+	var reply call.Reply
+	is.NoErr(first.NextOf(wire.KindReply, &reply))
+	is.Equal(reply.Verdict, verdict.Ran)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -60,7 +60,7 @@
 	from := c.Peer().ID
 	switch f.Kind {
 	case wire.KindCall:
-		return decode(f, func(m call.Request) { n.handleCall(from, m) })
+		return decode(f, func(m call.Request) { n.handleCall(c, m) })
 	case wire.KindReply:
 		return decode(f, func(m call.Reply) { n.handleReply(from, m) })
 	case wire.KindCancel:
@@ -102,11 +102,12 @@
 
 // handleCall takes an attempt. A peer speaks for itself only: with another
 // sender's name it could use up that sender's sequence numbers.
-func (n *Node) handleCall(from wire.NodeID, req call.Request) {
-	if req.From != from {
+func (n *Node) handleCall(c *transport.Conn, req call.Request) {
+	if req.From != c.Peer().ID {
 		n.counts.BadMessages.Add(1)
 		return
 	}
+	req.Via = c.Number()
 	n.arrive(req)
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -8,6 +8,7 @@
 	"github.com/cassialoom/cassialoom/explain"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/transport"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -140,7 +141,7 @@
 		n.dispatch.Reply(n.id, r)
 		return
 	}
-	c, ok := n.peers.Lookup(r.To)
+	c, ok := n.toCaller(r)
 	if !ok {
 		return // the caller's node has seen the connection end, and concluded
 	}
@@ -151,6 +152,18 @@
 	}
 }
 
+// toCaller returns the connection for an answer: the one that its call came by. The
+// caller's node waits for the answer or the end of that connection, whichever is
+// first. By another one, which may end alone, the answer could be lost without
+// its knowing. If the call's has ended at this end, another may still tell a
+// caller's node that has not noticed.
+func (n *Node) toCaller(r call.Reply) (*transport.Conn, bool) {
+	if c, ok := n.peers.Numbered(r.Via); ok {
+		return c, true
+	}
+	return n.peers.Lookup(r.To)
+}
+
 func (n *Node) levels(now time.Time) []call.Level {
 	levels := n.dispatch.Levels(now)
 	if own := n.server.level(now); own > 0 {
--- a/serve/key.go
+++ b/serve/key.go
@@ -101,7 +101,7 @@
 
 // begin runs, joins, replays or refuses a request whose key may run here.
 func (s *Server) begin(now time.Time, t *Task, e *Effects) {
-	d := s.keys.Begin(now, t.Request.Key, t.Request.Fingerprint, t.waiter)
+	d := s.keys.Begin(now, t.Request.Key, t.Request.Fingerprint, recipientOf(&t.Request))
 	if d.Held > 0 && t.heldUntil.IsZero() {
 		t.heldUntil = now.Add(d.Held)
 	}
@@ -112,7 +112,7 @@
 		s.counts.Joined++
 	case once.Replay:
 		s.counts.Replayed++
-		reply := s.answerTo(now, t.waiter, d.Answer)
+		reply := s.answerTo(now, recipientOf(&t.Request), d.Answer)
 		reply.Unused = t.Request.Grant
 		s.reply(e, reply)
 	default:
@@ -120,7 +120,7 @@
 	}
 }
 
-func (s *Server) finishKey(now time.Time, t *Task, r Result) (joined []waiter) {
+func (s *Server) finishKey(now time.Time, t *Task, r Result) (joined []recipient) {
 	if t.Request.Key == "" {
 		return nil
 	}
@@ -131,7 +131,7 @@
 	return s.keys.Finish(now, t.Request.Key, answer{result: r, heldUntil: t.heldUntil}, r.Verdict)
 }
 
-func (s *Server) abandonKey(t *Task) (joined []waiter) {
+func (s *Server) abandonKey(t *Task) (joined []recipient) {
 	if t.Request.Key == "" {
 		return nil
 	}
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -25,7 +25,7 @@
 	for _, w := range joined {
 		s.reply(e, s.answerTo(now, w, a))
 	}
-	own := s.answerTo(now, t.waiter, a)
+	own := s.answerTo(now, recipientOf(&t.Request), a)
 	own.Unused = r.Unused
 	s.reply(e, own)
 }
@@ -59,8 +59,8 @@
 	delete(s.byCall, t.waiter)
 }
 
-func (s *Server) answerTo(now time.Time, w waiter, a answer) call.Reply {
-	reply := s.replyTo(w)
+func (s *Server) answerTo(now time.Time, to recipient, a answer) call.Reply {
+	reply := s.replyTo(to)
 	reply.Verdict = a.result.Verdict
 	reply.Reason = a.result.Reason
 	reply.Detail = a.result.Detail
@@ -76,13 +76,13 @@
 }
 
 func (s *Server) refusal(req call.Request, err *verdict.Error) call.Reply {
-	reply := s.refusalTo(waiter{from: req.From, seq: req.Seq}, req.Grant, err)
+	reply := s.refusalTo(recipientOf(&req), req.Grant, err)
 	reply.RequestID = req.RequestID
 	return reply
 }
 
-func (s *Server) refusalTo(w waiter, unused uint32, err *verdict.Error) call.Reply {
-	reply := s.replyTo(w)
+func (s *Server) refusalTo(to recipient, unused uint32, err *verdict.Error) call.Reply {
+	reply := s.replyTo(to)
 	reply.Verdict = err.Verdict
 	reply.Reason = err.Reason
 	reply.Detail = err.Detail
@@ -91,11 +91,12 @@
 	return reply
 }
 
-func (s *Server) replyTo(w waiter) call.Reply {
+func (s *Server) replyTo(to recipient) call.Reply {
 	return call.Reply{
 		From:     s.cfg.Self,
-		To:       w.from,
-		Seq:      w.seq,
+		To:       to.from,
+		Seq:      to.seq,
+		Via:      to.via,
 		InFlight: uint32(len(s.running)),
 		Limit:    uint32(min(s.concurrency(), maxConcurrency)),
 	}
--- a/serve/server.go
+++ b/serve/server.go
@@ -22,7 +22,7 @@
 	cfg     Config
 	senders *once.Senders
 	mint    *once.Mint
-	keys    *once.Keys[answer, waiter]
+	keys    *once.Keys[answer, recipient]
 	binder  *once.Binder
 	limit   *limit.Limiter
 	queue   *queue.Queue[*Task]
@@ -54,7 +54,7 @@
 		cfg:     cfg,
 		senders: once.NewSenders(cfg.Once),
 		mint:    once.NewMint(cfg.Once, cfg.Self, secret, start),
-		keys:    once.NewKeys[answer, waiter](cfg.Once, start, answerSize),
+		keys:    once.NewKeys[answer, recipient](cfg.Once, start, answerSize),
 		binder:  once.NewBinder(cfg.Once, cfg.Self, start),
 		limit:   limit.New(cfg.Limit),
 		queue:   queue.New[*Task](cfg.Queue),
--- a/serve/task.go
+++ b/serve/task.go
@@ -17,6 +17,16 @@
 	seq  uint64
 }
 
+// recipient is a waiter and the connection that its attempt came by.
+type recipient struct {
+	waiter
+	via uint64
+}
+
+func recipientOf(r *call.Request) recipient {
+	return recipient{waiter: waiter{from: r.From, seq: r.Seq}, via: r.Via}
+}
+
 // Task is one request that this node has taken: it waits for its turn or runs
 // at the backend server.
 type Task struct {
--- a/transport/config.go
+++ b/transport/config.go
@@ -29,6 +29,11 @@
 	Addr string `cbor:"4,keyasint"`
 }
 
+// Opened is the second message of the end that dialled: it has heard the other
+// end's hello. A node of an earlier release takes it for a message of a kind that
+// it does not know, and passes over it.
+type Opened struct{}
+
 // Config of a Transport.
 type Config struct {
 	// Cluster keeps installations apart that reach each other by mistake.
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -25,6 +25,7 @@
 type Conn struct {
 	peer   Hello
 	dialed string
+	number uint64
 	ws     *websocket.Conn
 	out    *outbox
 	done   chan struct{}
@@ -57,6 +58,9 @@
 // Dialed returns the address that this end dialled, empty if the peer did.
 func (c *Conn) Dialed() string { return c.dialed }
 
+// Number is never used again for another connection of the same Transport.
+func (c *Conn) Number() uint64 { return c.number }
+
 // Done is closed when the connection has ended: what is not Written by then
 // never is. One message that had arrived may still be handed to the Handler.
 func (c *Conn) Done() <-chan struct{} { return c.done }
@@ -131,14 +135,8 @@
 	return c.ws.Write(context.Background(), websocket.MessageBinary, data)
 }
 
-func (c *Conn) readLoop(h Handler) {
-	defer c.Close()
-	for c.readFrame(h) == nil {
-	}
-}
-
-// readFrame waits for one message and hands it over.
-func (c *Conn) readFrame(h Handler) error {
+// readFrame waits for one message and hands it to take.
+func (c *Conn) readFrame(take func(wire.Frame)) error {
 	kind, r, err := c.ws.Reader(context.Background())
 	if err != nil {
 		return err
@@ -157,7 +155,7 @@
 		return err
 	}
 	c.touch()
-	h.Handle(c, f)
+	take(f)
 	return nil
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -39,7 +39,8 @@
 
 	mu      sync.Mutex
 	conns   map[wire.NodeID]*Conn // the one used for new messages
-	all     map[*Conn]struct{}
+	all     map[uint64]*Conn      // by number
+	number  uint64
 	dials   map[string]*dial
 	inbound int
 	closed  bool
@@ -61,7 +62,7 @@
 		cfg:     cfg,
 		handler: h,
 		conns:   make(map[wire.NodeID]*Conn),
-		all:     make(map[*Conn]struct{}),
+		all:     make(map[uint64]*Conn),
 		dials:   make(map[string]*dial),
 		stop:    make(chan struct{}),
 	}
@@ -79,7 +80,7 @@
 	}
 	t.closed = true
 	close(t.stop)
-	for c := range t.all {
+	for _, c := range t.all {
 		c.Close()
 	}
 	t.mu.Unlock()
@@ -208,6 +209,10 @@
 		ended()
 		return nil, ErrClosed
 	}
+	if dialed != "" {
+		t.use(c)
+		_, _ = c.Send(wire.KindOpened, Opened{}) // the first message always has room
+	}
 	t.handler.Up(c)
 	go func() {
 		defer t.wg.Done()
@@ -216,7 +221,7 @@
 	go func() {
 		defer t.wg.Done()
 		defer ended()
-		c.readLoop(t.handler)
+		t.read(c)
 		t.unregister(c)
 		t.handler.Down(c)
 	}()
@@ -264,24 +269,55 @@
 	return h, nil
 }
 
-// register makes c the connection to its peer. When both ends dialled at once
-// there are two; either serves, and the later is used for new messages.
 func (t *Transport) register(c *Conn) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
 		return false
 	}
-	t.conns[c.peer.ID] = c
-	t.all[c] = struct{}{}
+	t.number++
+	c.number = t.number
+	t.all[c.number] = c
 	t.wg.Add(2)
 	return true
 }
 
+// use makes c the connection for new messages to its peer. When both ends dialled
+// at once there are two; either serves, and the later is used.
+//
+// The end that was dialled uses it only after a message that follows the other
+// end's hello. Where the link passes nothing in one direction, the end that
+// dialled hears no hello and gives up: calls handed to this connection before
+// would be lost, and could not be told apart from calls that ran.
+func (t *Transport) use(c *Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, open := t.all[c.number]; open {
+		t.conns[c.peer.ID] = c
+	}
+}
+
+// read hands over what comes until the connection ends.
+func (t *Transport) read(c *Conn) {
+	defer c.Close()
+	used := c.dialed != ""
+	take := func(f wire.Frame) {
+		if !used {
+			used = true
+			t.use(c)
+		}
+		if f.Kind != wire.KindOpened {
+			t.handler.Handle(c, f)
+		}
+	}
+	for c.readFrame(take) == nil {
+	}
+}
+
 func (t *Transport) unregister(c *Conn) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.all, c)
+	delete(t.all, c.number)
 	if t.conns[c.peer.ID] == c {
 		delete(t.conns, c.peer.ID)
 	}
@@ -295,6 +331,14 @@
 	return c, ok
 }
 
+// Numbered returns the open connection of a number (Conn.Number).
+func (t *Transport) Numbered(number uint64) (*Conn, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.all[number]
+	return c, ok
+}
+
 // Connected returns the peers that there is a connection to.
 func (t *Transport) Connected() []wire.NodeID {
 	t.mu.Lock()
@@ -311,7 +355,7 @@
 func (t *Transport) Flushed() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for c := range t.all {
+	for _, c := range t.all {
 		if c.out.busy() {
 			return false
 		}
@@ -346,7 +390,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var idle []*Conn
-	for c := range t.all {
+	for _, c := range t.all {
 		if c.idle(now) {
 			idle = append(idle, c)
 		}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -20,19 +20,23 @@
 
 // recorder hands what it is told to channels that tests wait on.
 type recorder struct {
-	frames chan wire.Frame
-	down   chan wire.NodeID
+	frames   chan wire.Frame
+	up, down chan wire.NodeID
 }
 
 func newRecorder() *recorder {
-	return &recorder{frames: make(chan wire.Frame, 16), down: make(chan wire.NodeID, 16)}
+	return &recorder{
+		frames: make(chan wire.Frame, 16),
+		up:     make(chan wire.NodeID, 16),
+		down:   make(chan wire.NodeID, 16),
+	}
 }
 
 func (r *recorder) Handle(_ *Conn, f wire.Frame) {
 	f.Body = slices.Clone(f.Body)
 	r.frames <- f
 }
-func (r *recorder) Up(*Conn)              {}
+func (r *recorder) Up(c *Conn)            { r.up <- c.Peer().ID }
 func (r *recorder) Busy(wire.NodeID) bool { return false }
 func (r *recorder) Down(c *Conn)          { r.down <- c.Peer().ID }
 
@@ -253,3 +257,52 @@
 	}
 	return data
 }
+
+// The link to a peer passes nothing in one direction. The peer dials, and its hello
+// arrives; it hears none in return and gives up a second later. Calls that went out
+// by this connection meanwhile would be lost, and their callers told "may have run".
+// It is used only once the peer has shown that it heard.
+func TestConnectionIsUsedOnceItsDialerHasHeard(t *testing.T) {
+	is := is.New(t)
+	p := startPeer(t, "c")
+	id := wire.NewNodeID()
+	ws, _, err := websocket.Dial(t.Context(), "ws://"+p.addr+Path, nil)
+	is.NoErr(err)
+	defer ws.CloseNow()
+	write := func(k wire.Kind, msg any) {
+		data, err := wire.Encode(k, msg)
+		is.NoErr(err)
+		is.NoErr(ws.Write(t.Context(), websocket.MessageBinary, data))
+	}
+	write(wire.KindHello, Hello{Cluster: "c", Version: ProtocolVersion, ID: id})
+	is.Equal(<-p.up, id)
+	_, usable := p.Lookup(id)
+	is.True(!usable)
+
+	write(wire.KindOpened, Opened{})
+	p.awaitUsable(t, id)
+}
+
+// Both ends of a connection can use it at once when the link is sound, without
+// anything else being said.
+func TestBothEndsCanUseASoundConnection(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+	_, err := a.Connect(t.Context(), b.id, b.addr)
+	is.NoErr(err)
+	b.awaitUsable(t, a.id)
+}
+
+func (p *peer) awaitUsable(t *testing.T, id wire.NodeID) {
+	t.Helper()
+	for {
+		if _, usable := p.Lookup(id); usable {
+			return
+		}
+		select {
+		case <-t.Context().Done():
+			t.Fatal("the connection is not used")
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -22,6 +22,7 @@
 	KindMinted
 	KindPoison
 	KindRoutes
+	KindOpened
 )
 
 // Limits for what a peer may send. A peer that exceeds them is disconnected:
