replay: the load of both deployments in modelled time, with the node's own decisions

Ruled out: another node in internal/loadmodel, with a copy of the dispatcher's rules: the copy would be measured. testing/synctest runs the real dispatcher and its timers in modelled time. Change: internal/replay plays both graphs with unequal speeds, a knee, declining, slow and lost backend servers and callers that heed or not, through serve, dispatch, admission, balancer, retry and queue under daemon.LoadPolicy, which is what the node on the platform runs. It gives goodput against what the slots allow, served shares by rank, wasted slot time and recovery, beside a naive policy.

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -88,6 +88,13 @@
 	body := min(int64(float64(s.Memory)*bodyShare), settings.MaxPayload)
 	cfg.Entry.MaxBody = max(cfg.Entry.MaxBody, body)
 	cfg.Backend.MaxAnswer = max(cfg.Backend.MaxAnswer, body)
+	LoadPolicy(&cfg, s.Bounds)
+	return cfg
+}
+
+// LoadPolicy sets what a node on the platform does about load: where it refuses,
+// how calls wait, where they go and how often they are tried again.
+func LoadPolicy(cfg *node.Config, b platform.Bounds) {
 	cfg.Serve.TellOnly = true
 	cfg.Serve.Queue.MaxWait = waitMax
 	cfg.Serve.Queue.MinItems = waitMin
@@ -97,7 +104,6 @@
 	cfg.Dispatch.Reoffers = reoffers
 	cfg.Dispatch.Hedge = true
 	cfg.Dispatch.Balancer.SlowStart = slowStart
-	cfg.Dispatch.Budget.Ratio = s.Bounds.RetryRatio * budgetShare
-	cfg.Dispatch.Budget.Burst = max(1, s.Bounds.RetrySlack*budgetShare/budgetNodes)
-	return cfg
+	cfg.Dispatch.Budget.Ratio = b.RetryRatio * budgetShare
+	cfg.Dispatch.Budget.Burst = max(1, b.RetrySlack*budgetShare/budgetNodes)
 }
--- /dev/null
+++ b/internal/replay/deployment.go
@@ -0,0 +1,184 @@
+// Package replay plays the load of a deployment in modelled time: the callee's
+// and the caller's decisions of every node (packages serve, dispatch, admission,
+// balancer, retry, queue) are the ones that run in production, under the settings
+// of the platform; backend servers, the network and the callers are modelled.
+//
+// It runs inside a bubble of testing/synctest, whose clock moves when everything
+// waits. What it measures are decisions and not code: nothing takes processor
+// time, and there is no failure of nodes.
+package replay
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/importance"
+)
+
+// Service is one service of a deployment; each of its backend servers has a node.
+type Service struct {
+	Name string
+	// Speeds has one entry for each backend server: work takes its time divided
+	// by the speed.
+	Speeds []float64
+	// Slots is how many calls a backend server works on at once, Backlog how
+	// many more it queues before it declines.
+	Slots, Backlog int
+	// Knee is the share of the slots in use above which work takes KneeFactor
+	// times as long; no effect if it is zero.
+	Knee, KneeFactor float64
+}
+
+// Class is one kind of request, or of call that backend servers make.
+type Class struct {
+	Name       string
+	Service    string
+	Importance importance.Importance
+	// Share of all requests that enter; zero for calls.
+	Share float64
+	// Work is the mean time at a backend server of speed one, without the
+	// calls that it makes.
+	Work time.Duration
+	// Aim is when a caller wants its answer, Deadline when it gives up; a call
+	// has no more time than the request above it.
+	Aim, Deadline time.Duration
+	Idempotent    bool
+	// Calls are made one after the other while the request holds its slot, or
+	// at once if Together. Each is needed.
+	Calls    []*Class
+	Together bool
+}
+
+// Deployment is a set of services with the requests that they serve.
+type Deployment struct {
+	Name     string
+	Services []Service
+	Classes  []*Class
+	// Deepest names the service that is short first.
+	Deepest string
+	// Delay is the one-way delay between two nodes.
+	Delay time.Duration
+}
+
+func times(n int, c *Class) []*Class {
+	out := make([]*Class, n)
+	for i := range out {
+		out[i] = c
+	}
+	return out
+}
+
+// Savukartta is the first users' deployment: requests end in four or eight calls
+// to stationlog, whose backend servers differ by more than two in speed.
+func Savukartta() Deployment {
+	sync := &Class{Name: "station-sync", Service: "stationlog", Work: 22 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
+	fetch := &Class{Name: "obs-fetch", Service: "fieldlog", Work: 15 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true, Calls: times(4, sync)}
+	lookup := &Class{Name: "notice-lookup", Service: "alertdesk", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: times(1, fetch)}
+	return Deployment{
+		Name: "savukartta",
+		Services: []Service{
+			{Name: "plumecast", Speeds: []float64{0.5, 1, 1, 1.5, 0.5}, Slots: 89, Backlog: 72},
+			{Name: "alertdesk", Speeds: []float64{0.5, 1, 1, 1.5}, Slots: 112, Backlog: 72},
+			{Name: "fieldlog", Speeds: []float64{0.5, 1, 1}, Slots: 149, Backlog: 72},
+			{Name: "stationlog", Speeds: []float64{0.7, 0.7, 1.6}, Slots: 20, Backlog: 60, Knee: 0.95, KneeFactor: 1.3},
+		},
+		Classes: []*Class{
+			{Name: "plume-view", Service: "plumecast", Importance: importance.Normal, Share: 0.593, Work: 90 * time.Millisecond,
+				Aim: 1200 * time.Millisecond, Deadline: 5 * time.Second, Idempotent: true, Calls: times(1, lookup)},
+			{Name: "notice-issue", Service: "alertdesk", Importance: importance.Critical, Share: 0.249, Work: 120 * time.Millisecond,
+				Aim: 1500 * time.Millisecond, Deadline: 5 * time.Second, Calls: times(2, fetch), Together: true},
+			{Name: "obs-file", Service: "fieldlog", Importance: importance.Normal, Share: 0.09, Work: 72 * time.Millisecond,
+				Aim: 300 * time.Millisecond, Deadline: 1200 * time.Millisecond, Idempotent: true},
+			{Name: "station-hist", Service: "stationlog", Importance: importance.Normal, Share: 0.068, Work: 72 * time.Millisecond,
+				Aim: 250 * time.Millisecond, Deadline: time.Second},
+		},
+		Deepest: "stationlog",
+		Delay:   500 * time.Microsecond,
+	}
+}
+
+// Hallwyl is the second users' deployment: five calls to history-svc end each
+// deep request, three services down for a read and two for a send.
+func Hallwyl() Deployment {
+	contact := &Class{Name: "contact-fetch", Service: "history-svc", Work: 30 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
+	compliance := &Class{Name: "compliance-fetch", Service: "mandate-svc", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: times(5, contact)}
+	ref := &Class{Name: "ref-fetch", Service: "outreach-svc", Work: 15 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true, Calls: times(1, compliance)}
+	return Deployment{
+		Name: "hallwyl",
+		Services: []Service{
+			{Name: "dossier-svc", Speeds: []float64{0.7, 0.7, 1.6, 0.7, 0.7}, Slots: 168, Backlog: 216},
+			{Name: "outreach-svc", Speeds: []float64{0.6, 1, 1.4}, Slots: 281, Backlog: 216},
+			{Name: "mandate-svc", Speeds: []float64{0.6, 1, 1.4}, Slots: 281, Backlog: 216},
+			{Name: "history-svc", Speeds: []float64{0.6, 1, 1.4}, Slots: 63, Backlog: 189, Knee: 0.95, KneeFactor: 1.3},
+		},
+		Classes: []*Class{
+			{Name: "dossier-read", Service: "dossier-svc", Importance: importance.Normal, Share: 0.615, Work: 120 * time.Millisecond,
+				Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Idempotent: true, Calls: times(1, ref)},
+			{Name: "approach-send", Service: "outreach-svc", Importance: importance.Critical, Share: 0.252, Work: 160 * time.Millisecond,
+				Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Calls: times(1, compliance)},
+			{Name: "mandate-log", Service: "mandate-svc", Importance: importance.Normal, Share: 0.063, Work: 96 * time.Millisecond,
+				Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Idempotent: true},
+			{Name: "history-read", Service: "history-svc", Importance: importance.Normal, Share: 0.07, Work: 96 * time.Millisecond,
+				Aim: 300 * time.Millisecond, Deadline: 1200 * time.Millisecond},
+		},
+		Deepest: "history-svc",
+		Delay:   500 * time.Microsecond,
+	}
+}
+
+func (d *Deployment) service(name string) *Service {
+	for i := range d.Services {
+		if d.Services[i].Name == name {
+			return &d.Services[i]
+		}
+	}
+	return nil
+}
+
+// slotTime is the time for which a request of the class holds a slot of the
+// deepest service, at speed one.
+func (d *Deployment) slotTime(c *Class) time.Duration {
+	var sum time.Duration
+	if c.Service == d.Deepest {
+		sum += c.Work
+	}
+	for _, below := range c.Calls {
+		sum += d.slotTime(below)
+	}
+	return sum
+}
+
+// best is the most useful work that the deepest service can do in a phase once it
+// has settled.
+func (d *Deployment) best(p *Phase) time.Duration {
+	asked := 0.0
+	for _, c := range d.Classes {
+		asked += p.Load * d.capacity() * c.Share * d.slotTime(c).Seconds()
+	}
+	return time.Duration(min(asked, d.slots(p)) * float64(p.For-settle))
+}
+
+// capacity is the rate of requests that just fills the deepest service.
+func (d *Deployment) capacity() float64 {
+	need := 0.0
+	for _, c := range d.Classes {
+		need += c.Share * d.slotTime(c).Seconds()
+	}
+	return d.slots(&Phase{}) / need
+}
+
+// slots is what the deepest service's backend servers do in a phase, in slots of
+// speed one.
+func (d *Deployment) slots(p *Phase) float64 {
+	s := d.service(d.Deepest)
+	sum := 0.0
+	for i, speed := range s.Speeds {
+		if i < p.Lost {
+			continue
+		}
+		if i == 0 && p.Slow > 0 {
+			speed /= p.Slow
+		}
+		sum += speed * float64(s.Slots) * (1 - p.Decline)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/replay/replay_test.go
@@ -0,0 +1,183 @@
+package replay
+
+import (
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/queue"
+)
+
+const seed = 20261202
+
+// play runs a day in modelled time.
+func play(t *testing.T, day Day, policy Policy) (r *Report) {
+	t.Helper()
+	synctest.Test(t, func(*testing.T) { r = Play(day, policy) })
+	t.Log(r.Row())
+	return r
+}
+
+// burst is a day whose middle asks for load times what the slots allow.
+func burst(d Deployment, load float64) Day {
+	return Day{Deployment: d, Seed: seed, Phases: []Phase{
+		{Name: "before", For: 3 * time.Second, Load: 0.5},
+		{Name: "during", For: 5 * time.Second, Load: load},
+		{Name: "after", For: 5 * time.Second, Load: 0.5},
+	}}
+}
+
+// variant is the policy of the platform with one choice taken back.
+func variant(name string, change func(*Policy)) Policy {
+	p := Ours()
+	p.Name = name
+	change(&p)
+	return p
+}
+
+// both runs a test for each deployment; without PROVE=1 for the smaller one alone.
+func both(t *testing.T, test func(t *testing.T, d Deployment)) {
+	t.Parallel()
+	deployments := []Deployment{Savukartta()}
+	if os.Getenv("PROVE") != "" {
+		deployments = append(deployments, Hallwyl())
+	}
+	for _, d := range deployments {
+		t.Run(d.Name, func(t *testing.T) {
+			t.Parallel()
+			test(t, d)
+		})
+	}
+}
+
+// The caller sees: its request fails half way, though it was admitted. Where the
+// nodes beside the deepest backend servers shed as well, a call of four to eight is
+// turned away and the whole request with it.
+func TestCallsUnderWayAreNotShed(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		everywhere := variant("levels at every node", func(p *Policy) { p.Serve.TellOnly = false })
+		shed := play(t, burst(d, 2), everywhere)
+		ours := play(t, burst(d, 2), Ours())
+		is.True(ours.During().Goodput() > shed.During().Goodput()+0.01)
+		is.True(ours.Wasted() < shed.Wasted())
+	})
+}
+
+// The caller sees: slow answers, then failures, below the load that the service can
+// carry. Its backend servers differ by more than two in speed: equal shares fill the
+// slow ones, whose queues then take the time of every call that lands there.
+func TestPlacementBySpeed(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		turns := variant("each in turn", func(p *Policy) { p.Dispatch.RoundRobin = true })
+		inTurn := play(t, burst(d, 0.8), turns)
+		ours := play(t, burst(d, 0.8), Ours())
+		is.True(ours.During().Served(importance.Normal) > 0.99)
+		is.True(ours.During().Goodput() > inTurn.During().Goodput()+0.05)
+	})
+}
+
+// The caller sees: everything slower by a third just when the service is full. Above
+// 95% of its slots a backend server slows down, so the last slots cost more than they
+// bring. The calls for them wait beside it instead.
+func TestLastSlotsStayFree(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		all := variant("all slots", func(p *Policy) { p.Serve.SlotShare = 1 })
+		ours := play(t, burst(d, 1.25), Ours())
+		is.True(ours.During().Goodput() > play(t, burst(d, 1.25), all).During().Goodput()+0.03)
+	})
+}
+
+// The caller sees: requests fail in a burst that the time they have would allow to
+// wait out. The deepest calls have 700 ms for a tenth of it in work: up to 600 ms of
+// queue beside the backend server, the oldest first, carry them through the chance
+// peaks; a queue of 100 ms drops them, and their requests with them.
+func TestCallsWaitBesideTheBackendServer(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		short := variant("queue of 100 ms", func(p *Policy) { p.Serve.Queue = queue.DefaultConfig() })
+		dropped := play(t, burst(d, 1.25), short)
+		ours := play(t, burst(d, 1.25), Ours())
+		is.True(ours.During().Goodput() > dropped.During().Goodput()+0.02)
+		is.True(dropped.Wasted() > 2*ours.Wasted())
+	})
+}
+
+// The caller sees: refusals at a fraction of what the backend servers can do. A limit
+// that is found from latencies mistakes the time that calls wait for calls of their
+// own; the slots that a backend server states are used instead.
+func TestStatedSlots(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	d := Savukartta()
+	measured := variant("measured limit", func(p *Policy) { p.Blind = true })
+	ours := play(t, burst(d, 1.25), Ours())
+	is.True(ours.During().Goodput() > play(t, burst(d, 1.25), measured).During().Goodput()+0.02)
+}
+
+// The caller sees: one call in three takes four times as long, and its request comes
+// too late. One of three backend servers of the deepest service has become slow: it
+// is left to a few probes, and the others have room for the rest.
+func TestSlowBackendServerIsLeft(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	day := burst(Savukartta(), 0.7)
+	day.Phases[1].Slow = 4
+	turns := variant("each in turn", func(p *Policy) { p.Dispatch.RoundRobin = true })
+	ours := play(t, day, Ours())
+	is.True(ours.During().Served(importance.Normal) > 0.98)
+	is.True(ours.During().Served(importance.Critical) > 0.99)
+	is.True(play(t, day, turns).During().Served(importance.Normal) < 0.9)
+}
+
+// The caller sees: hardly any request succeeds once a third of the deepest service is
+// gone for good, while its slots are full of work that comes to nothing. What the
+// others can carry ends well, the important first.
+func TestLossOfAThird(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		day := burst(d, 0.8)
+		day.Phases[1].Lost, day.Phases[2].Lost = 1, 1
+		naive := play(t, day, Naive())
+		ours := play(t, day, Ours())
+		is.True(ours.During().Goodput() > 0.8)
+		is.True(ours.During().Served(importance.Critical) > 0.98)
+		is.True(naive.During().Goodput() < 0.7)
+	})
+}
+
+// The caller sees: its important request fails although a few more tries would have
+// carried it. All backend servers of the deepest service turn away half of what they
+// get, whatever the load. The extra attempts, a fifth of the calls, go to the most
+// important requests, and several to one call; spread over all, they finish none.
+func TestExtraAttemptsByRank(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		day := burst(d, 0.6)
+		day.Phases[1].Decline = 0.55
+		once := variant("one more attempt a call", func(p *Policy) { p.Dispatch.Reoffers = 0 })
+		ours := play(t, day, Ours())
+		is.True(ours.During().Served(importance.Critical) > 1.2*play(t, day, once).During().Served(importance.Critical))
+		is.Equal(ours.Recovery, time.Duration(0))
+	})
+}
+
+// The caller sees: others that come back at once, whatever they are told, are served
+// in its place. Four in ten callers do so in a burst. They gain nothing over callers
+// that heed: each try ranks anew, and refusals cost next to nothing.
+func TestHardCallersGainNothing(t *testing.T) {
+	is := is.New(t)
+	t.Parallel()
+	day := burst(Savukartta(), 1.5)
+	day.Hard = 0.4
+	ours := play(t, day, Ours())
+	is.True(ours.During().Goodput() > 0.78)
+	is.True(ours.During().Served(importance.Critical) > 0.98)
+	is.True(ours.During().HardServed() < ours.During().HeedingServed()+0.1)
+}
