admission, dispatch: requests are deferred while those of their route fail

Cause: for some seconds all backend servers of the deepest service turn away half of what they get, whatever the load. A request needs four to eight calls there and extra attempts are bounded at a fifth: 95 in 100 fail after the work above was done, and callers may not send again what is not idempotent. Change: admission.Outlook watches how the admitted requests of each route end; while fewer than one in four does well, a caller that has three quarters of its time left is told that its request has not run and when to come back. The next try is let in. TestExtraAttemptsByRank compares without the deferral now, as before it.

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -6,6 +6,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/cassialoom/cassialoom/admission"
 	"github.com/cassialoom/cassialoom/logs"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/platform"
@@ -115,6 +116,7 @@
 	cfg.Dispatch.Reroutes = reroutes
 	cfg.Dispatch.Reoffers = reoffers
 	cfg.Dispatch.Hedge = true
+	cfg.Dispatch.Outlook = admission.DefaultOutlookConfig()
 	cfg.Dispatch.Balancer.SlowStart = slowStart
 	cfg.Dispatch.Budget.Ratio = b.RetryRatio * budgetShare
 	cfg.Dispatch.Budget.Burst = max(1, b.RetrySlack*budgetShare/budgetNodes)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,9 @@
 	// Hedge asks another backend server as well when an idempotent call stays
 	// without an answer for unusually long.
 	Hedge bool
+	// Outlook defers requests that enter here while those of their route fail;
+	// the zero value defers none.
+	Outlook admission.OutlookConfig
 	// RoundRobin replaces the choice of a backend server, for experiments.
 	RoundRobin bool
 	Seed       uint64
@@ -124,6 +128,7 @@
 	// the calls of the node's backend server; only own is passed on.
 	entering *admission.Levels
 	own      *admission.Levels
+	outlook  *admission.Outlook
 	budgets  *retry.Budgets
 	usual    map[string]*usual // by operation
 	random   *rand.Rand
@@ -139,6 +144,7 @@
 	Hedges     uint64 `json:"hedges"`
 	OverBudget uint64 `json:"over_budget"`
 	Refused    uint64 `json:"refused_by_levels"`
+	Deferred   uint64 `json:"deferred"`
 	Unmatched  uint64 `json:"unmatched_replies"`
 	Lost       uint64 `json:"lost"`
 }
@@ -161,6 +167,7 @@
 		pickers:  make(map[string]*picker),
 		entering: admission.NewLevels(cfg.Levels, cfg.Seed),
 		own:      admission.NewLevels(cfg.Levels, cfg.Seed+1),
+		outlook:  admission.NewOutlook(cfg.Outlook, cfg.Seed),
 		budgets:  retry.NewBudgets(cfg.Budget),
 		usual:    make(map[string]*usual),
 	}
@@ -183,6 +190,9 @@
 	// Entering marks a caller's own request, as opposed to a call of the
 	// node's backend server.
 	Entering bool
+	// Patience is how long the caller says it will go on, this try and later
+	// ones together; zero if it does not say.
+	Patience time.Duration
 	// Fanout is the number of calls that the calling operation declares:
 	// the grant is shared among so many.
 	Fanout int
@@ -241,7 +251,9 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
 	defer cancel()
-	return d.attempt(ctx, p)
+	out := d.attempt(ctx, p)
+	d.ended(p, out)
+	return out
 }
 
 // admit refuses a call before any work is spent on it, if a service that it
@@ -263,12 +275,39 @@
 	prio := admission.Priority(p.Importance, p.root())
 	service, after, ok := d.levels(p).Admit(now, p.reach(), prio)
 	if ok {
-		return nil
+		return d.outlookFor(now, p)
 	}
 	d.counts.Refused++
 	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", service, prio).After(after)
 }
 
+// outlookFor defers a request that enters here while those of its route fail. The
+// caller of this holds the lock.
+func (d *Dispatcher) outlookFor(now time.Time, p Params) *verdict.Error {
+	if !p.Entering {
+		return nil
+	}
+	after, deferred := d.outlook.Defer(now, usualKey(p), p.Patience)
+	if !deferred {
+		return nil
+	}
+	d.counts.Deferred++
+	return verdict.Refuse(verdict.Shed, "hardly any request of this kind ends well now").After(after)
+}
+
+// ended notes how a request that entered here ended. Only one that made calls tells
+// of what lies below its service: a backend server that fails by itself is no
+// reason to wait.
+func (d *Dispatcher) ended(p Params, out call.Outcome) {
+	if !p.Entering || out.Verdict == verdict.NotRun || len(out.Reached) == 0 {
+		return
+	}
+	good := out.Reason == verdict.None && out.Status < http.StatusInternalServerError
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.outlook.Ended(time.Now(), usualKey(p), good)
+}
+
 func (d *Dispatcher) attempt(ctx context.Context, p Params) call.Outcome {
 	to, ok := d.awaitTarget(ctx, p)
 	if !ok {
--- a/dispatch/reroute_test.go
+++ b/dispatch/reroute_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/admission"
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -127,3 +129,36 @@
 	is.Equal(a.d.Call(t.Context(), p).Verdict, verdict.Ran)
 	is.Equal(a.sent[len(a.sent)-1].RootID(), "root")
 }
+
+// Requests of one kind fail after they made calls. The next caller who says that it
+// has time is told at once that its request has not run and when to come back; calls
+// of requests under way go on, and so do requests whose backend server fails by
+// itself.
+func TestRequestsAreDeferredWhileTheirKindFails(t *testing.T) {
+	is := is.New(t)
+	failing := call.Reply{Verdict: verdict.Ran, Status: 500, Reached: []string{"below"}}
+	enter := func(a *answers) call.Outcome {
+		p := params(t, "once", 0)
+		p.Entering, p.Patience = true, 6*time.Second
+		return a.d.Call(t.Context(), p)
+	}
+	a := newAnswers(func(c *Config) { c.Outlook = admission.DefaultOutlookConfig() }, failing)
+	for range 10 {
+		enter(a)
+	}
+	out := enter(a)
+	is.Equal(out.Verdict, verdict.NotRun)
+	is.Equal(out.Reason, verdict.Shed)
+	is.True(out.RetryAfter > time.Second)
+	asked := len(a.asked)
+	p := params(t, "once", 0)
+	p.Admitted, p.Patience = true, 6*time.Second
+	is.Equal(a.d.Call(t.Context(), p).Status, 500)
+	is.Equal(len(a.asked), asked+1)
+
+	alone := call.Reply{Verdict: verdict.Ran, Status: 500}
+	a = newAnswers(func(c *Config) { c.Outlook = admission.DefaultOutlookConfig() }, alone)
+	for range 20 {
+		is.Equal(enter(a).Status, 500)
+	}
+}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -113,7 +113,7 @@
 	op := n.world.operations[c]
 	p := dispatch.Params{
 		RequestID: id, Operation: op, Importance: c.Importance, Deadline: deadline,
-		Ledger: retry.New(uint32(op.ExtraAttempts)), Fanout: 1, Entering: true,
+		Ledger: retry.New(uint32(op.ExtraAttempts)), Fanout: 1, Entering: true, Patience: time.Until(deadline),
 		Reach: n.reach(c),
 	}
 	out := n.dispatch.Call(ctx, p)
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/admission"
 	"github.com/cassialoom/cassialoom/importance"
 	"github.com/cassialoom/cassialoom/queue"
 )
@@ -203,13 +204,35 @@
 		is := is.New(t)
 		day := burst(d, 0.6)
 		day.Phases[1].Decline = 0.55
-		once := variant("one more attempt a call", func(p *Policy) { p.Dispatch.Reoffers = 0 })
-		ours := play(t, day, Ours())
+		several := variant("tried at once", func(p *Policy) { p.Dispatch.Outlook = admission.OutlookConfig{} })
+		once := variant("one more attempt a call", func(p *Policy) {
+			p.Dispatch.Outlook = admission.OutlookConfig{}
+			p.Dispatch.Reoffers = 0
+		})
+		ours := play(t, day, several)
 		is.True(ours.During().Served(importance.Critical) > 1.2*play(t, day, once).During().Served(importance.Critical))
 		is.Equal(ours.Recovery, time.Duration(0))
 	})
 }
 
+// The caller sees: its request, which it may not send again, failed half way, a moment
+// before the trouble was over. All backend servers of the deepest service turn away
+// half of what they get for a few seconds, whatever the load, and hardly any request
+// of eight calls ends well. Callers that have time are told that their request has not
+// run and when to come back.
+func TestRequestsThatWouldFailAreDeferred(t *testing.T) {
+	both(t, func(t *testing.T, d Deployment) {
+		is := is.New(t)
+		day := burst(d, 0.6)
+		day.Phases[1].Decline = 0.55
+		tried := variant("tried at once", func(p *Policy) { p.Dispatch.Outlook = admission.OutlookConfig{} })
+		at := play(t, day, tried)
+		ours := play(t, day, Ours())
+		is.True(ours.During().Served(importance.Critical) > at.During().Served(importance.Critical)+0.2)
+		is.True(ours.Wasted() < at.Wasted())
+	})
+}
+
 // The caller sees: others that come back at once, whatever they are told, are served
 // in its place. Four in ten callers do so in a burst. They gain nothing over callers
 // that heed: each try ranks anew, and refusals cost next to nothing.
--- a/node/forward.go
+++ b/node/forward.go
@@ -81,6 +81,7 @@
 		Importance:  op.Importance,
 		Deadline:    in.Received.Add(budget(in, op)),
 		Ledger:      retry.New(uint32(op.ExtraAttempts)),
+		Patience:    in.Budget,
 		Fanout:      1,
 		Fingerprint: poison.Fingerprint(op.Service, in.HTTP.Origin, in.HTTP.Method+in.HTTP.Target, in.Body),
 		Header:      in.Header,
