settings, soak: the address for peers can be another one; links between nodes break

Cause: the soak broke the links of a node to the store and to its backend server, but none between nodes, since a node could only be reached where it listens. Change: CASSIALOOM_PEER_ADVERTISE (--peer-advertise) names the address by which other nodes reach this one, as behind a translation of addresses; unknown variables of ours are refused on the platform, too. Each node of the soak is reached through a proxy: connections of its peers are reset, go silent, lose one direction, or are slow.

--- a/cmd/cassialoomd/main.go
+++ b/cmd/cassialoomd/main.go
@@ -11,19 +11,17 @@
 
 const exitUsage = 2
 
-// platformFile names the variable that holds the path of the users' platform's
-// settings file. Where it is set, the platform's settings are all there are.
-const platformFile = "CASSIALOOM_CONFIG"
-
 func main() {
-	if path := os.Getenv(platformFile); path != "" {
-		if err := daemon.RunPlatform(path); err != nil {
-			fmt.Fprintln(os.Stderr, "cassialoomd:", err)
-			os.Exit(1)
-		}
+	if path := os.Getenv(settings.PlatformFile); path != "" {
+		start(settings.ParsePlatform, func(s settings.Platform) error { return daemon.RunPlatform(path, s) })
 		return
 	}
-	s, err := settings.Parse(os.Args[1:], os.Environ())
+	start(settings.Parse, daemon.Run)
+}
+
+// start reads the settings and runs the node with them until it is stopped.
+func start[S any](parse func(args, env []string) (S, error), run func(S) error) {
+	s, err := parse(os.Args[1:], os.Environ())
 	if settings.IsHelp(err) {
 		fmt.Println(err)
 		return
@@ -32,7 +30,7 @@
 		fmt.Fprintln(os.Stderr, "cassialoomd:", err)
 		os.Exit(exitUsage)
 	}
-	if err := daemon.Run(s); err != nil {
+	if err := run(s); err != nil {
 		fmt.Fprintln(os.Stderr, "cassialoomd:", err)
 		os.Exit(1)
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -19,17 +20,18 @@
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/settings"
 )
 
 // RunPlatform runs the node on the users' platform until SIGTERM or SIGINT.
-// path is the platform's settings file.
-func RunPlatform(path string) error {
+// path is the platform's settings file, own are the settings that it does not hold.
+func RunPlatform(path string, own settings.Platform) error {
 	hup := catchHangups()
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
-	app := fx.New(PlatformModule(path, s, hup, os.Stdout))
+	app := fx.New(PlatformModule(path, s, own, hup, os.Stdout))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -49,9 +51,9 @@
 
 // PlatformModule provides a node with the platform's interfaces around it; its
 // log goes to out.
-func PlatformModule(path string, s platform.Settings, hup hangups, out io.Writer) fx.Option {
+func PlatformModule(path string, s platform.Settings, own settings.Platform, hup hangups, out io.Writer) fx.Option {
 	return fx.Options(
-		fx.Supply(s, settingsPath(path), hup, fx.Annotate(out, fx.As(new(io.Writer)))),
+		fx.Supply(s, own, settingsPath(path), hup, fx.Annotate(out, fx.As(new(io.Writer)))),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Provide(newPlatformLogger, newStore, newCounters, listenPlatform, platformConfig, newPlatformNode),
 		fx.Invoke(runPlatform),
@@ -66,6 +68,11 @@
 	return log.With().Str("machine", s.Node).Logger()
 }
 
+// advertised is the address by which other nodes reach this one.
+func advertised(s platform.Settings, own settings.Platform) string {
+	return cmp.Or(own.PeerAdvertise, s.Peers)
+}
+
 func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store.Addr) }
 
 func newPlatformNode(cfg node.Config, s *platform.Store, log zerolog.Logger, c *ops.Counters) (*node.Node, error) {
@@ -88,7 +95,7 @@
 	})
 }
 
-func runPlatform(lc fx.Lifecycle, path settingsPath, hup hangups, s platform.Settings, cfg node.Config, n *node.Node, store *platform.Store,
+func runPlatform(lc fx.Lifecycle, path settingsPath, hup hangups, s platform.Settings, own settings.Platform, cfg node.Config, n *node.Node, store *platform.Store,
 	c *ops.Counters, on *platformListeners, log zerolog.Logger) {
 	debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare))
 	cfg.Entry.Draining = n.Draining
@@ -101,13 +108,13 @@
 		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                                       on.ops,
 	}
 	watching, stopWatching := context.WithCancel(context.Background())
-	settings := newReloader(string(path), s, hup, reapply(s), log)
+	reloads := newReloader(string(path), s, hup, reapply(s), log)
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			n.Start()
 			go platform.Watch(watching, store, n, log)
-			go platform.Announce(watching, store, s.Peers, n, log)
-			go settings.run(watching)
+			go platform.Announce(watching, store, advertised(s, own), n, log)
+			go reloads.run(watching)
 			if !s.First {
 				go findBackend(watching, s, n, log)
 			}
--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -76,13 +76,13 @@
 	budgetShare = 0.8
 )
 
-func platformConfig(s platform.Settings, log zerolog.Logger) node.Config {
+func platformConfig(s platform.Settings, own settings.Platform, log zerolog.Logger) node.Config {
 	cfg := node.DefaultConfig()
 	cfg.Explain.Sink = logs.NewDecisions(logs.DefaultConfig(), log)
 	cfg.Service = s.Service
 	cfg.DataCentre = s.DataCentre
 	cfg.Region = s.Region
-	cfg.PeerAddr = s.Peers
+	cfg.PeerAddr = advertised(s, own)
 	cfg.OpsAddr = s.Ops
 	cfg.CallerAddr = s.Callers
 	cfg.EnterGrace = enterGrace
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/platform/standin"
+	"github.com/cassialoom/cassialoom/settings"
 )
 
 // site is a small stand-in platform with nodes in this process.
@@ -75,11 +76,11 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	settings, err := platform.ReadSettings(path)
+	read, err := platform.ReadSettings(path)
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	app := fx.New(PlatformModule(path, settings, catchHangups(), io.Discard))
+	app := fx.New(PlatformModule(path, read, settings.Platform{}, catchHangups(), io.Discard))
 	if err := app.Start(s.t.Context()); err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -89,10 +89,15 @@
 	{"link to the backend server silent", linkFault(toBackend, linkSilent)},
 	{"link to the backend server one way", linkFault(toBackend, linkOneWay)},
 	{"link to the backend server slow", linkFault(toBackend, linkSlow)},
+	{"links from the peers reset", linkFault(fromPeers, linkReset)},
+	{"links from the peers silent", linkFault(fromPeers, linkSilent)},
+	{"links from the peers one way", linkFault(fromPeers, linkOneWay)},
+	{"links from the peers slow", linkFault(fromPeers, linkSlow)},
 }
 
 func toStore(b *box) *proxy   { return b.toStore }
 func toBackend(b *box) *proxy { return b.toBackend }
+func fromPeers(b *box) *proxy { return b.fromPeers }
 
 func storeFault(f standin.Fault) func(context.Context, *world, *box, time.Duration) error {
 	return func(ctx context.Context, w *world, _ *box, d time.Duration) error {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -12,6 +12,7 @@
 
 	"github.com/cassialoom/cassialoom/internal/rig"
 	"github.com/cassialoom/cassialoom/platform/standin"
+	"github.com/cassialoom/cassialoom/settings"
 )
 
 // Config of a run.
@@ -62,6 +63,8 @@
 	// toBackend is nil on every second pair of machines: there the node sees
 	// a backend server's crash itself, without a link that takes connections.
 	toBackend *proxy
+	// fromPeers carries the connections that other nodes open to this one.
+	fromPeers *proxy
 	starts    int
 }
 
@@ -110,6 +113,7 @@
 	for _, b := range w.boxes {
 		b.target.Crash()
 		b.toStore.close()
+		b.fromPeers.close()
 		if b.toBackend != nil {
 			b.toBackend.close()
 		}
@@ -140,6 +144,9 @@
 	if b.toStore, err = startProxy(w.store.Addr()); err != nil {
 		return err
 	}
+	if b.fromPeers, err = startProxy(b.Peers()); err != nil {
+		return err
+	}
 	backend := b.Backend()
 	if i%4 >= 2 {
 		if b.toBackend, err = startProxy(backend); err != nil {
@@ -172,7 +179,9 @@
 }
 
 func (w *world) startNode(b *box) error {
-	p, err := w.rig.StartWith(b.Name, "cassialoomd", []string{"CASSIALOOM_CONFIG=" + b.settings})
+	p, err := w.rig.StartWith(b.Name, "cassialoomd", []string{
+		settings.PlatformFile + "=" + b.settings, "CASSIALOOM_PEER_ADVERTISE=" + b.fromPeers.addr(),
+	})
 	if err == nil {
 		b.node = p
 	}
