soak: deliberately broken builds are found; two checks could not fail before

Cause: nothing showed that the soak can fail. Six builds, each with one text of its sources replaced (go build -overlay), break one promise each; three were not found: - a leaving backend server went away 2.2 s after its acknowledgement, and late work counted from 2.5 s on: no work could ever be late; - a second answer came with the end of its connection, which is never used again: no caller could ever get it; - the third, a peer that is never dialled again, breaks nothing: the other end dials. Ruled out: switches in the product; they would stay in it. The third build keeps a restarted backend server unknown.

--- /dev/null
+++ b/internal/soak/broken_test.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// edit replaces one text of a source file by another in a build.
+type edit struct{ file, from, to string }
+
+// brokenBuilds each break one promise on purpose. A soak that finds nothing in them
+// would find nothing in a node that is broken by mistake.
+var brokenBuilds = []struct {
+	name    string
+	edits   []edit
+	faults  []string // that bring it out; all others are left out
+	promise string   // part of its text
+}{
+	{
+		name:    "a request that may have run is sent again, idempotent or not",
+		edits:   []edit{{"dispatch/attempts.go", "return a.idempotent || a.keyed", "return true"}},
+		faults:  []string{"lose answers", "kill the node"},
+		promise: "at most once",
+	},
+	{
+		name:    "a request whose answer is lost is said not to have run",
+		edits:   []edit{{"platform/callers.go", "if out.Verdict != verdict.NotRun {", "if out.Verdict == verdict.Ran {"}},
+		faults:  []string{"lose answers", "kill the node"},
+		promise: "not to have run",
+	},
+	{
+		name: "answers are given to whoever waits, not to their requests",
+		edits: []edit{
+			{"platform/target.go", "return backend.Foreign, 0", "return backend.Answered, 0"},
+		},
+		faults:  []string{"send second answers"},
+		promise: "whole answer",
+	},
+	{
+		name:    "a leaving backend server stays in use",
+		edits:   []edit{{"node/heartbeat.go", "ready:    !b.Leaving,", "ready: true,"}},
+		faults:  []string{"replace the backend server"},
+		promise: "gets no work for long",
+	},
+	{
+		name: "a planned stop waits for good",
+		edits: []edit{
+			{"node/stop.go", "for !n.idle() {", "for true {"},
+			{"daemon/platform_config.go", "stopShare = 0.95", "stopShare = 95"},
+		},
+		faults:  []string{"stop the node as planned"},
+		promise: "planned stop ends",
+	},
+	{
+		name: "a backend server that was started again stays unknown",
+		edits: []edit{
+			{"node/heartbeat.go", "before.sequence || n.starts.has(b.Instance)", "before.sequence || !same && before.boot != \"\" || n.starts.has(b.Instance)"},
+		},
+		faults:  []string{"crash the backend server"},
+		promise: "recovers",
+	},
+}
+
+func TestBrokenBuildsAreFound(t *testing.T) {
+	if os.Getenv("PROVE") == "" {
+		t.Skip("minutes over real processes: only with PROVE=1")
+	}
+	for i, broken := range brokenBuilds {
+		t.Run(broken.name, func(t *testing.T) {
+			is := is.New(t)
+			res, err := Run(t.Context(), Config{Seed: 1, Faults: 15 * time.Second, Only: broken.faults, Bin: buildBroken(t, broken.edits),
+				Machines: 6, Clients: 4, Net: 90 + i, Say: func(string, ...any) {}})
+			is.NoErr(err)
+			t.Logf("%d promises broken in %d requests, such as %v", len(res.Broken), res.Requests, res.Broken[:min(1, len(res.Broken))])
+			is.True(slices.ContainsFunc(res.Broken, func(b Broken) bool { return strings.Contains(b.Promise, broken.promise) }))
+			is.NoErr(os.RemoveAll(res.Logs))
+		})
+	}
+}
+
+// buildBroken builds cassialoomd with some texts of its sources replaced.
+func buildBroken(t *testing.T, edits []edit) (bin string) {
+	t.Helper()
+	is := is.New(t)
+	bin = t.TempDir()
+	replace := make(map[string]string)
+	for i, e := range edits {
+		path, err := filepath.Abs(filepath.Join("..", "..", e.file))
+		is.NoErr(err)
+		text, err := os.ReadFile(path)
+		is.NoErr(err)
+		is.Equal(strings.Count(string(text), e.from), 1) // the source has changed: name another text
+		replace[path] = filepath.Join(bin, string(rune('a'+i))+".go")
+		is.NoErr(os.WriteFile(replace[path], []byte(strings.Replace(string(text), e.from, e.to, 1)), 0o600))
+	}
+	overlay, err := json.Marshal(map[string]any{"Replace": replace})
+	is.NoErr(err)
+	list := filepath.Join(bin, "overlay.json")
+	is.NoErr(os.WriteFile(list, overlay, 0o600))
+	out, err := exec.Command("go", "build", "-overlay", list, "-o", filepath.Join(bin, "cassialoomd"), "../../cmd/cassialoomd").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return bin
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"syscall"
 	"time"
 
@@ -18,8 +19,8 @@
 
 const (
 	// leaveFor is how long a leaving backend server goes on after its node has
-	// acknowledged it.
-	leaveFor = 2200 * time.Millisecond
+	// acknowledged it: more than a second longer than it may get requests.
+	leaveFor = 3500 * time.Millisecond
 	// askLeaveFor is how long it asks for that: its node may be gone.
 	askLeaveFor = 5 * time.Second
 )
@@ -129,6 +130,17 @@
 	}
 }
 
+// kinds are the faults that a run draws from.
+func (c *Config) kinds() []fault {
+	if len(c.Only) > 0 {
+		return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(c.Only, f.name) })
+	}
+	if c.Kinds > 0 {
+		return faults[:c.Kinds]
+	}
+	return faults
+}
+
 // event is one fault of the timeline.
 type event struct {
 	at    time.Duration
@@ -146,17 +158,14 @@
 
 // timeline draws the faults of a run from its seed. Faults overlap; on one
 // machine they follow each other.
-func timeline(seed uint64, total time.Duration, boxes, kinds int) []event {
-	if kinds == 0 {
-		kinds = len(faults)
-	}
+func timeline(seed uint64, total time.Duration, boxes int, kinds []fault) []event {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var out []event
 	for at := time.Duration(0); at < total; at += time.Duration(rng.Int64N(int64(mostApart))) {
 		out = append(out, event{
 			at:    at,
 			lasts: leastLong + time.Duration(rng.Int64N(int64(mostLong-leastLong))),
-			fault: faults[rng.IntN(kinds)],
+			fault: kinds[rng.IntN(len(kinds))],
 			box:   rng.IntN(boxes),
 		})
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -82,7 +82,7 @@
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	var first error
-	events := timeline(w.cfg.Seed, w.cfg.Faults, len(w.boxes), w.cfg.Kinds)
+	events := timeline(w.cfg.Seed, w.cfg.Faults, len(w.boxes), w.cfg.kinds())
 	for _, e := range events {
 		wait(ctx, time.Until(begin.Add(e.at)))
 		all.Go(func() {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -66,7 +66,7 @@
 
 func TestTimelineFollowsItsSeed(t *testing.T) {
 	is := is.New(t)
-	a, b, other := timeline(7, time.Minute, 6, 0), timeline(7, time.Minute, 6, 0), timeline(8, time.Minute, 6, 0)
+	a, b, other := timeline(7, time.Minute, 6, faults), timeline(7, time.Minute, 6, faults), timeline(8, time.Minute, 6, faults)
 	is.Equal(len(a), len(b))
 	same := len(a) == len(other)
 	for i := range a {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -25,6 +25,8 @@
 	// kinds come at the end of the list: a kept seed names how many there were,
 	// and so plays the same timeline for good.
 	Kinds int
+	// Only names the faults that are drawn, none for all.
+	Only []string
 	// Bin is the folder with cassialoomd.
 	Bin string
 	// Machines are dealt to the services in turn; at least one each.
