logs: failures of backend servers have lines of their own, with their status

Ruled out: a line for each success; at 400 calls a second on a node it would be most of the log. Change: answers from 500 up are notable, have their own rate and level, and all lines and the trace show the status. Metric cassialoom_deferred. Before: TestFailuresOfBackendServersAreNotDroppedWithSuccesses fails. After: passes.

--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -289,6 +289,7 @@
 		e.Step = explain.Refused
 	}
 	e.Verdict, e.Reason, e.Detail, e.RetryAfter = o.Verdict.String(), o.Reason, o.Detail, o.RetryAfter
+	e.Status = o.Status
 	e.Target, e.Attempt, e.Took = a.tried[len(a.tried)-1].Short(), len(a.tried), now.Sub(start)
 	d.notes.Note(now, e)
 }
--- a/explain/recorder.go
+++ b/explain/recorder.go
@@ -3,6 +3,7 @@
 package explain
 
 import (
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -48,6 +49,8 @@
 	Detail    string         `json:"detail,omitempty"`
 	// Verdict is what was concluded about the request.
 	Verdict string `json:"verdict,omitempty"`
+	// Status is that of the backend server's own answer, zero if it gave none.
+	Status int `json:"status,omitempty"`
 	// Root is the request that a call was made for, as it entered.
 	Root string `json:"root,omitempty"`
 	// Target is who was asked: a node, or a start of a backend server.
@@ -71,11 +74,14 @@
 }
 
 // Notable reports whether the event goes into the ring of notable events: its
-// step says so, or it carries a reason.
+// step says so, it carries a reason, or the backend server has failed.
 func (e Event) Notable() bool {
-	return e.Reason != verdict.None || slices.Contains(notable, e.Step)
+	return e.Reason != verdict.None || e.Failed() || slices.Contains(notable, e.Step)
 }
 
+// Failed reports whether the backend server answered that it has failed.
+func (e Event) Failed() bool { return e.Status >= http.StatusInternalServerError }
+
 // Config bounds the memory of a Recorder.
 type Config struct {
 	// Notable is the number of notable events kept. 4096 hold about a
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -77,7 +77,7 @@
 	kinds map[string]*kind
 }
 
-// kind is one step with one reason.
+// kind is one step with one reason, or with an answer that says failure.
 type kind struct {
 	limit   *rate.Limiter
 	dropped int64
@@ -95,7 +95,7 @@
 		return
 	}
 	line := d.log.Info()
-	if e.Reason != verdict.None {
+	if e.Reason != verdict.None || e.Failed() {
 		line = d.log.Warn()
 	}
 	if dropped > 0 {
@@ -111,6 +111,9 @@
 	optional(line, "detail", e.Detail)
 	optional(line, "target", e.Target)
 	optional(line, "root", e.Root)
+	if e.Status > 0 {
+		line.Int("status", e.Status)
+	}
 	if e.Attempt > 0 {
 		line.Int("attempt", e.Attempt)
 	}
@@ -152,11 +155,17 @@
 	return dropped, true
 }
 
+// failed tells the kinds of answers with which backend servers failed from the others.
+const failed = " failed"
+
 // others is the kind of what exceeds the bound.
 const others = "others"
 
 func (d *Decisions) kind(e explain.Event) *kind {
 	name := string(e.Step) + " " + string(e.Reason)
+	if e.Failed() {
+		name += failed
+	}
 	if k, ok := d.kinds[name]; ok {
 		return k
 	}
--- a/logs/logs_test.go
+++ b/logs/logs_test.go
@@ -93,3 +93,24 @@
 	}
 	is.Equal(len(d.kinds), 3) // two of their own and the rest
 }
+
+// A caller gets the backend server's own 504, and thousands of requests are served
+// in that second. The on-call engineer looks for the failed one and finds no line
+// about it, since an answer counts as a success whatever it says. Failures of backend
+// servers have a rate of their own, and their lines say the status.
+func TestFailuresOfBackendServersAreNotDroppedWithSuccesses(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	d := NewDecisions(DefaultConfig(), zerolog.New(&out))
+	now := time.Unix(1000, 0)
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		d.Write(explain.Event{Time: now, RequestID: "good", Step: explain.Answered, Verdict: "ran", Status: 200})
+	}
+	d.Write(explain.Event{Time: now, RequestID: "bad", Step: explain.Answered, Verdict: "ran", Status: 504})
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	last := lines[len(lines)-1]
+	is.True(strings.Contains(last, `"request":"bad"`))
+	is.True(strings.Contains(last, `"status":504`))
+	is.True(strings.Contains(last, `"level":"warn"`))
+}
--- a/node/ops.go
+++ b/node/ops.go
@@ -127,6 +127,7 @@
 	n.counts.ExtraRefused.Set(int64(c.OverBudget))
 	n.counts.LateReplies.Set(int64(c.Unmatched))
 	n.counts.Hedges.Set(int64(c.Hedges))
+	n.counts.Deferred.Set(int64(c.Deferred))
 	n.counts.Strays.Set(n.backend.Strays())
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -119,6 +119,7 @@
 		Step:      step,
 		Verdict:   r.Verdict.String(),
 		Reason:    r.Reason,
+		Status:    r.Status,
 		Detail:    r.Detail,
 		Target:    inst.boot,
 		Waited:    t.Waited(),
--- a/operator/trace.go
+++ b/operator/trace.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -29,6 +30,7 @@
 	Service  string    `json:"to_service"`
 	Reason   string    `json:"reason"`
 	Verdict  string    `json:"verdict"`
+	Status   int       `json:"status"`
 	Detail   string    `json:"detail"`
 	Target   string    `json:"target"`
 	Attempt  int       `json:"attempt"`
@@ -90,15 +92,23 @@
 
 func (o *Operator) timeline(lines []logLine) {
 	w := tabwriter.NewWriter(o.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "TIME\tMACHINE\tSTEP\tSERVICE\tREASON\tVERDICT\tTARGET\tTRY\tWAITED\tTOOK\tLEFT\tREQUEST\tDETAIL")
+	fmt.Fprintln(w, "TIME\tMACHINE\tSTEP\tSERVICE\tREASON\tVERDICT\tSTATUS\tTARGET\tTRY\tWAITED\tTOOK\tLEFT\tREQUEST\tDETAIL")
 	for _, l := range lines {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n",
-			l.Time.Format(timeFormat), l.Machine, l.Step, l.Service, l.Reason, l.Verdict, l.Target, l.Attempt,
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%s\t%s\n",
+			l.Time.Format(timeFormat), l.Machine, l.Step, l.Service, l.Reason, l.Verdict, status(l.Status), l.Target, l.Attempt,
 			ms(l.WaitedMs), ms(l.TookMs), ms(l.LeftMs), l.Request, l.Detail)
 	}
 	_ = w.Flush() // what cannot be printed is of no use to anybody
 }
 
+// status prints that of an answer, nothing for none.
+func status(code int) string {
+	if code == 0 {
+		return ""
+	}
+	return strconv.Itoa(code)
+}
+
 // ms prints milliseconds, nothing for none.
 func ms(v float64) string {
 	if v == 0 {
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -47,6 +47,9 @@
 	// Hedges counts second attempts beside a first one that stayed silent,
 	// Strays answers of the backend server that came to no request of theirs.
 	Hedges, Strays expvar.Int
+	// Deferred counts callers' requests that were asked to come back since
+	// those of their route fail.
+	Deferred expvar.Int
 	// Latencies of requests by route and hop.
 	Latencies Latencies
 
@@ -116,6 +119,7 @@
 		{"routes_refused", &c.RoutesRefused},
 		{"late_beats", &c.LateBeats},
 		{"hedges", &c.Hedges},
+		{"deferred", &c.Deferred},
 		{"strays", &c.Strays},
 	}
 }
