pause: one copy of the wait that ends with its context

Cause: five packages had the same function, and a sixth one like it. No behaviour of the node changes: it does not use it.

--- a/caller/client.go
+++ b/caller/client.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -89,7 +90,7 @@
 		}
 		e := verdict.From(err)
 		step := course.failed(e, timeLeft(ctx), c.random(), c.allowResend)
-		if !step.Again || !sleep(ctx, step.Wait) {
+		if !step.Again || !pause.For(ctx, step.Wait) {
 			return nil, course.conclude(e)
 		}
 		c.renewKey(&req, e, course)
@@ -197,18 +198,6 @@
 	return time.Until(deadline)
 }
 
-// sleep reports whether it slept to the end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 func randomSeed() uint64 {
 	var b [8]byte
 	rand.Read(b[:]) // never fails (crypto/rand, Go 1.24)
--- a/cmd/demo/steps.go
+++ b/cmd/demo/steps.go
@@ -8,6 +8,7 @@
 
 	"github.com/cassialoom/cassialoom/caller"
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/rig"
 	"github.com/cassialoom/cassialoom/internal/standin/backend"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -103,13 +104,13 @@
 	leaving := last(d.cluster.Of(d.cluster.Shape.Services[0].Name))
 	d.gone = append(d.gone, leaving)
 	t := d.startTraffic(ctx, "drain")
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	began := time.Now()
 	err := leaving.Drain(ctx)
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	err = errors.Join(err, leaving.Node.Stop(drainLimit))
 	took := time.Since(began)
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	records := t.end()
 	d.records = append(d.records, records...)
 	printTraffic(records)
@@ -143,16 +144,16 @@
 	victim := last(d.cluster.Of(d.cluster.Shape.Services[2].Name))
 	d.gone = append(d.gone, victim)
 	t := d.startTraffic(ctx, "kill")
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	if err := victim.Control(ctx, backend.Control{SlowFactor: new(victimSlow)}); err != nil {
 		return err
 	}
-	sleep(ctx, victimFor)
+	pause.For(ctx, victimFor)
 	killed := time.Now()
 	if err := victim.Backend.Kill(); err != nil {
 		return err
 	}
-	sleep(ctx, 2*settle)
+	pause.For(ctx, 2*settle)
 	records := t.end()
 	d.records = append(d.records, records...)
 	printTraffic(records)
--- a/cmd/demo/traffic.go
+++ b/cmd/demo/traffic.go
@@ -9,6 +9,7 @@
 
 	"github.com/cassialoom/cassialoom/caller"
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/standin/backend"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -123,7 +124,7 @@
 	operations := d.operations()
 	for k, c := range d.callers {
 		t.done.Go(func() {
-			for n := 0; sleep(ctx, sendEvery); n++ {
+			for n := 0; pause.For(ctx, sendEvery); n++ {
 				o := operations[(n+k)%len(operations)]
 				action := fmt.Sprintf("%s-%d-%d", step, k+1, n+1)
 				t.add(d.send(context.WithoutCancel(ctx), step, c, o, action, newRequest(o, action)))
@@ -153,15 +154,3 @@
 	}
 	return list
 }
-
-// sleep reports whether it slept to the end.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/prove/bare.go
+++ b/internal/prove/bare.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/rig"
 	"github.com/cassialoom/cassialoom/internal/standin/backend"
 )
@@ -44,7 +45,7 @@
 		for {
 			// A failed announcement is repeated with the next.
 			_ = f.announce(ctx, i, boot)
-			if !sleep(ctx, announceEvery) {
+			if !pause.For(ctx, announceEvery) {
 				return
 			}
 		}
--- a/internal/prove/config_test.go
+++ b/internal/prove/config_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/config"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/rig"
 )
 
@@ -200,7 +201,7 @@
 	result := make(chan []uint64, 1)
 	go func() {
 		var accepted []uint64
-		for n := 0; sleep(ctx, 150*time.Millisecond); n++ {
+		for n := 0; pause.For(ctx, 150*time.Millisecond); n++ {
 			// The command is not cut off: it says what became of it.
 			limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), 20*time.Second)
 			p, err := f.PublishText(limited, "operator", variant("stationlog", 500+n), "--timeout", "4s")
--- a/internal/prove/keys_test.go
+++ b/internal/prove/keys_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -30,7 +31,7 @@
 			return told
 		}
 		s = Sending{Action: s.Action, Number: s.Number, Operation: s.Operation, Key: s.Key}
-		sleep(ctx, 300*time.Millisecond)
+		pause.For(ctx, 300*time.Millisecond)
 	}
 	return s
 }
--- a/internal/prove/poison_test.go
+++ b/internal/prove/poison_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/rig"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -49,7 +50,7 @@
 		s.mu.Lock()
 		s.crashes++
 		s.mu.Unlock()
-		if !sleep(ctx, restartAfter) {
+		if !pause.For(ctx, restartAfter) {
 			return
 		}
 		if err := f.RestartBackend(i); err != nil {
--- a/internal/prove/shedding_test.go
+++ b/internal/prove/shedding_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/rig"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -61,7 +62,7 @@
 	nodes := f.CallerAddrs()
 	begin := time.Now()
 	for n := 0; ; n++ {
-		if !sleep(ctx, time.Until(begin.Add(time.Duration(n)*time.Second/time.Duration(perSecond)))) {
+		if !pause.For(ctx, time.Until(begin.Add(time.Duration(n)*time.Second/time.Duration(perSecond)))) {
 			return
 		}
 		s := Sending{Action: f.NewAction(), Number: 1, Operation: ref, Node: nodes[n%len(nodes)]}
--- a/internal/prove/traffic.go
+++ b/internal/prove/traffic.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -72,7 +73,7 @@
 	for k := range cfg.Callers {
 		c := &caller{fleet: f, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(k))), nodes: nodes}
 		t.done.Go(func() {
-			for sleep(running, cfg.Pause) {
+			for pause.For(running, cfg.Pause) {
 				c.act(ctx, operations[c.rng.IntN(len(operations))], KeyKind(c.rng.IntN(int(keyKinds))))
 			}
 		})
@@ -147,17 +148,5 @@
 
 func (c *caller) wait(ctx context.Context, told Sending) {
 	wait := min(max(told.RetryAfter, minWait), maxWait)
-	sleep(ctx, wait+time.Duration(c.rng.Float64()*float64(wait)))
-}
-
-// sleep reports whether it slept to the end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	pause.For(ctx, wait+time.Duration(c.rng.Float64()*float64(wait)))
 }
--- a/internal/prove/watch.go
+++ b/internal/prove/watch.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/rig"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/wire"
@@ -46,7 +47,7 @@
 // Add watches one more instance.
 func (w *Watch) Add(i *rig.Instance) {
 	w.done.Go(func() {
-		for sleep(w.ctx, watchEvery) {
+		for pause.For(w.ctx, watchEvery) {
 			var v ops.Version
 			if i.Get(w.ctx, "/version", &v) == nil {
 				w.note(i.Name, v)
@@ -77,7 +78,7 @@
 		if missing == "" {
 			return time.Since(began), nil
 		}
-		if !sleep(ctx, watchEvery) {
+		if !pause.For(ctx, watchEvery) {
 			return time.Since(began), fmt.Errorf("version %d is not in force at %s", version, missing)
 		}
 	}
--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -109,15 +109,3 @@
 	sigma2 := math.Log(1 + spread*spread)
 	return math.Exp(math.Sqrt(sigma2)*b.rng.NormFloat64() - sigma2/2)
 }
-
-// sleep reports whether the time passed before the context's end.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -9,6 +9,7 @@
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/explain"
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/reach"
 	"github.com/cassialoom/cassialoom/retry"
@@ -229,7 +230,7 @@
 		return serve.Result{Verdict: verdict.NotRun, Reason: verdict.Shed, Offered: true}
 	}
 	held := time.Now()
-	ok := sleep(r.ctx, n.backend.work(r.class.Work)) && n.callAll(r)
+	ok := pause.For(r.ctx, n.backend.work(r.class.Work)) && n.callAll(r)
 	n.backend.leave()
 	n.world.report.used(n.service, r.task.Request.RootID(), time.Since(held))
 	if !ok {
--- a/internal/rig/load/send.go
+++ b/internal/rig/load/send.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/internal/standin/backend"
 	"github.com/cassialoom/cassialoom/verdict"
 )
@@ -66,7 +67,7 @@
 	var all sync.WaitGroup
 	for i, a := range arrivals {
 		due := start.Add(a.At)
-		if !sleepUntil(ctx, due) {
+		if !pause.Until(ctx, due) {
 			results = results[:i]
 			break
 		}
@@ -89,7 +90,7 @@
 		if r.Good || r.Wrong || !mayResend(class, last) {
 			break
 		}
-		if !sleepUntil(ctx, last.Answered.Add(g.pause(a, n, retryAfter))) {
+		if !pause.Until(ctx, last.Answered.Add(g.pause(a, n, retryAfter))) {
 			break
 		}
 	}
@@ -184,19 +185,3 @@
 	r.Good = err == nil
 	r.Wrong = err != nil
 }
-
-// sleepUntil reports whether the moment came before the context ended.
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	wait := time.Until(at)
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/platform/standin"
 )
 
@@ -43,13 +44,13 @@
 		if err := b.node.Signal(syscall.SIGSTOP); err != nil {
 			return err
 		}
-		wait(ctx, d)
+		pause.For(ctx, d)
 		return b.node.Signal(syscall.SIGCONT)
 	}},
 	{"reload the settings", func(_ context.Context, _ *world, b *box, _ time.Duration) error { return b.node.Signal(syscall.SIGHUP) }},
 	{"crash the backend server", func(ctx context.Context, w *world, b *box, d time.Duration) error {
 		b.target.Crash()
-		wait(ctx, d)
+		pause.For(ctx, d)
 		return w.startTarget(b)
 	}},
 	{"replace the backend server", func(ctx context.Context, w *world, b *box, _ time.Duration) error {
@@ -57,7 +58,7 @@
 		defer cancel()
 		// A backend server that nobody acknowledges ends all the same.
 		if b.target.Leave(asking) == nil {
-			wait(ctx, leaveFor)
+			pause.For(ctx, leaveFor)
 		}
 		if v := b.target.Violation(); v != "" {
 			w.broken = append(w.broken, Broken{Promise: "a leaving backend server gets no work for long", What: v})
@@ -67,13 +68,13 @@
 	}},
 	{"lose answers", func(ctx context.Context, _ *world, b *box, d time.Duration) error {
 		b.target.Faults(0.3, 0)
-		wait(ctx, d)
+		pause.For(ctx, d)
 		b.target.Faults(0, 0)
 		return nil
 	}},
 	{"send second answers", func(ctx context.Context, _ *world, b *box, d time.Duration) error {
 		b.target.Faults(0, 0.3)
-		wait(ctx, d)
+		pause.For(ctx, d)
 		b.target.Faults(0, 0)
 		return nil
 	}},
@@ -103,7 +104,7 @@
 func storeFault(f standin.Fault) func(context.Context, *world, *box, time.Duration) error {
 	return func(ctx context.Context, w *world, _ *box, d time.Duration) error {
 		w.store.Set(f)
-		wait(ctx, d)
+		pause.For(ctx, d)
 		w.store.Set(standin.Well)
 		return nil
 	}
@@ -117,19 +118,12 @@
 			return nil
 		}
 		p.set(m)
-		wait(ctx, d)
+		pause.For(ctx, d)
 		p.set(linkOpen)
 		return nil
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // kinds are the faults that a run draws from.
 func (c *Config) kinds() []fault {
 	if len(c.Only) > 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/platform/standin"
 )
 
@@ -84,7 +85,7 @@
 	var first error
 	events := timeline(w.cfg.Seed, w.cfg.Faults, len(w.boxes), w.cfg.kinds())
 	for _, e := range events {
-		wait(ctx, time.Until(begin.Add(e.at)))
+		pause.For(ctx, time.Until(begin.Add(e.at)))
 		all.Go(func() {
 			locks[e.box].Lock()
 			defer locks[e.box].Unlock()
@@ -132,7 +133,7 @@
 		if float64(good) >= recovered*tries {
 			return true
 		}
-		wait(ctx, 100*time.Millisecond)
+		pause.For(ctx, 100*time.Millisecond)
 	}
 	return false
 }
@@ -158,7 +159,7 @@
 				defer c.http.CloseIdleConnections()
 				for ctx.Err() == nil {
 					c.w.record.add(c.ask(ctx))
-					wait(ctx, time.Duration(c.rng.ExpFloat64()*float64(clientPause)))
+					pause.For(ctx, time.Duration(c.rng.ExpFloat64()*float64(clientPause)))
 				}
 			})
 		}
--- a/serve/slots_test.go
+++ b/serve/slots_test.go
@@ -45,6 +45,15 @@
 	}, c.op, true)
 }
 
+// learnThatASecondIsUsual has requests run for a second each.
+func (c *callee) learnThatASecondIsUsual() {
+	for range 50 {
+		e := c.arrive(importance.Low, time.Minute)
+		c.now = c.now.Add(time.Second)
+		c.Done(c.now, e.Start[0].ID, Result{Verdict: verdict.Ran, Status: 200, Latency: time.Second})
+	}
+}
+
 // A backend server says how many requests it works on at once. It is given 95% of
 // that from the first request on, however long their own calls take; the rest
 // waits, and the most important goes first.
@@ -104,11 +113,7 @@
 func TestShortOfTimeIsTriedWhenNothingWaits(t *testing.T) {
 	is := is.New(t)
 	c := newCallee(4)
-	for range 50 {
-		e := c.arrive(importance.Low, time.Minute)
-		c.now = c.now.Add(time.Second)
-		c.Done(c.now, e.Start[0].ID, Result{Verdict: verdict.Ran, Status: 200, Latency: time.Second})
-	}
+	c.learnThatASecondIsUsual()
 	held := c.arrive(importance.Low, time.Minute)
 	is.Equal(len(held.Start), 1)
 	is.Equal(len(c.arrive(importance.Low, 500*time.Millisecond).Start), 1)
@@ -120,11 +125,7 @@
 func TestShortOfTimeIsRefusedWhenItHadToWait(t *testing.T) {
 	is := is.New(t)
 	c := newCallee(4)
-	for range 50 {
-		e := c.arrive(importance.Low, time.Minute)
-		c.now = c.now.Add(time.Second)
-		c.Done(c.now, e.Start[0].ID, Result{Verdict: verdict.Ran, Status: 200, Latency: time.Second})
-	}
+	c.learnThatASecondIsUsual()
 	for range 3 { // 95% of 4
 		is.Equal(len(c.arrive(importance.Low, time.Minute).Start), 1)
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -270,9 +270,7 @@
 	is.NoErr(err)
 	defer ws.CloseNow()
 	write := func(k wire.Kind, msg any) {
-		data, err := wire.Encode(k, msg)
-		is.NoErr(err)
-		is.NoErr(ws.Write(t.Context(), websocket.MessageBinary, data))
+		is.NoErr(ws.Write(t.Context(), websocket.MessageBinary, mustEncode(t, k, msg)))
 	}
 	write(wire.KindHello, Hello{Cluster: "c", Version: ProtocolVersion, ID: id})
 	is.Equal(<-p.up, id)
