--- /dev/null
+++ b/daemon/settings_doc_test.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// platformConstants are the values that the node uses on the platform.
+var platformConstants = map[string]any{
+	"memoryShare": memoryShare, "bodyShare": bodyShare, "waitMax": waitMax, "waitShare": waitShare, "waitMin": waitMin,
+	"levelQueue": levelQueue, "levelSettle": levelSettle, "keptIdle": keptIdle, "reroutes": reroutes,
+	"enterGrace": enterGrace, "stopShare": stopShare, "slowStart": slowStart, "joinInterval": joinInterval,
+	"joinAddrs": joinAddrs, "reconnectInterval": reconnectInterval, "reoffers": reoffers, "drainAfter": drainAfter,
+	"drainGrace": drainGrace, "budgetNodes": budgetNodes, "budgetShare": budgetShare,
+}
+
+// An operator looks up what a node does and finds a figure that it has not used for
+// long. Each constant of platform_config.go has its row, with its value.
+func TestPageListsEveryConstant(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/PLATFORM.md")
+	is.NoErr(err)
+	source, err := parser.ParseFile(token.NewFileSet(), "platform_config.go", nil, 0)
+	is.NoErr(err)
+	found := 0
+	ast.Inspect(source, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok {
+			return true
+		}
+		for _, name := range spec.Names {
+			value, known := platformConstants[name.Name]
+			if !known {
+				t.Errorf("%s is not in platformConstants", name.Name)
+				continue
+			}
+			found++
+			if row := fmt.Sprintf("| `%s` | %v |", name.Name, value); !strings.Contains(string(page), row) {
+				t.Errorf("docs/PLATFORM.md has no row that begins %s", row)
+			}
+		}
+		return true
+	})
+	is.Equal(found, len(platformConstants))
+}
