--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -38,10 +38,10 @@
 	// Work is the mean time at a backend server of speed one, without the
 	// calls that it makes.
 	Work time.Duration
-	// Aim is when a caller wants its answer, Deadline when it gives up; a call
-	// has no more time than the request above it.
-	Aim, Deadline time.Duration
-	Idempotent    bool
+	// Deadline is when a caller gives up; a call has no more time than the
+	// request above it.
+	Deadline   time.Duration
+	Idempotent bool
 	// Calls are made one after the other while the request holds its slot, or
 	// at once if Together. Each is needed.
 	Calls    []*Class
@@ -83,13 +83,13 @@
 		},
 		Classes: []*Class{
 			{Name: "plume-view", Service: "plumecast", Importance: importance.Normal, Share: 0.593, Work: 90 * time.Millisecond,
-				Aim: 1200 * time.Millisecond, Deadline: 5 * time.Second, Idempotent: true, Calls: times(1, lookup)},
+				Deadline: 5 * time.Second, Idempotent: true, Calls: times(1, lookup)},
 			{Name: "notice-issue", Service: "alertdesk", Importance: importance.Critical, Share: 0.249, Work: 120 * time.Millisecond,
-				Aim: 1500 * time.Millisecond, Deadline: 5 * time.Second, Calls: times(2, fetch), Together: true},
+				Deadline: 5 * time.Second, Calls: times(2, fetch), Together: true},
 			{Name: "obs-file", Service: "fieldlog", Importance: importance.Normal, Share: 0.09, Work: 72 * time.Millisecond,
-				Aim: 300 * time.Millisecond, Deadline: 1200 * time.Millisecond, Idempotent: true},
+				Deadline: 1200 * time.Millisecond, Idempotent: true},
 			{Name: "station-hist", Service: "stationlog", Importance: importance.Normal, Share: 0.068, Work: 72 * time.Millisecond,
-				Aim: 250 * time.Millisecond, Deadline: time.Second},
+				Deadline: time.Second},
 		},
 		Deepest: "stationlog",
 		Delay:   500 * time.Microsecond,
@@ -112,13 +112,13 @@
 		},
 		Classes: []*Class{
 			{Name: "dossier-read", Service: "dossier-svc", Importance: importance.Normal, Share: 0.615, Work: 120 * time.Millisecond,
-				Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Idempotent: true, Calls: times(1, ref)},
+				Deadline: 6 * time.Second, Idempotent: true, Calls: times(1, ref)},
 			{Name: "approach-send", Service: "outreach-svc", Importance: importance.Critical, Share: 0.252, Work: 160 * time.Millisecond,
-				Aim: 1500 * time.Millisecond, Deadline: 6 * time.Second, Calls: times(1, compliance)},
+				Deadline: 6 * time.Second, Calls: times(1, compliance)},
 			{Name: "mandate-log", Service: "mandate-svc", Importance: importance.Normal, Share: 0.063, Work: 96 * time.Millisecond,
-				Aim: 400 * time.Millisecond, Deadline: 1500 * time.Millisecond, Idempotent: true},
+				Deadline: 1500 * time.Millisecond, Idempotent: true},
 			{Name: "history-read", Service: "history-svc", Importance: importance.Normal, Share: 0.07, Work: 96 * time.Millisecond,
-				Aim: 300 * time.Millisecond, Deadline: 1200 * time.Millisecond},
+				Deadline: 1200 * time.Millisecond},
 		},
 		Deepest: "history-svc",
 		Delay:   500 * time.Microsecond,
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -15,9 +15,8 @@
 type PhaseReport struct {
 	Name    string
 	Offered counts
-	// Good were answered with success before their deadline, InAim those
-	// within the time that their callers want.
-	Good, InAim counts
+	// Good were answered with success before their deadline.
+	Good counts
 	// Useful is the work of the deepest service, at speed one, in requests that
 	// ended well during the phase, its first second left out; Best is the most
 	// that its slots allow in that time, or all that was asked for.
@@ -77,7 +76,7 @@
 	r.binAll[r.bin(q.start)]++
 }
 
-func (r *Report) good(q *request, id string, took time.Duration) {
+func (r *Report) good(q *request, id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	p := &r.Phases[q.phase]
@@ -87,9 +86,6 @@
 	} else {
 		p.heedingGood++
 	}
-	if took <= q.class.Aim {
-		p.InAim[q.class.Importance]++
-	}
 	if now, settled := r.phaseNow(); settled {
 		now.Useful += r.day.Deployment.slotTime(q.class)
 	}
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -1,81 +1,17 @@
 package replay
 
 import (
-	"context"
-	"fmt"
 	"math/rand/v2"
 	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/daemon"
-	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/graph"
-	production "github.com/cassialoom/cassialoom/node"
-	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/serve"
-	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
-// Policy is what the nodes do about load.
-type Policy struct {
-	Name     string
-	Serve    serve.Config
-	Dispatch dispatch.Config
-	// Blind nodes do not know the slots of their backend servers.
-	Blind bool
-}
-
-// bounds of extra attempts on both deployments: a fifth of the requests, and the
-// slack of a window.
-var bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: 60}
-
-// Ours is the policy that runs on the platform.
-func Ours() Policy {
-	cfg := production.DefaultConfig()
-	daemon.LoadPolicy(&cfg, bounds)
-	return Policy{Name: "cassialoom", Serve: cfg.Serve, Dispatch: cfg.Dispatch}
-}
-
-// Naive passes everything on at once, to each backend server in turn.
-func Naive() Policy {
-	p := Ours()
-	p.Name = "naive"
-	p.Serve.Policy = serve.PolicyNone
-	p.Dispatch.NoAdmission = true
-	p.Dispatch.RoundRobin = true
-	p.Dispatch.Reroutes, p.Dispatch.Reoffers, p.Dispatch.Hedge = 0, 0, false
-	p.Dispatch.Budget.Ratio, p.Dispatch.Budget.Burst = 0, 0
-	p.Blind = true
-	return p
-}
-
-// Phase is a time with a steady load and steady troubles at the deepest service.
-type Phase struct {
-	Name string
-	For  time.Duration
-	// Load is a multiple of what fills the deepest service.
-	Load float64
-	// Slow multiplies the work of its first backend server, Decline is the
-	// share that all of them turn away, and Lost of them are gone for good.
-	Slow    float64
-	Decline float64
-	Lost    int
-}
-
-// Day is one run.
-type Day struct {
-	Deployment Deployment
-	Phases     []Phase
-	// Hard is the share of callers that come back at once, whatever they are
-	// told.
-	Hard float64
-	Seed uint64
-}
-
 // world is a Day while it runs.
 type world struct {
 	deployment *Deployment
@@ -218,61 +154,3 @@
 	}
 	return w.deployment.Classes[0]
 }
-
-const (
-	// tries of one caller at most.
-	tries = 4
-	// heedShare of the time left is the longest that a caller waits when it is
-	// told when to come back.
-	heedShare = 1.0 / 3
-	// hardPause is the pause of a caller that does not heed.
-	hardPause = 20 * time.Millisecond
-	// backoff is the pause after a failure that names no time.
-	backoff = 100 * time.Millisecond
-)
-
-// request is one request of a caller with all its tries.
-type request struct {
-	world *world
-	class *Class
-	phase int
-	start time.Time
-	hard  bool
-	rng   *rand.Rand
-}
-
-func (r *request) send() {
-	deadline := r.start.Add(r.class.Deadline)
-	for try := 1; ; try++ {
-		id := fmt.Sprint("r", r.world.nextID())
-		n := r.world.all[r.rng.IntN(len(r.world.all))]
-		ctx, stop := context.WithDeadline(context.Background(), deadline)
-		out := n.enter(ctx, r.class, id, deadline)
-		stop()
-		if out.Verdict == verdict.Ran && out.Status == statusOK && time.Now().Before(deadline) {
-			r.world.report.good(r, id, time.Since(r.start))
-			return
-		}
-		pause, again := r.pause(out, time.Until(deadline))
-		if !again || try == tries {
-			return
-		}
-		time.Sleep(pause)
-	}
-}
-
-// pause is how long the caller waits for its next try. A request that is not
-// idempotent is only sent again if it has not run.
-func (r *request) pause(out call.Outcome, left time.Duration) (time.Duration, bool) {
-	if out.Verdict != verdict.NotRun && !r.class.Idempotent {
-		return 0, false
-	}
-	wait := backoff
-	switch {
-	case r.hard:
-		wait = hardPause
-	case out.RetryAfter > 0:
-		wait = min(out.RetryAfter, time.Duration(heedShare*float64(left)))
-	}
-	return wait, wait < left
-}
