replay: calls under way are compared by what is served of each rank

Cause: TestCallsUnderWayAreNotShed failed once beside a load of 31: goodput 83.9% with levels at the entry alone against 83.3% at every node, asked for one point more. Plays differ with the order in which goroutines of one moment run: ours 83.9 to 92.0% in ten plays, the other 80.0 to 85.2%.

--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -106,7 +106,8 @@
 		everywhere := variant("levels at every node", func(p *Policy) { p.Serve.TellOnly = false })
 		shed := play(t, burst(d, 2), everywhere)
 		ours := play(t, burst(d, 2), Ours())
-		is.True(ours.During().Goodput() > shed.During().Goodput()+0.01)
+		is.True(ours.During().Served(importance.Critical) > shed.During().Served(importance.Critical)+0.01)
+		is.True(ours.During().Served(importance.Normal) > shed.During().Served(importance.Normal)+0.03)
 		is.True(ours.Wasted() < shed.Wasted())
 	})
 }
