daemon: one copy of running an application to its planned stop

Cause: Run and RunPlatform each started, awaited and stopped their application with the same lines. Change: runApp does it for both; the time for the stop is its argument. No behaviour changes. Tests of daemon pass (planned stops of both kinds among them), vet and staticcheck are clean.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -28,7 +28,12 @@
 // Run runs the node until SIGTERM or SIGINT, then stops it as planned. The
 // error says what could not start, or what was cut off.
 func Run(s settings.Settings) error {
-	app := fx.New(Module(s))
+	return runApp(fx.New(Module(s)), s.StopTimeout)
+}
+
+// runApp runs an application until SIGTERM or SIGINT; its planned stop may take
+// stopTimeout.
+func runApp(app *fx.App, stopTimeout time.Duration) error {
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -38,7 +43,7 @@
 		return err
 	}
 	<-app.Wait()
-	ctx, cancel = context.WithTimeout(context.Background(), s.StopTimeout)
+	ctx, cancel = context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	return app.Stop(ctx)
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -32,18 +32,7 @@
 		return err
 	}
 	app := fx.New(PlatformModule(path, s, own, hup, os.Stdout))
-	if err := app.Err(); err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
-	defer cancel()
-	if err := app.Start(ctx); err != nil {
-		return err
-	}
-	<-app.Wait()
-	ctx, cancel = context.WithTimeout(context.Background(), time.Duration(float64(s.Bounds.Grace)*stopShare))
-	defer cancel()
-	return app.Stop(ctx)
+	return runApp(app, time.Duration(float64(s.Bounds.Grace)*stopShare))
 }
 
 // settingsPath is where the platform's settings file lies.
