node, platform: starts of a backend server are told apart by id and start time

Cause: a heartbeat of an id that had ended, or whose sequence was not higher, was dropped for good, so a backend server that starts again under its id was never used again. Change: Start holds id and start time together and is the key of heartbeats, last words, crashes and what has ended; connections and measured figures of the start before are dropped. Without a start time the reading is as before; once one was told, heartbeats without are another sender's. A leaving heartbeat counts whatever its sequence.

Ruled out: taking a heartbeat with a lower sequence for a new start (a late one of the start before would look the same).

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -91,6 +91,10 @@
 // Close closes the idle connections.
 func (c *Client) Close() { c.pool.close() }
 
+// CloseIdle closes the idle connections: those to a process that has ended would
+// put the next requests in doubt.
+func (c *Client) CloseIdle() { c.pool.closeIdle() }
+
 // Strays is the number of answers that came to no request of theirs.
 func (c *Client) Strays() int64 { return c.strays.Load() }
 
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -219,6 +219,12 @@
 	p.idle = nil
 }
 
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.drop()
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -170,6 +170,9 @@
 	b.starts++
 	cfg := standin.TargetConfig{Service: b.Service, Addr: b.Backend(), Node: b.Heartbeats(), Calls: b.Callers(),
 		Slots: slots, Work: work, Beat: beat, Seed: w.cfg.Seed + uint64(b.starts)}
+	if b.toBackend != nil {
+		cfg.ID = "i-" + b.Name // on every second pair of machines starts share an id
+	}
 	if b.Service == topService {
 		cfg.CallHost, cfg.CallPath = host, "/end/c"
 	}
--- a/membership/members.go
+++ b/membership/members.go
@@ -270,6 +270,16 @@
 	})
 }
 
+// Renew says that the backend server beside this node is another process than
+// before: what others have measured of it no longer holds.
+func (m *Members) Renew(now time.Time) {
+	m.advance(now)
+	if m.self.State != Alive {
+		return
+	}
+	m.changeSelf(func(r *Record) { r.Content = r.Incarnation })
+}
+
 // Drain says that this node takes no more work. The message goes to all
 // connected peers at once, the rest hear by gossip ahead of other news.
 func (m *Members) Drain(now time.Time, connected ...wire.NodeID) []Send {
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -3,13 +3,14 @@
 import (
 	"time"
 
+	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/serve"
 )
 
 // Heartbeat is what one start of the backend server says of itself.
 type Heartbeat struct {
-	// Instance names the start; each has its own.
-	Instance string
+	// Start tells the starts apart, also of those under one id.
+	Start Start
 	// URL is where it takes requests: http://IP:PORT.
 	URL string
 	// Slots is the number of requests that it works on at once.
@@ -22,37 +23,6 @@
 	Cold time.Duration
 }
 
-// maxEnded bounds the starts that are remembered after their end. Heartbeats
-// that are late come within seconds; a start takes seconds, too.
-const maxEnded = 64
-
-// starts remembers which starts of the backend server have ended or are
-// leaving. A heartbeat that was held up on its way may still arrive after them
-// and must not bring them back: work would go to a process that has gone, or
-// that was promised no more.
-type starts struct {
-	ended []string
-}
-
-func (s *starts) has(instance string) bool {
-	for _, id := range s.ended {
-		if id == instance {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *starts) end(instance string) {
-	if instance == "" || s.has(instance) {
-		return
-	}
-	if len(s.ended) == maxEnded {
-		s.ended = append(s.ended[:0], s.ended[1:]...)
-	}
-	s.ended = append(s.ended, instance)
-}
-
 // Beat takes a heartbeat of the backend server beside this node. Once it
 // returns, a start that said it is leaving is handed no more requests.
 func (n *Node) Beat(now time.Time, b Heartbeat) {
@@ -61,18 +31,29 @@
 		n.counts.LateBeats.Add(1)
 		return
 	}
-	if before.boot != "" && before.boot != after.boot {
-		n.log.Warn().Str("instance", after.boot).Str("before", before.boot).Msg("backend server was restarted")
-		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Restarted(now) })
+	restarted := before.start.ID != "" && !sameStart(before, b)
+	if restarted {
+		n.backendRestarted(after.start, before.start)
 	}
 	if before.slots != after.slots {
 		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetSlots(now, after.slots) })
 	}
-	if before.ready != after.ready || before.boot != after.boot {
+	if before.ready != after.ready || restarted || before.start.ID == "" {
 		n.setReady(after.ready, why(after))
 	}
 }
 
+// backendRestarted ends what belonged to the start before: work that ran there,
+// connections to it, and what other nodes measured of it.
+func (n *Node) backendRestarted(start, before Start) {
+	n.log.Warn().Str("instance", start.ID).Int64("born", start.Born).
+		Str("before", before.ID).Int64("before_born", before.Born).Msg("backend server was restarted")
+	n.backend.CloseIdle()
+	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Restarted(now) })
+	now := time.Now()
+	n.members.with(func(m *membership.Members) { m.Renew(now) })
+}
+
 func why(i instance) string {
 	if i.ready {
 		return stateReady
@@ -84,26 +65,8 @@
 	n.stateMu.Lock()
 	defer n.stateMu.Unlock()
 	before = n.instance
-	same := before.boot == b.Instance
-	if same && before.beaten && b.Sequence <= before.sequence || n.starts.has(b.Instance) {
-		return before, before, false
-	}
-	if !same {
-		n.starts.end(before.boot)
-	}
-	if b.Leaving {
-		n.starts.end(b.Instance)
-	}
-	n.instance = instance{
-		url:      b.URL,
-		boot:     b.Instance,
-		ready:    !b.Leaving,
-		heard:    now,
-		slots:    b.Slots,
-		sequence: b.Sequence,
-		beaten:   true,
-	}
-	return before, n.instance, true
+	n.instance, taken = n.starts.take(now, before, b)
+	return before, n.instance, taken
 }
 
 // Found takes what the backend server itself says at this node's start, if no
@@ -111,9 +74,9 @@
 // would leave a backend server without work that runs and is ready.
 func (n *Node) Found(now time.Time, b Heartbeat) {
 	n.stateMu.Lock()
-	known := n.instance.boot != "" || n.starts.has(b.Instance)
+	known := n.instance.start.ID != "" || n.starts.has(b.Start)
 	if !known {
-		n.instance = instance{url: b.URL, boot: b.Instance, ready: true, heard: now, slots: b.Slots}
+		n.instance = instance{url: b.URL, start: b.Start, ready: true, heard: now, slots: b.Slots}
 	}
 	n.stateMu.Unlock()
 	if known {
@@ -125,9 +88,9 @@
 
 // BackendLeaves takes the last word of one start of the backend server. Once
 // it returns, nothing more is handed to it.
-func (n *Node) BackendLeaves(id string) {
+func (n *Node) BackendLeaves(start Start) {
 	n.stateMu.Lock()
-	n.starts.end(id)
+	ended := n.starts.leave(n.instance, start)
 	n.stateMu.Unlock()
-	n.Leave(id)
+	n.leaveStart(ended)
 }
--- a/node/instance.go
+++ b/node/instance.go
@@ -12,7 +12,7 @@
 // instance is what the backend server last said of itself.
 type instance struct {
 	url   string
-	boot  string
+	start Start
 	ready bool
 	heard time.Time
 	// slots is the number of requests that it works on at once; zero if it
@@ -54,13 +54,13 @@
 		return fmt.Errorf("url %q: %w", url, err)
 	}
 	before, after := n.setInstance(func(i *instance) {
-		*i = instance{url: url, boot: boot, ready: state == stateReady, heard: now}
+		*i = instance{url: url, start: Start{ID: boot}, ready: state == stateReady, heard: now}
 	})
-	if before.boot != "" && before.boot != boot {
-		n.log.Warn().Str("boot", boot).Msg("backend server was restarted")
-		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Restarted(now) })
+	restarted := before.start != after.start
+	if restarted && before.start.ID != "" {
+		n.backendRestarted(after.start, before.start)
 	}
-	if before.ready != after.ready || before.boot != after.boot {
+	if before.ready != after.ready || restarted {
 		n.setReady(after.ready, state)
 	}
 	return nil
@@ -68,9 +68,11 @@
 
 // Leave implements local.Backends. The last word of an earlier boot says
 // nothing about the one that announced itself since.
-func (n *Node) Leave(boot string) {
+func (n *Node) Leave(boot string) { n.leaveStart(Start{ID: boot}) }
+
+func (n *Node) leaveStart(start Start) {
 	before, after := n.setInstance(func(i *instance) {
-		if i.boot == boot {
+		if i.start == start {
 			i.ready = false
 		}
 	})
@@ -80,9 +82,9 @@
 }
 
 // backendCrashed stops new work for a backend server whose process is gone.
-func (n *Node) backendCrashed(boot string) {
+func (n *Node) backendCrashed(start Start) {
 	before, after := n.setInstance(func(i *instance) {
-		if i.boot == boot {
+		if i.start == start {
 			i.ready = false
 		}
 	})
--- a/node/ops.go
+++ b/node/ops.go
@@ -33,6 +33,7 @@
 type BackendState struct {
 	URL   string    `json:"url"`
 	Boot  string    `json:"boot"`
+	Born  int64     `json:"born,omitempty"`
 	Ready bool      `json:"ready"`
 	Heard time.Time `json:"heard"`
 }
@@ -48,7 +49,7 @@
 		Draining:   n.draining.Load(),
 		Entered:    n.entered.Load(),
 		Peers:      len(n.peers.Connected()),
-		Backend:    BackendState{URL: inst.url, Boot: inst.boot, Ready: inst.ready, Heard: inst.heard},
+		Backend:    BackendState{URL: inst.url, Boot: inst.start.ID, Born: inst.start.Born, Ready: inst.ready, Heard: inst.heard},
 		Serve:      n.server.dump(now),
 		Dispatch:   n.dispatch.Dump(now),
 		Config:     n.graph.dump(),
--- a/node/roster.go
+++ b/node/roster.go
@@ -23,6 +23,8 @@
 	version    uint64 // of the membership when it was made
 	changes    uint64
 	candidates []balancer.Candidate
+	// contents has the Content of each candidate's record.
+	contents []uint64
 }
 
 func newRoster(m *membership.Members) *roster {
@@ -65,6 +67,7 @@
 	now := time.Now()
 	for _, rec := range r.members.OfService(service) {
 		v.candidates = append(v.candidates, candidate(rec, old, now))
+		v.contents = append(v.contents, rec.Content)
 	}
 	if old != nil {
 		v.changes = old.changes + 1
@@ -72,16 +75,16 @@
 	return v
 }
 
-// candidate marks a node as new if the service was known without it: its
-// backend server may be cold. When the service itself was not known, nothing
+// candidate marks a node as new if the service was known without it, or with an
+// earlier backend server beside it: that may be cold. When the service itself was not known, nothing
 // can be said.
 func candidate(rec membership.Record, old *serviceView, now time.Time) balancer.Candidate {
 	c := balancer.Candidate{ID: rec.ID, DataCentre: rec.DataCentre}
 	if old == nil || len(old.candidates) == 0 {
 		return c
 	}
-	for _, known := range old.candidates {
-		if known.ID == rec.ID {
+	for i, known := range old.candidates {
+		if known.ID == rec.ID && old.contents[i] == rec.Content {
 			return known
 		}
 	}
--- a/node/routing_test.go
+++ b/node/routing_test.go
@@ -146,7 +146,7 @@
 	a := c.Add("a", testnode.Echo)
 	a.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), "store")
 	beat := func(instance string, sequence uint64, leaving bool) {
-		a.Node.Beat(time.Now(), node.Heartbeat{Instance: instance, URL: a.Backend.URL, Slots: 4, Sequence: sequence, Leaving: leaving})
+		a.Node.Beat(time.Now(), node.Heartbeat{Start: node.Start{ID: instance}, URL: a.Backend.URL, Slots: 4, Sequence: sequence, Leaving: leaving})
 	}
 	serves := func() bool { return forward(a, "a", "r", "").Verdict == verdict.Ran }
 
@@ -161,12 +161,39 @@
 	testnode.Await(t, "the next start serves", serves)
 	beat("one", 9, false)
 	is.Equal(a.State().Backend.Boot, "two")
-	a.Node.BackendLeaves("two")
+	a.Node.BackendLeaves(node.Start{ID: "two"})
 	beat("two", 2, false)
 	is.True(!serves())
 	is.Equal(a.Counters.LateBeats.Value(), int64(4))
 }
 
+// The backend server crashes and starts again under its id; its sequence begins
+// anew. It is in use from its first heartbeat on. A heartbeat and the last word of
+// the start before, held up on their way, change nothing.
+func TestBackendServerStartsAgainUnderItsID(t *testing.T) {
+	is := is.New(t)
+	c := startRouted(t, nil)
+	a := c.Add("a", testnode.Echo)
+	a.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), "store")
+	start := func(born int64) node.Start { return node.Start{ID: "x", Born: born} }
+	beat := func(born int64, sequence uint64) {
+		a.Node.Beat(time.Now(), node.Heartbeat{Start: start(born), URL: a.Backend.URL, Slots: 4, Sequence: sequence})
+	}
+	serves := func() bool { return forward(a, "a", "r", "").Verdict == verdict.Ran }
+
+	beat(1000, 5)
+	testnode.Await(t, "it serves", serves)
+	beat(2000, 1)
+	testnode.Await(t, "the next start serves", serves)
+	beat(1000, 6)
+	a.Node.BackendLeaves(start(1000))
+	is.True(serves())
+	is.Equal(a.State().Backend.Born, int64(2000))
+	is.Equal(a.Counters.LateBeats.Value(), int64(1))
+	a.Node.BackendLeaves(start(2000))
+	is.True(!serves())
+}
+
 // A node that is leaving takes requests for a while, since their callers have
 // not heard that it is not ready; what comes later is refused with a promise.
 func TestLeavingNodeTakesRequestsForAWhile(t *testing.T) {
@@ -226,14 +253,14 @@
 	url := c.Add("b", testnode.Echo).Backend.URL
 	a.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), "store")
 	found := func(instance string) {
-		a.Node.Found(time.Now(), node.Heartbeat{Instance: instance, URL: url, Slots: 4})
+		a.Node.Found(time.Now(), node.Heartbeat{Start: node.Start{ID: instance}, URL: url, Slots: 4})
 	}
-	a.Node.BackendLeaves("gone")
+	a.Node.BackendLeaves(node.Start{ID: "gone"})
 	found("gone")
 	is.True(forward(a, "a", "r", "").Verdict == verdict.NotRun)
 	found("one")
 	testnode.Await(t, "it serves", func() bool { return forward(a, "a", "r", "").Verdict == verdict.Ran })
-	a.Node.Beat(time.Now(), node.Heartbeat{Instance: "one", URL: url, Slots: 4}) // the first, with sequence 0
+	a.Node.Beat(time.Now(), node.Heartbeat{Start: node.Start{ID: "one"}, URL: url, Slots: 4}) // the first, with sequence 0
 	is.Equal(a.Counters.LateBeats.Value(), int64(0))
 	found("two")
 	is.Equal(a.State().Backend.Boot, "one")
--- a/node/run.go
+++ b/node/run.go
@@ -64,7 +64,7 @@
 		Query:      req.Query,
 		Body:       req.Body,
 		HTTP:       req.HTTP,
-		Instance:   inst.boot,
+		Instance:   inst.start.ID,
 		Idempotent: req.Idempotent || r.task.Operation != nil && r.task.Operation.Idempotent,
 	})
 	touched := n.server.ended(r)
@@ -73,7 +73,7 @@
 		n.counts.BackendBroken.Add(1)
 	}
 	if res.Crashed {
-		n.backendCrashed(inst.boot)
+		n.backendCrashed(inst.start)
 	}
 	n.noteRun(r.task, inst, result)
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
@@ -121,7 +121,7 @@
 		Reason:    r.Reason,
 		Status:    r.Status,
 		Detail:    r.Detail,
-		Target:    inst.boot,
+		Target:    inst.start.ID,
 		Waited:    t.Waited(),
 		Took:      r.Latency,
 		Left:      t.Deadline.Sub(now),
