--- a/admission/config.go
+++ b/admission/config.go
@@ -16,12 +16,12 @@
 	// should wait: what it takes to keep the slots busy through the chance
 	// gaps between arrivals. More would only hold the slots of the callers.
 	Queue float64
+	// Wait bounds that number by the time that the least important calls let in
+	// then wait; zero for no bound.
+	Wait time.Duration
 	// Settle is the number of intervals in which the queue is brought to its
 	// target.
 	Settle float64
-	// Lag is the number of intervals after which callers' nodes have surely
-	// heard of a new level.
-	Lag int
 	// Surplus is how much more the node itself admits than it tells callers'
 	// nodes to send, so that a request admitted there on slightly old news
 	// is not refused here after work was spent on it.
@@ -45,7 +45,6 @@
 		Stretch:  4,
 		Queue:    1,
 		Settle:   6,
-		Lag:      2,
 		Surplus:  0.15,
 		Probe:    2,
 		Fade:     0.6,
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -3,7 +3,6 @@
 import (
 	"math"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
@@ -29,6 +28,8 @@
 	InFlight int
 	// Limit is what InFlight is kept below.
 	Limit int
+	// Importance is that of the call.
+	Importance importance.Importance
 }
 
 // Gate sets the level of one node. Within an importance the hash is uniform, so
@@ -46,17 +47,18 @@
 	capacity  float64
 	published float64
 	admit     float64
-	// told holds the levels of the last intervals, known the highest of them.
-	told     []float64
-	known    float64
-	recovery recovery
+	recovery  recovery
 }
 
 // counts of one interval.
 type counts struct {
-	open, closed [importance.Count]float64
-	served, shed float64
-	queue        queueCounts
+	// arrived counts by importance, open sums up for each the share that the
+	// levels let in by which those that arrived came in.
+	arrived, open [importance.Count]float64
+	served, shed  float64
+	// servedOf counts the served by importance.
+	servedOf [importance.Count]float64
+	queue    queueCounts
 }
 
 // queueCounts sums up the state of the queue over the calls that left it, shed
@@ -84,14 +86,13 @@
 // NewGate returns a Gate that admits everything.
 func NewGate(cfg GateConfig) *Gate { return &Gate{cfg: cfg} }
 
-// Admit counts an arrival and reports whether the node takes it.
-func (g *Gate) Admit(now time.Time, priority uint16) bool {
+// Admit counts an arrival and reports whether the node takes it. bar is the level
+// by which the request was let in where it entered.
+func (g *Gate) Admit(now time.Time, priority, bar uint16) bool {
 	g.roll(now)
-	imp := Importance(priority)
-	if float64(priority) >= g.known {
-		g.seen.open[imp]++
-	} else {
-		g.seen.closed[imp]++
+	g.seen.arrived[Importance(priority)]++
+	for i := range g.seen.open {
+		g.seen.open[i] += openShare(float64(bar), i)
 	}
 	return float64(priority) >= g.admit
 }
@@ -105,6 +106,7 @@
 		return
 	}
 	g.seen.served++
+	g.seen.servedOf[s.Importance]++
 }
 
 // Level is what callers' nodes are told; zero admits everything.
@@ -147,27 +149,26 @@
 		return
 	}
 	part := float64(span) / float64(g.cfg.Interval)
-	for i := range g.arrivals {
-		open := openShare(g.known, i)
-		g.arrivals[i].learn(&g.cfg, part, open, g.seen.open[i], g.seen.closed[i])
-	}
+	g.learn(part)
 	g.set(part)
-	g.remember()
 	g.recovery.follow(now, g.published > 0)
 	g.start = now
 	g.seen = counts{}
 }
 
-// remember keeps the levels that callers' nodes may still go by. Calls that a
-// level lets in since a moment ago have not come yet: counted as seen, they
-// would make arrivals look few, and the level would fall too far, again and
-// again.
-func (g *Gate) remember() {
-	g.told = append(g.told, g.published)
-	if len(g.told) > g.cfg.Lag {
-		g.told = slices.Delete(g.told, 0, 1)
+// learn estimates what arrives of each importance, let in or not. What comes now was
+// let in by the levels of a while ago, since a request works at other services
+// before it calls here: taken for those of now, arrivals would look many after a
+// level rose and few after it fell, and it would swing between all and nothing.
+func (g *Gate) learn(part float64) {
+	all := 0.0
+	for _, n := range g.seen.arrived {
+		all += n
+	}
+	for i := range g.arrivals {
+		share := g.seen.open[i] / max(all, 1) // none arrived: nothing is known
+		g.arrivals[i].learn(&g.cfg, part, share, g.seen.arrived[i])
 	}
-	g.known = slices.Max(g.told)
 }
 
 // openShare is the share of an importance's hashes above a level.
@@ -188,7 +189,7 @@
 		return
 	}
 	queued := q.queued / max(q.calls, 1)
-	wanted := g.cfg.Queue * math.Sqrt(q.limit/max(q.calls, 1))
+	wanted := g.wanted(part, q.limit/max(q.calls, 1))
 	target := g.capacity + (wanted-queued)/g.cfg.Settle
 	target = max(target, g.capacity/2)
 	if queued > wanted && q.shortest > 0 {
@@ -198,6 +199,23 @@
 	g.lower(target)
 }
 
+// wanted is the number of calls that should wait. Those that wait are the least
+// important ones that are let in: where the others leave them few slots, a queue
+// that is short for all is long for them.
+func (g *Gate) wanted(part, limit float64) float64 {
+	most := g.cfg.Queue * math.Sqrt(limit)
+	if g.cfg.Wait == 0 {
+		return most
+	}
+	last := Importance(toLevel(g.published))
+	served := 0.0
+	for i := range last + 1 {
+		served += g.seen.servedOf[i]
+	}
+	perSecond := served / part / g.cfg.Interval.Seconds()
+	return min(most, max(perSecond*g.cfg.Wait.Seconds(), math.Sqrt(limit)))
+}
+
 func (g *Gate) measure(served float64, full bool) {
 	const gain = 0.3
 	switch {
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -206,20 +206,50 @@
 	return l.follow(now, s)
 }
 
-// Admit reports whether a request may be started that will reach the services.
-// If not, it names the one with the highest level and when to come back.
-func (l *Levels) Admit(now time.Time, services []string, priority uint16) (blockedBy string, retryAfter time.Duration, ok bool) {
-	highest := priority
+// Entry is the decision about one request that would enter.
+type Entry struct {
+	// Priority is the place that decided: that among the requests for the
+	// service whose level is the highest.
+	Priority uint16
+	// BlockedBy names the service that does not admit the request, empty if all
+	// do; RetryAfter is when to come back.
+	BlockedBy  string
+	RetryAfter time.Duration
+	// Bars are the levels above zero that were applied.
+	Bars []call.Level
+}
+
+// Admitted reports whether the request may be started.
+func (e Entry) Admitted() bool { return e.BlockedBy == "" }
+
+// Admit decides whether a request may be started that will reach the services.
+// place returns its priority among the requests for one of them, or that without
+// a service. If it may not, the one with the highest level is named.
+func (l *Levels) Admit(now time.Time, services []string, place func(service string) uint16) Entry {
+	var entry Entry
+	var highest, blocked uint16
 	for _, name := range services {
-		if level := l.Level(now, name); level > highest {
-			blockedBy, highest = name, level
+		level := l.Level(now, name)
+		if level == 0 {
+			continue
 		}
+		prio := place(name)
+		entry.Bars = append(entry.Bars, call.Level{Service: name, Priority: level})
+		if level > highest {
+			highest, entry.Priority = level, prio
+		}
+		if level > prio && level > blocked {
+			blocked, entry.BlockedBy = level, name
+		}
+	}
+	if highest == 0 {
+		entry.Priority = place("")
 	}
-	if blockedBy == "" {
-		return "", 0, true
+	if !entry.Admitted() {
+		r := &l.services[entry.BlockedBy].recovery
+		entry.RetryAfter = r.retryAfter(now, l.cfg.RetryMin, l.cfg.RetryMax, l.rng)
 	}
-	r := &l.services[blockedBy].recovery
-	return blockedBy, r.retryAfter(now, l.cfg.RetryMin, l.cfg.RetryMax, l.rng), false
+	return entry
 }
 
 // Report lists the levels to pass on, the highest first if there are too many.
--- a/call/message.go
+++ b/call/message.go
@@ -4,6 +4,8 @@
 package call
 
 import (
+	"math"
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
@@ -56,10 +58,19 @@
 	// Repeat says that the call, or the request that it is made for, may have
 	// run before: its own calls are extra attempts.
 	Repeat bool `cbor:"20,keyasint,omitempty"`
+	// Priority is the request's among all, as the node that it entered at placed
+	// it; zero for the one that its importance and id give.
+	Priority uint16 `cbor:"21,keyasint,omitempty"`
+	// Bars are the levels above zero that let the request in, by which a node
+	// knows what part of those like it were not.
+	Bars []Level `cbor:"23,keyasint,omitempty"`
 	// Via is the callee's number of the connection that the call came by.
 	Via uint64 `cbor:"-"`
 }
 
+// Bar is the level of a service that let the request in.
+func (r *Request) Bar(service string) uint16 { return LevelOf(r.Bars, service) }
+
 // RootID returns the id of the request as it entered the system. All its calls
 // fare alike by it.
 func (r *Request) RootID() string {
@@ -115,9 +126,9 @@
 	// Offered says that a request which did not run had reached the backend
 	// server: it counts as an attempt there.
 	Offered bool `cbor:"18,keyasint,omitempty"`
-	// Reached lists the services that the run is known to have called, and
-	// those that its calls reached.
-	Reached []string `cbor:"19,keyasint,omitempty"`
+	// Used is the slot time that the calls of the run took at each service that
+	// they reached.
+	Used []Use `cbor:"22,keyasint,omitempty"`
 	// RanFor is the time that the backend server took.
 	RanFor time.Duration `cbor:"21,keyasint,omitempty"`
 	// RequestID is for the notes of the replying node.
@@ -126,6 +137,39 @@
 	Via uint64 `cbor:"-"`
 }
 
+// Use is the time for which slots of a service were held.
+type Use struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	// Micros is the time in microseconds: half the bytes of nanoseconds, in
+	// each of many replies.
+	Micros uint32
+}
+
+// Seconds is the time in seconds.
+func (u Use) Seconds() float64 { return float64(u.Micros) / 1e6 }
+
+// AddUse adds slot time at a service to a list.
+func AddUse(list []Use, service string, d time.Duration) []Use {
+	micros := uint32(min(max(d.Microseconds(), 0), math.MaxUint32/2))
+	for i := range list {
+		if list[i].Service == service {
+			list[i].Micros = min(list[i].Micros, math.MaxUint32/2) + micros
+			return list
+		}
+	}
+	return append(list, Use{Service: service, Micros: micros})
+}
+
+// Names lists the services of a list.
+func Names(list []Use) []string {
+	names := make([]string, len(list))
+	for i, u := range list {
+		names[i] = u.Service
+	}
+	return names
+}
+
 // Level is the least priority that a service admits.
 type Level struct {
 	_        struct{} `cbor:",toarray"`
@@ -133,6 +177,30 @@
 	Priority uint16
 }
 
+// LevelOf finds the level of a service in a list, zero if it is not there.
+func LevelOf(levels []Level, service string) uint16 {
+	for _, l := range levels {
+		if l.Service == service {
+			return l.Priority
+		}
+	}
+	return 0
+}
+
+// HighestLevels joins two lists; of a service in both the higher level counts.
+func HighestLevels(a, b []Level) []Level {
+	out := slices.Clone(a)
+	for _, l := range b {
+		i := slices.IndexFunc(out, func(known Level) bool { return known.Service == l.Service })
+		if i < 0 {
+			out = append(out, l)
+			continue
+		}
+		out[i].Priority = max(out[i].Priority, l.Priority)
+	}
+	return out
+}
+
 // Cancel tells the callee that nobody waits for the attempt any more. The
 // callee answers with a Reply: NotRun if the attempt had not been handed to
 // the backend server, which it then never will be.
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -19,8 +19,9 @@
 	Body       []byte
 	// KeyHeld is how long a resend with the same key stays safe.
 	KeyHeld time.Duration
-	// Reached lists the services that the request is known to have reached.
-	Reached []string
+	// Used is the slot time that the request's calls took at each service that
+	// they reached.
+	Used []Use
 	// RanFor is the time that the backend server took for the answer.
 	RanFor time.Duration
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -113,6 +113,8 @@
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			ended := reportStop(time.Duration(float64(s.Bounds.Grace)*reportShare), n, log)
+			defer ended()
 			n.Drain()
 			err := n.Wait(ctx)
 			if closeErr := callers.Shutdown(ctx); err == nil {
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -133,7 +133,7 @@
 		Header:     r.Header,
 		Body:       r.Body,
 		KeyHeld:    r.KeyHeld,
-		Reached:    r.Reached,
+		Used:       r.Used,
 		RanFor:     r.RanFor,
 	}
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -121,6 +121,8 @@
 		HTTP:        p.HTTP,
 		Idempotent:  p.Operation.Idempotent,
 		Root:        p.Root,
+		Priority:    p.Priority,
+		Bars:        p.Bars,
 		Repeat:      p.Repeat || p.repeated,
 	}
 }
--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"math/rand/v2"
@@ -8,9 +9,9 @@
 	"time"
 )
 
-// spread is the coefficient of variation of the work of one class, as stated for
-// most classes of both deployments.
-const spread = 0.5
+// usualSpread is the coefficient of variation of the work of one class, as stated
+// for most classes of the deployments.
+const usualSpread = 0.5
 
 // backend models one backend server. Its methods block in modelled time.
 type backend struct {
@@ -93,19 +94,19 @@
 	b.waiting = b.waiting[1:]
 }
 
-// work is the time that a piece of work of the given mean takes now.
-func (b *backend) work(mean time.Duration) time.Duration {
+// work is the time that a piece of work of a class takes now.
+func (b *backend) work(c *Class) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	took := mean.Seconds() * b.slow / b.speed * b.lognormal()
+	took := c.Work.Seconds() * b.slow / b.speed * b.lognormal(cmp.Or(c.Spread, usualSpread))
 	if b.service.Knee > 0 && float64(b.busy) > b.service.Knee*float64(b.service.Slots) {
 		took *= b.service.KneeFactor
 	}
 	return time.Duration(took * float64(time.Second))
 }
 
-// lognormal has a mean of one and a coefficient of variation of spread.
-func (b *backend) lognormal() float64 {
+// lognormal has a mean of one and the given coefficient of variation.
+func (b *backend) lognormal(spread float64) float64 {
 	sigma2 := math.Log(1 + spread*spread)
 	return math.Exp(math.Sqrt(sigma2)*b.rng.NormFloat64() - sigma2/2)
 }
--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -44,6 +44,7 @@
 			r.world.report.good(r, id)
 			return
 		}
+		r.world.report.bad(out)
 		pause, again := r.pause(out, time.Until(deadline))
 		if !again || try == tries {
 			return
--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -38,9 +38,14 @@
 	// Work is the mean time at a backend server of speed one, without the
 	// calls that it makes.
 	Work time.Duration
+	// Spread is the coefficient of variation of the work; usualSpread if zero.
+	Spread float64
 	// Deadline is when a caller gives up; a call has no more time than the
 	// request above it.
-	Deadline   time.Duration
+	Deadline time.Duration
+	// Timeout is the route's: the longest that one try may take. Zero for the
+	// caller's own.
+	Timeout    time.Duration
 	Idempotent bool
 	// Calls are made one after the other while the request holds its slot, or
 	// at once if Together. Each is needed.
@@ -125,6 +130,35 @@
 	}
 }
 
+// Council is the third users' deployment: long direct reads share digests with the
+// short calls that end all deep requests, whose routes leave little time.
+func Council() Deployment {
+	pull := &Class{Name: "feed-pull", Service: "digests", Work: 30 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
+	roll := &Class{Name: "roll-fetch", Service: "votes", Work: 15 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true, Calls: times(4, pull)}
+	check := &Class{Name: "acct-check", Service: "billing", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: times(1, roll)}
+	return Deployment{
+		Name: "council",
+		Services: []Service{
+			{Name: "agenda", Speeds: []float64{0.6, 1, 1.4, 1, 1}, Slots: 87, Backlog: 108},
+			{Name: "billing", Speeds: []float64{0.6, 1, 1.4}, Slots: 145, Backlog: 108},
+			{Name: "votes", Speeds: []float64{0.7, 0.7, 1.6}, Slots: 145, Backlog: 108},
+			{Name: "digests", Speeds: []float64{0.5, 1, 1.5}, Slots: 36, Backlog: 108, Knee: 0.95, KneeFactor: 1.3},
+		},
+		Classes: []*Class{
+			{Name: "agenda-read", Service: "agenda", Importance: importance.Normal, Share: 0.563, Work: 120 * time.Millisecond, Spread: 0.8,
+				Deadline: 5 * time.Second, Timeout: 800 * time.Millisecond, Idempotent: true, Calls: times(1, check)},
+			{Name: "charge-post", Service: "billing", Importance: importance.Critical, Share: 0.207, Work: 160 * time.Millisecond, Spread: 0.8,
+				Deadline: 5 * time.Second, Timeout: time.Second, Calls: times(2, roll)},
+			{Name: "vote-file", Service: "votes", Importance: importance.Critical, Share: 0.141, Work: 84 * time.Millisecond,
+				Deadline: time.Second},
+			{Name: "digest-read", Service: "digests", Importance: importance.Normal, Share: 0.089, Work: 480 * time.Millisecond, Spread: 0.8,
+				Deadline: 5 * time.Second, Timeout: 2500 * time.Millisecond, Idempotent: true},
+		},
+		Deepest: "digests",
+		Delay:   500 * time.Microsecond,
+	}
+}
+
 func (d *Deployment) service(name string) *Service {
 	for i := range d.Services {
 		if d.Services[i].Name == name {
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -38,11 +38,11 @@
 
 // run is one task at the backend server.
 type run struct {
-	task    *serve.Task
-	class   *Class
-	ctx     context.Context
-	stop    context.CancelFunc
-	reached []string
+	task  *serve.Task
+	class *Class
+	ctx   context.Context
+	stop  context.CancelFunc
+	used  []call.Use
 }
 
 // rest is what a node keeps of its decisions here; nobody reads it.
@@ -112,14 +112,20 @@
 // enter takes a caller's request.
 func (n *node) enter(ctx context.Context, c *Class, id string, deadline time.Time) call.Outcome {
 	op := n.world.operations[c]
+	patience := time.Until(deadline)
+	if c.Timeout > 0 {
+		if limit := time.Now().Add(c.Timeout); limit.Before(deadline) {
+			deadline = limit
+		}
+	}
 	p := dispatch.Params{
 		RequestID: id, Operation: op, Importance: c.Importance, Deadline: deadline,
-		Ledger: retry.New(uint32(op.ExtraAttempts)), Fanout: 1, Entering: true, Patience: time.Until(deadline),
+		Ledger: retry.New(uint32(op.ExtraAttempts)), Fanout: 1, Entering: true, Patience: patience,
 		Reach: n.reach(c),
 	}
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict == verdict.Ran {
-		n.learn(c, out.Reached)
+		n.learn(c, call.Names(out.Used))
 	}
 	return out
 }
@@ -147,19 +153,21 @@
 	out := n.dispatch.Call(r.ctx, dispatch.Params{
 		RequestID: n.world.nextID(), Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.New(uint32(op.ExtraAttempts)), Fanout: 1,
-		Root: req.RootID(), Admitted: true, Repeat: req.Repeat, Depth: req.Depth + 1,
+		Root: req.RootID(), Priority: req.Priority, Bars: req.Bars, Admitted: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
-	n.reached(r, c.Service, out.Reached)
+	n.used(r, c.Service, out)
 	return out.Verdict == verdict.Ran && out.Status == statusOK
 }
 
-// reached notes what a call of the backend server has reached.
-func (n *node) reached(r *run, service string, below []string) {
+// used notes what a call of the backend server has reached and used.
+func (n *node) used(r *run, service string, out call.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	names := append(below, service)
-	r.reached = append(r.reached, names...)
-	if n.calls.Learn(time.Now(), "", names) {
+	r.used = call.AddUse(r.used, service, out.RanFor)
+	for _, u := range out.Used {
+		r.used = call.AddUse(r.used, u.Service, time.Duration(u.Micros)*time.Microsecond)
+	}
+	if n.calls.Learn(time.Now(), "", call.Names(r.used)) {
 		n.dispatch.PassOn(n.calls.Reach(""))
 	}
 }
@@ -220,7 +228,7 @@
 	result.Latency = time.Since(started)
 	n.mu.Lock()
 	delete(n.running, r.task.ID)
-	result.Reached = r.reached
+	result.Used = r.used
 	n.mu.Unlock()
 	n.do(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
@@ -230,7 +238,7 @@
 		return serve.Result{Verdict: verdict.NotRun, Reason: verdict.Shed, Offered: true}
 	}
 	held := time.Now()
-	ok := pause.For(r.ctx, n.backend.work(r.class.Work)) && n.callAll(r)
+	ok := pause.For(r.ctx, n.backend.work(r.class)) && n.callAll(r)
 	n.backend.leave()
 	n.world.report.used(n.service, r.task.Request.RootID(), time.Since(held))
 	if !ok {
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -5,7 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/verdict"
 )
 
 // counts of one phase by importance; requests count by their start.
@@ -23,6 +25,7 @@
 	Useful, Best time.Duration
 
 	hard, heeding, hardGood, heedingGood int
+	offered, good                        map[string]int // by class
 }
 
 // Report is what one run gave.
@@ -33,13 +36,16 @@
 	// succeed again as before.
 	Recovery time.Duration
 
-	day     *Day
-	start   time.Time
-	mu      sync.Mutex
-	spent   map[string]time.Duration // slot time at the deepest service, by request
-	useful  time.Duration
-	binGood []int
-	binAll  []int
+	day    *Day
+	start  time.Time
+	mu     sync.Mutex
+	spent  map[string]time.Duration // slot time at the deepest service, by request
+	useful time.Duration
+	// whole and broken are the tries that were let in and ended well, and that
+	// ended badly after they had run.
+	whole, broken int
+	binGood       []int
+	binAll        []int
 }
 
 // bin is the resolution of the recovery time, recovered the share of a bin's
@@ -54,7 +60,8 @@
 	var whole time.Duration
 	for _, p := range day.Phases {
 		whole += p.For
-		r.Phases = append(r.Phases, PhaseReport{Name: p.Name, Best: day.Deployment.best(&p)})
+		r.Phases = append(r.Phases, PhaseReport{Name: p.Name, Best: day.Deployment.best(&p),
+			offered: make(map[string]int), good: make(map[string]int)})
 	}
 	bins := int(whole/bin) + 1
 	r.binGood, r.binAll = make([]int, bins), make([]int, bins)
@@ -68,6 +75,7 @@
 	defer r.mu.Unlock()
 	p := &r.Phases[q.phase]
 	p.Offered[q.class.Importance]++
+	p.offered[q.class.Name]++
 	if q.hard {
 		p.hard++
 	} else {
@@ -81,6 +89,8 @@
 	defer r.mu.Unlock()
 	p := &r.Phases[q.phase]
 	p.Good[q.class.Importance]++
+	p.good[q.class.Name]++
+	r.whole++
 	if q.hard {
 		p.hardGood++
 	} else {
@@ -94,6 +104,39 @@
 	delete(r.spent, id)
 }
 
+// bad notes a try that did not end well.
+func (r *Report) bad(out call.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if out.Verdict != verdict.NotRun {
+		r.broken++
+	}
+}
+
+// Broken is the share of the tries that were let in which ended badly after they
+// had run.
+func (r *Report) Broken() float64 {
+	return float64(r.broken) / float64(max(1, r.broken+r.whole))
+}
+
+// ServedOf is the share of the offered requests of one class that ended well.
+func (p *PhaseReport) ServedOf(class string) float64 {
+	if p.offered[class] == 0 {
+		return 1
+	}
+	return float64(p.good[class]) / float64(p.offered[class])
+}
+
+// ServedAll is the share of all offered requests that ended well.
+func (p *PhaseReport) ServedAll() float64 {
+	offered, good := 0, 0
+	for name, n := range p.offered {
+		offered += n
+		good += p.good[name]
+	}
+	return float64(good) / float64(max(1, offered))
+}
+
 // settle is the time from the start of a phase that is not measured: requests that
 // end then were sent before it.
 const settle = time.Second
@@ -183,5 +226,10 @@
 		row += fmt.Sprintf("  %s %5.1f%% (critical %5.1f%%, normal %5.1f%%)", p.Name, 100*p.Goodput(),
 			100*p.Served(importance.Critical), 100*p.Served(importance.Normal))
 	}
+	p := r.During()
+	for _, c := range r.day.Deployment.Classes {
+		row += fmt.Sprintf("  %s %.2f", c.Name, p.ServedOf(c.Name))
+	}
+	row += fmt.Sprintf("  all %.3f  broken %4.1f%%", p.ServedAll(), 100*r.Broken())
 	return row + fmt.Sprintf("  wasted %4.1f%%, recovery %.2fs", 100*r.Wasted(), r.Recovery.Seconds())
 }
--- a/node/entry.go
+++ b/node/entry.go
@@ -139,6 +139,9 @@
 	p.Holder = holder
 	p.RequestID = parent.Request.RequestID
 	p.Importance = lower(parent.Request.Importance, in.Importance)
+	if p.Importance == parent.Request.Importance {
+		p.Priority, p.Bars = parent.Request.Priority, parent.Request.Bars
+	}
 	p.Depth = parent.Request.Depth + 1
 	p.Fanout = len(parent.Operation.DependsOn)
 	p.Ledger = r.ledger
@@ -164,7 +167,7 @@
 	if out.Verdict != verdict.NotRun {
 		n.server.touch(r)
 	}
-	n.server.reach(r, append(out.Reached, p.Operation.Service))
+	n.server.use(r, p.Operation.Service, out)
 	n.server.calling(time.Now(), r, -1)
 	return out
 }
--- a/node/forward.go
+++ b/node/forward.go
@@ -97,7 +97,7 @@
 	p.Reach = n.routing.reach(p.Operation)
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict == verdict.Ran {
-		n.routing.learn(time.Now(), p.Operation, out.Reached)
+		n.routing.learn(time.Now(), p.Operation, call.Names(out.Used))
 	}
 	return out
 }
@@ -114,6 +114,7 @@
 	req := &parent.task.Request
 	p.Root = req.RootID()
 	p.Importance = req.Importance
+	p.Priority, p.Bars = req.Priority, req.Bars
 	p.Depth = req.Depth + 1
 	p.Admitted = true
 	p.Repeat = req.Repeat
@@ -121,7 +122,7 @@
 		p.Deadline = parent.task.Deadline
 	}
 	out := n.callBeside(ctx, parent, p)
-	if n.routing.learnOwn(time.Now(), p.Operation.Service, out.Reached) {
+	if n.routing.learnOwn(time.Now(), p.Operation.Service, call.Names(out.Used)) {
 		n.dispatch.PassOn(n.routing.below(n.cfg.Service))
 	}
 	return out
--- a/node/run.go
+++ b/node/run.go
@@ -91,7 +91,7 @@
 		Latency:    res.Latency,
 		Crashed:    res.Crashed,
 		Offered:    res.Offered,
-		Reached:    n.server.reached(r),
+		Used:       n.server.used(r),
 		Unused:     n.dispatch.CloseLedger(r.ledger),
 	}
 	// A backend server that declines after it made calls of its own has left
--- a/node/server.go
+++ b/node/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
@@ -45,8 +46,8 @@
 	// touched is set when a call made for the task may have run: the task
 	// itself can then no longer claim "not run".
 	touched bool
-	// reached are the services that calls made for the task have reached.
-	reached []string
+	// used is the slot time that calls made for the task took at each service.
+	used []call.Use
 }
 
 func newServer(s *serve.Server) *server {
@@ -132,22 +133,21 @@
 	return s.serve.Waiting()
 }
 
-// reach notes what a call made for a run has reached.
-func (s *server) reach(r *run, services []string) {
+// use notes the slot time that a call made for a run took, at its service and below.
+func (s *server) use(r *run, service string, out call.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, name := range services {
-		if !slices.Contains(r.reached, name) {
-			r.reached = append(r.reached, name)
-		}
+	r.used = call.AddUse(r.used, service, out.RanFor)
+	for _, u := range out.Used {
+		r.used = call.AddUse(r.used, u.Service, time.Duration(u.Micros)*time.Microsecond)
 	}
 }
 
-// reached lists what the calls made for a run have reached.
-func (s *server) reached(r *run) []string {
+// used lists the slot time that the calls made for a run took.
+func (s *server) used(r *run) []call.Use {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(r.reached)
+	return slices.Clone(r.used)
 }
 
 // find returns the run that a token names.
@@ -191,10 +191,11 @@
 	return s.serve.Exhausted()
 }
 
-func (s *server) idle() bool {
+// tasks is the number of calls that wait or run beside the backend server.
+func (s *server) tasks() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.serve.Idle()
+	return s.serve.Tasks()
 }
 
 func (s *server) dump(now time.Time) serve.Dump {
--- a/node/stop.go
+++ b/node/stop.go
@@ -93,10 +93,29 @@
 	return nil
 }
 
+// InFlight is what a planned stop waits for.
+type InFlight struct {
+	// Entered are callers' requests, Tasks calls of peers that wait or run here,
+	// Replying answers on their way to a connection.
+	Entered, Tasks, Replying int
+	// Unflushed says that a peer has not read all that was sent to it.
+	Unflushed bool
+}
+
+// InFlight returns what a planned stop still waits for.
+func (n *Node) InFlight() InFlight {
+	return InFlight{
+		Entered:   int(n.entered.Load()),
+		Tasks:     n.server.tasks(),
+		Replying:  int(n.replying.Load()),
+		Unflushed: !n.peers.Flushed(),
+	}
+}
+
 // idle reports whether nothing is in flight: an answer that waits for its
 // peer to read would be cut off by the end of the connection.
 func (n *Node) idle() bool {
-	return n.entered.Load() == 0 && n.server.idle() && n.replying.Load() == 0 && n.peers.Flushed()
+	return n.InFlight() == InFlight{}
 }
 
 // leave tells the connected peers that this process ends.
--- a/queue/config.go
+++ b/queue/config.go
@@ -23,6 +23,10 @@
 	// is served with only the usual service time left fails half the time,
 	// after the work was done.
 	WaitShare float64
+	// YieldShare is the share of its spare time for which an item that would
+	// start a request lets later calls of requests under way go first.
+	YieldShare float64
+	YieldNeeds float64
 	// RateSpan is the busy time over which the service rate is averaged.
 	RateSpan time.Duration
 	// RateCalls is the number of served items that make the rate known.
--- a/queue/heap.go
+++ b/queue/heap.go
@@ -6,6 +6,7 @@
 const (
 	byWorth place = iota
 	byExpiry
+	byTurn
 	places
 )
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -2,7 +2,8 @@
 // server.
 //
 // The more important item goes first. Within one importance the oldest goes
-// first, and under overload the newest, because the oldest are about to expire.
+// first, but for the time that an item may yield to others, and under overload
+// the newest, because the oldest are about to expire.
 // The queue is bounded by what can be served soon; when it is full the item of
 // the least priority leaves, never a more important one for a lesser. An item
 // that cannot be served before its deadline is refused when it arrives.
@@ -16,6 +17,9 @@
 	ID uint64
 	// Priority has the importance in its high bits.
 	Priority uint16
+	// UnderWay says that work was spent already on the request that the item
+	// belongs to.
+	UnderWay bool
 	// Deadline is when the caller stops waiting; zero for never.
 	Deadline time.Time
 	// Need is the time that serving takes: what is left until the deadline
@@ -26,8 +30,10 @@
 
 type entry[T any] struct {
 	item       Item[T]
+	rank       int
 	seq        uint64
 	pushed     time.Time
+	turn       time.Time // the least of an importance goes first
 	expires    time.Time
 	position   [places]int
 	prev, next *entry[T]
@@ -37,7 +43,7 @@
 type Queue[T any] struct {
 	cfg     Config
 	byID    map[uint64]*entry[T]
-	ranks   []list[T]
+	ranks   []rankQueue[T]
 	worth   entryHeap[T]
 	expiry  entryHeap[T]
 	expired []Item[T]
@@ -52,14 +58,50 @@
 	return &Queue[T]{
 		cfg:    cfg,
 		byID:   make(map[uint64]*entry[T]),
-		ranks:  make([]list[T], 1<<(16-cfg.ImportanceShift)),
+		ranks:  newRanks[T](1 << (16 - cfg.ImportanceShift)),
 		worth:  entryHeap[T]{at: byWorth, before: worthLess[T]},
 		expiry: entryHeap[T]{at: byExpiry, before: expiresSooner[T]},
 		rate:   rate{cfg: cfg},
 	}
 }
 
+// rankQueue holds the items of one importance in both orders.
+type rankQueue[T any] struct {
+	list[T]
+	turns entryHeap[T]
+}
+
+func newRanks[T any](n int) []rankQueue[T] {
+	ranks := make([]rankQueue[T], n)
+	for i := range ranks {
+		ranks[i].turns = entryHeap[T]{at: byTurn, before: turnsSooner[T]}
+	}
+	return ranks
+}
+
+func (r *rankQueue[T]) add(e *entry[T]) {
+	r.list.add(e)
+	r.turns.add(e)
+}
+
+func (r *rankQueue[T]) remove(e *entry[T]) {
+	r.list.remove(e)
+	r.turns.remove(e)
+}
+
+func turnsSooner[T any](a, b *entry[T]) bool {
+	if !a.turn.Equal(b.turn) {
+		return a.turn.Before(b.turn)
+	}
+	return a.seq < b.seq
+}
+
+// worthLess orders by what is lost with an item: of one importance, those leave
+// first on which no work was spent.
 func worthLess[T any](a, b *entry[T]) bool {
+	if a.rank == b.rank && a.item.UnderWay != b.item.UnderWay {
+		return b.item.UnderWay
+	}
 	if a.item.Priority != b.item.Priority {
 		return a.item.Priority < b.item.Priority
 	}
@@ -108,6 +150,16 @@
 	return now.Add(time.Duration(float64(spare) * q.cfg.WaitShare))
 }
 
+// yields is how long an item lets later ones of its importance go first.
+func (q *Queue[T]) yields(now time.Time, item *Item[T]) time.Duration {
+	if item.Deadline.IsZero() || item.UnderWay {
+		return 0
+	}
+	spare := item.Deadline.Sub(now) - item.Need
+	most := time.Duration(max(0, float64(spare)*q.cfg.YieldShare))
+	return min(most, time.Duration(float64(item.Need)*q.cfg.YieldNeeds))
+}
+
 // ahead is the number of items that go before a new one of the rank.
 func (q *Queue[T]) ahead(now time.Time, rank int) int {
 	n := 0
@@ -139,7 +191,7 @@
 func (q *Queue[T]) Pop(now time.Time) (Item[T], bool) {
 	q.expire(now)
 	for r := len(q.ranks) - 1; r >= 0; r-- {
-		e := q.ranks[r].oldest
+		e := q.ranks[r].turns.first()
 		if q.Overloaded(now) {
 			e = q.ranks[r].newest
 		}
@@ -203,9 +255,9 @@
 
 func (q *Queue[T]) add(now time.Time, item Item[T]) {
 	q.seq++
-	e := &entry[T]{item: item, seq: q.seq, pushed: now}
+	e := &entry[T]{item: item, rank: q.rank(item.Priority), seq: q.seq, pushed: now, turn: now.Add(q.yields(now, &item))}
 	q.byID[item.ID] = e
-	q.ranks[q.rank(item.Priority)].add(e)
+	q.ranks[e.rank].add(e)
 	q.worth.add(e)
 	if !item.Deadline.IsZero() {
 		e.expires = q.expires(now, &item)
@@ -215,7 +267,7 @@
 
 func (q *Queue[T]) take(e *entry[T]) Item[T] {
 	delete(q.byID, e.item.ID)
-	q.ranks[q.rank(e.item.Priority)].remove(e)
+	q.ranks[e.rank].remove(e)
 	q.worth.remove(e)
 	if !e.item.Deadline.IsZero() {
 		q.expiry.remove(e)
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -225,3 +225,34 @@
 	now = now.Add(time.Second)
 	is.Equal(push(2002, 200*time.Millisecond), 1)
 }
+
+// The caller sees: its request fails at the last of four calls, after all the others
+// were made. Requests that would start wait beside calls of requests under way: those
+// go first, but only for a part of the spare time of what they pass, and when the
+// queue is full what was not begun leaves.
+func TestCallsUnderWayGoFirst(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.YieldShare = 0.25
+	cfg.OverloadAfter = time.Hour
+	cfg.MinItems = 3
+	push := func(q *Queue[int], now time.Time, id uint64, underWay bool) []Item[int] {
+		return q.Push(now, Item[int]{ID: id, UnderWay: underWay, Deadline: now.Add(2 * time.Second)})
+	}
+	pop := func(q *Queue[int], now time.Time) uint64 {
+		item, _ := q.Pop(now)
+		return item.ID
+	}
+	q := New[int](cfg)
+	push(q, start, 1, false)
+	push(q, start.Add(400*time.Millisecond), 2, true)
+	push(q, start.Add(600*time.Millisecond), 3, true)
+	now := start.Add(610 * time.Millisecond)
+	is.Equal([]uint64{pop(q, now), pop(q, now), pop(q, now)}, []uint64{2, 1, 3})
+
+	full := New[int](cfg)
+	for id, underWay := range []bool{true, false, true} {
+		is.Equal(len(push(full, start, uint64(id), underWay)), 0)
+	}
+	is.Equal(ids(push(full, start, 9, true)), []uint64{1})
+}
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -43,7 +43,7 @@
 
 func (s *Server) shed(now time.Time, t *Task, e *Effects) {
 	s.counts.Shed++
-	s.observe(now, admission.Shed)
+	s.observe(now, t, admission.Shed)
 	s.finishUnstarted(t, s.shedError(now), e)
 }
 
@@ -69,7 +69,7 @@
 	reply.Header = a.result.Header
 	reply.Body = a.result.Body
 	reply.Offered = a.result.Offered
-	reply.Reached = a.result.Reached
+	reply.Used = a.result.Used
 	reply.RanFor = a.result.Latency
 	reply.KeyHeld = a.held(now)
 	return reply
--- a/serve/server.go
+++ b/serve/server.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -108,8 +109,8 @@
 	return e
 }
 
-// Idle reports whether nothing waits or runs.
-func (s *Server) Idle() bool { return len(s.tasks) == 0 && len(s.parked) == 0 }
+// Tasks is the number of attempts that wait or run.
+func (s *Server) Tasks() int { return len(s.tasks) + len(s.parked) }
 
 // Waiting reports whether a task waits for its turn, for its key's binding or
 // for the moment to run alone: Tick has something to look after.
@@ -181,7 +182,7 @@
 		Deadline:  now.Add(req.Budget),
 		arrived:   now,
 		waiter:    waiter{from: req.From, seq: req.Seq},
-		priority:  admission.Priority(req.Importance, req.RootID()),
+		priority:  cmp.Or(req.Priority, admission.Priority(req.Importance, req.RootID())),
 		class:     uint32(xxhash.Sum64String(req.Operation)),
 	}
 }
@@ -198,11 +199,12 @@
 	item := queue.Item[*Task]{ID: t.ID, Deadline: t.Deadline, Value: t}
 	if s.cfg.Policy == PolicyFull {
 		item.Priority = t.priority
+		item.UnderWay = t.Request.Root != ""
 		item.Need = s.need(t)
 	}
 	if s.queue.Late(now, &item) {
 		s.counts.Expired++
-		s.observe(now, admission.Shed)
+		s.observe(now, t, admission.Shed)
 		s.finishUnstarted(t, s.tooLate(), e)
 		return
 	}
@@ -246,7 +248,7 @@
 	case s.guard.Check(now, t.Request.Fingerprint) == poison.Refuse:
 		s.counts.Poison++
 		return s.guard.Refusal(now, t.Request.Fingerprint)
-	case !s.gate.Admit(now, t.priority) && !s.cfg.TellOnly:
+	case !s.gate.Admit(now, t.priority, t.Request.Bar(s.cfg.Service)) && !s.cfg.TellOnly:
 		s.counts.Shed++
 		return s.shedError(now)
 	}
@@ -313,7 +315,7 @@
 func (s *Server) expire(now time.Time, e *Effects) {
 	for _, item := range s.queue.Expire(now) {
 		s.counts.Expired++
-		s.observe(now, admission.Shed)
+		s.observe(now, item.Value, admission.Shed)
 		s.finishUnstarted(item.Value, verdict.Refuse(verdict.Deadline, "expired while waiting"), e)
 	}
 	if s.lone != nil && s.running[s.lone.ID] == nil && !now.Before(s.lone.Deadline) {
--- a/serve/task.go
+++ b/serve/task.go
@@ -76,8 +76,9 @@
 	// Offered says that a request which did not run had reached the backend
 	// server.
 	Offered bool
-	// Reached lists the services that calls made for the task reached.
-	Reached []string
+	// Used is the slot time that calls made for the task took at each service
+	// that they reached.
+	Used []call.Use
 	// Unused is what is left of the request's grant of extra attempts.
 	Unused uint32
 }
