retry: extra attempts by the windows that bound them, in place of a bucket of two

Change: calls and extra attempts are counted by slots of half a second, and an attempt is allowed if no window of the bound that holds the present has too many; what is left of all decides which priority may have it. Property test against the bound's own words.

--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -1,6 +1,8 @@
 package replay
 
 import (
+	"time"
+
 	"github.com/cassialoom/cassialoom/daemon"
 	"github.com/cassialoom/cassialoom/dispatch"
 	production "github.com/cassialoom/cassialoom/node"
@@ -19,7 +21,7 @@
 
 // bounds of extra attempts on both deployments: a fifth of the requests, and the
 // slack of a window.
-var bounds = platform.Bounds{RetryRatio: 0.2, RetrySlack: 60}
+var bounds = platform.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60}
 
 // Ours is the policy that runs on the platform.
 func Ours() Policy {
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -1,11 +1,16 @@
 package retry
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Budget is the token bucket of one node. It is not safe for concurrent use.
+// Budget bounds the extra attempts of one node: a token bucket, or, with a Window,
+// what that leaves. It is not safe for concurrent use.
 type Budget struct {
 	cfg     Config
 	tokens  float64
+	window  *window // nil for a bucket
 	floor   floor
 	last    time.Time
 	calls   uint64
@@ -26,13 +31,21 @@
 // NewBudget returns a full budget: a node that has just started may need its
 // first extra attempts before it has made many calls.
 func NewBudget(cfg Config, now time.Time) *Budget {
-	return &Budget{cfg: cfg, tokens: cfg.Burst, last: now}
+	b := &Budget{cfg: cfg, tokens: cfg.Burst, last: now}
+	if cfg.Window > 0 {
+		b.window = newWindow(cfg.Window, now)
+	}
+	return b
 }
 
 // Call notes the first attempt of a call.
 func (b *Budget) Call(now time.Time) {
-	b.refill(now)
 	b.calls++
+	if b.window != nil {
+		b.window.now(now).calls++
+		return
+	}
+	b.refill(now)
 	b.add(b.cfg.Ratio)
 }
 
@@ -41,13 +54,33 @@
 // none.
 func (b *Budget) Allow(now time.Time, priority uint16) bool {
 	b.refill(now)
+	if b.window != nil {
+		b.weigh(now)
+	}
 	if b.tokens < 1 || float64(priority) < b.floor.level {
 		b.denied++
 		return false
 	}
+	b.spend(now)
+	return true
+}
+
+// weigh reads from the window how many attempts are left, and for whom: the fewer
+// of all that it allowed, the more important those have to be. So the attempts
+// that calm times have left go to anybody, and the last to whole requests.
+func (b *Budget) weigh(now time.Time) {
+	b.window.now(now)
+	left, all := b.window.room(b.cfg.Ratio, b.cfg.Burst)
+	b.tokens = left
+	b.floor.level = math.MaxUint16 * (1 - min(1, max(0, left)/max(all, 1)))
+}
+
+func (b *Budget) spend(now time.Time) {
 	b.tokens--
 	b.allowed++
-	return true
+	if b.window != nil {
+		b.window.now(now).extra++
+	}
 }
 
 // Charge takes an extra attempt that cannot be refused: the first attempt of a
@@ -55,8 +88,8 @@
 // the last token is owed.
 func (b *Budget) Charge(now time.Time) {
 	b.refill(now)
-	b.tokens = max(b.tokens-1, -b.cfg.Burst)
-	b.allowed++
+	b.spend(now)
+	b.tokens = max(b.tokens, -b.cfg.Burst)
 }
 
 // Dump returns the state for the dump.
@@ -69,6 +102,9 @@
 // refill ignores a clock that went back, and Burst bounds what one that went
 // ahead can bring.
 func (b *Budget) refill(now time.Time) {
+	if b.window != nil {
+		return
+	}
 	elapsed := now.Sub(b.last)
 	b.last = now
 	if elapsed > 0 {
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -40,6 +40,10 @@
 	// traffic can make an extra attempt too. At 0.1 a quiet node makes one in
 	// ten seconds, which loads nobody.
 	MinPerSecond float64
+	// Window, if above zero, replaces the bucket: what the calls of the last
+	// Window have earned and was not spent may be spent at once, and Burst
+	// beyond it. A bucket that holds ten attempts loses what a calm time earns.
+	Window time.Duration
 	// Services bounds the services with a budget of their own; the rest share
 	// one.
 	Services int
--- /dev/null
+++ b/retry/window_test.go
@@ -0,0 +1,93 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/cassialoom/cassialoom/internal/proptest"
+)
+
+var start = time.Unix(1_000_000_000, 0)
+
+// The caller sees: extra attempts that others count as too many, although each node
+// thinks that it keeps the bound. Calls and failures come in random bursts and
+// pauses at several nodes; whoever counts looks at every span of ten seconds, and
+// compares its extra attempts with the calls in it, in the span before it or in the
+// one that lies half before it.
+func TestPropertyWindowsKeepTheBound(t *testing.T) {
+	const (
+		span  = 10 * time.Second
+		ratio = 0.2
+		slack = 5.0
+	)
+	proptest.Check(t, func(r *rapid.T) {
+		cfg := DefaultConfig()
+		cfg.Window, cfg.Ratio, cfg.Burst = span, ratio, slack
+		b := NewBudget(cfg, start)
+		now := start
+		var calls, extra []time.Time
+		for range rapid.IntRange(1, 40).Draw(r, "phases") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 9000).Draw(r, "pause")) * time.Millisecond)
+			step := time.Duration(rapid.IntRange(1, 300).Draw(r, "step")) * time.Millisecond
+			fails := rapid.IntRange(0, 4).Draw(r, "attempts")
+			for range rapid.IntRange(0, 60).Draw(r, "calls") {
+				now = now.Add(step)
+				b.Call(now)
+				calls = append(calls, now)
+				for range fails {
+					if b.Allow(now, 1<<16-1) {
+						extra = append(extra, now)
+					}
+				}
+			}
+		}
+		count := func(list []time.Time, after, until time.Time) (n float64) {
+			for _, at := range list {
+				if at.After(after) && !at.After(until) {
+					n++
+				}
+			}
+			return n
+		}
+		for _, end := range extra {
+			for _, end := range []time.Time{end, end.Add(span / 3), end.Add(span * 3 / 4)} {
+				from := end.Add(-span)
+				most := max(count(calls, from, end), count(calls, from.Add(-span/2), end.Add(-span/2)), count(calls, from.Add(-span), from))
+				if n := count(extra, from, end); n > ratio*most+slack {
+					r.Fatalf("%v extra attempts in the window that ends %v after the start, %v calls", n, end.Sub(start), most)
+				}
+			}
+		}
+	})
+}
+
+// The caller sees: its request fails in the first second of a trouble, though the
+// calm minutes before had earned what would have carried it. A bucket of two attempts
+// forgets them. The window spends what the last ten seconds have earned, the first of
+// it on anybody, the last on the most important.
+func TestWindowSpendsWhatCalmTimesEarned(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Window, cfg.Ratio, cfg.Burst = 10*time.Second, 0.2, 2
+	b := NewBudget(cfg, start)
+	now := start
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		b.Call(now)
+	}
+	spend := func(priority uint16) (n int) {
+		for b.Allow(now, priority) {
+			n++
+		}
+		return n
+	}
+	normal := spend(1 << 14)
+	critical := spend(1<<16 - 1)
+	is.True(normal > 40 && normal < 60) // a quarter of the 200 that 1,000 calls earn
+	is.True(normal+critical > 190 && normal+critical <= 202)
+	is.Equal(b.Allow(now.Add(5*time.Second), 1<<16-1), false)
+	is.Equal(b.Allow(now.Add(time.Minute), 1<<16-1), true)
+}
