queue: requests that would start yield to calls under way, by what they need

Hypothesis: a call that waits too long wastes what was done for its request; a long direct request can wait. Change: within an importance the queue goes by a turn: arrival, plus a part of the spare time.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -152,12 +152,15 @@
 
 // yields is how long an item lets later ones of its importance go first.
 func (q *Queue[T]) yields(now time.Time, item *Item[T]) time.Duration {
-	if item.Deadline.IsZero() || item.UnderWay {
+	if item.Deadline.IsZero() {
 		return 0
 	}
-	spare := item.Deadline.Sub(now) - item.Need
-	most := time.Duration(max(0, float64(spare)*q.cfg.YieldShare))
-	return min(most, time.Duration(float64(item.Need)*q.cfg.YieldNeeds))
+	spare := max(0, item.Deadline.Sub(now)-item.Need).Seconds()
+	if item.UnderWay {
+		return time.Duration(spare * q.cfg.SoonerShare * float64(time.Second))
+	}
+	yields := min(spare*q.cfg.YieldShare, item.Need.Seconds()*q.cfg.YieldNeeds)
+	return time.Duration(yields * float64(time.Second))
 }
 
 // ahead is the number of items that go before a new one of the rank.
