--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -358,6 +358,8 @@
 	is.True(mean(ours, servedInTrouble) > mean(inOrder, servedInTrouble)+0.02)
 	is.True(mean(ours, (*Report).Broken) < mean(inOrder, (*Report).Broken))
 	most := admission.DefaultMixConfig().Most
-	long := func(r *Report) float64 { return r.During().ServedOf("digest-read") / r.During().ServedOf("agenda-read") }
+	long := func(r *Report) float64 {
+		return r.During().ServedOf("digest-read") / r.During().ServedOf("agenda-read")
+	}
 	is.True(mean(ours, long) > 1/(most*most))
 }
