retry: the slack for extra attempts is shared by all nodes that are there

Cause: it was divided by 16, whatever the size: 57 nodes could make three times the slack beyond the share of the calls, 3,500 more than 200 times. Change: each node takes its part among the members that it knows, at most a 16th. Measured: unit test (4 at 16 nodes, 2 at 32, none at 3,500).

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -143,4 +143,5 @@
 	cfg.Dispatch.Budget.Window = b.RetryWindow
 	cfg.Dispatch.Budget.Ratio = b.RetryRatio * budgetShare
 	cfg.Dispatch.Budget.Burst = max(1, b.RetrySlack*budgetShare/budgetNodes)
+	cfg.Dispatch.Budget.Nodes = budgetNodes
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -444,6 +444,13 @@
 	return true
 }
 
+// SetNodes says how many nodes share the bound of extra attempts.
+func (d *Dispatcher) SetNodes(n int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budgets.SetNodes(n)
+}
+
 func (d *Dispatcher) count(f func(*Counts)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/membership/view.go
+++ b/membership/view.go
@@ -21,6 +21,9 @@
 // Version changes with each change of the view.
 func (m *Members) Version() uint64 { return m.version }
 
+// Count is the number of members, this one included.
+func (m *Members) Count() int { return len(m.roster) + 1 }
+
 // View returns the members that are not gone, this node too, by identity. The
 // slice must not be changed; it stays as it is.
 func (m *Members) View() []Record {
--- a/node/loops.go
+++ b/node/loops.go
@@ -64,6 +64,7 @@
 	if !n.cfg.Directory {
 		n.tickMemberLog(now)
 	}
+	n.dispatch.SetNodes(n.members.count())
 	peers := n.members.ofService(n.cfg.Service)
 	n.serve(func(_ time.Time, s *serve.Server) serve.Effects {
 		s.SetPeers(peers)
--- a/node/roster.go
+++ b/node/roster.go
@@ -112,6 +112,12 @@
 	return r.members.View()
 }
 
+func (r *roster) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members.Count()
+}
+
 func (r *roster) version() uint64 {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -36,6 +36,9 @@
 	// also sets what counts as recent: the last Burst/Ratio calls. 10 covers
 	// the calls in flight to one backend server that is killed.
 	Burst float64
+	// Nodes is for how many nodes Burst is meant; where there are more, each has
+	// less. Zero leaves it as it is.
+	Nodes int
 	// MinPerSecond is earned without any call, so that a node with little
 	// traffic can make an extra attempt too. At 0.1 a quiet node makes one in
 	// ten seconds, which loads nobody.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -91,3 +91,26 @@
 	is.Equal(b.Allow(now.Add(5*time.Second), 1<<16-1), false)
 	is.Equal(b.Allow(now.Add(time.Minute), 1<<16-1), true)
 }
+
+// The caller sees nothing; whoever counts the extra attempts of all nodes sees more than
+// the bound allows beyond the share of the calls, since each node of a fleet that has
+// grown takes the part that it had in the small one.
+func TestSlackIsSharedByAllNodes(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Window, cfg.Ratio, cfg.MinPerSecond, cfg.Burst, cfg.Nodes = 10*time.Second, 0.2, 0, 4, 16
+	b := NewBudgets(cfg)
+	spend := func(service string) (n int) {
+		for b.Of(start, service).Allow(start, 1<<16-1) {
+			n++
+		}
+		return n
+	}
+	is.Equal(spend("a"), 4)
+	b.SetNodes(8)
+	is.Equal(spend("b"), 4)
+	b.SetNodes(32)
+	is.Equal(spend("c"), 2)
+	b.SetNodes(3500)
+	is.Equal(spend("c")+spend("d"), 0)
+}
