--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -17,8 +17,6 @@
 	"cmp"
 	"context"
 	"math/rand/v2"
-	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -273,89 +271,6 @@
 	return out
 }
 
-// admit refuses a call before any work is spent on it, if a service that it
-// would reach does not admit it.
-func (d *Dispatcher) admit(p *Params) *verdict.Error {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.counts.Calls++
-	switch budget := d.budgets.Of(now, p.Operation.Service); {
-	case p.Repeat:
-		budget.Charge(now)
-	case !p.Resend:
-		budget.Call(now)
-	}
-	if d.cfg.NoAdmission || p.Admitted {
-		return nil
-	}
-	entry := d.levels(*p).Admit(now, p.reach(), d.place(now, p))
-	p.Priority = entry.Priority
-	p.Bars = call.HighestLevels(p.Bars, entry.Bars)
-	if entry.Admitted() {
-		return d.outlookFor(now, *p)
-	}
-	d.counts.Refused++
-	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", entry.BlockedBy, entry.Priority).After(entry.RetryAfter)
-}
-
-// place returns the request's place among those that need a service. The caller of
-// this holds the lock.
-func (d *Dispatcher) place(now time.Time, p *Params) func(service string) uint16 {
-	prio := p.priority()
-	if !p.Entering {
-		return func(string) uint16 { return prio }
-	}
-	route := usualKey(*p)
-	d.mix.Arrived(now, route)
-	return func(service string) uint16 {
-		if service == "" {
-			return prio
-		}
-		return d.mix.Place(now, service, route, prio)
-	}
-}
-
-// outlookFor defers a request that enters here while those of its route fail. The
-// caller of this holds the lock.
-func (d *Dispatcher) outlookFor(now time.Time, p Params) *verdict.Error {
-	if !p.Entering {
-		return nil
-	}
-	after, deferred := d.outlook.Defer(now, usualKey(p), p.Patience)
-	if !deferred {
-		return nil
-	}
-	d.counts.Deferred++
-	return verdict.Refuse(verdict.Shed, "hardly any request of this kind ends well now").After(after)
-}
-
-// ended notes how a request that entered here ended. Only one that made calls tells
-// of what lies below its service: a backend server that fails by itself is no
-// reason to wait.
-func (d *Dispatcher) ended(p Params, out call.Outcome) {
-	if !p.Entering || out.Verdict == verdict.NotRun || len(out.Used) == 0 {
-		return
-	}
-	good := out.Reason == verdict.None && out.Status < http.StatusInternalServerError
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	d.outlook.Ended(now, usualKey(p), good)
-}
-
-// learnUse notes what a request used that entered here and ended well: one that
-// failed has made only some of its calls.
-func (d *Dispatcher) learnUse(p Params, out call.Outcome) {
-	if !p.Entering || out.Reason != verdict.None || out.Status >= http.StatusBadRequest {
-		return
-	}
-	used := call.AddUse(out.Used, p.Operation.Service, out.RanFor)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.mix.Learn(time.Now(), usualKey(p), p.Importance, used)
-}
-
 func (d *Dispatcher) attempt(ctx context.Context, p Params) call.Outcome {
 	to, ok := d.awaitTarget(ctx, p)
 	if !ok {
@@ -400,50 +315,6 @@
 	return call.Failed(err)
 }
 
-// spend finds a node for another attempt and takes the attempt from the
-// request and from the node's budget. Nothing is taken when there is no node.
-func (d *Dispatcher) spend(ctx context.Context, p Params, a *attempts, r call.Reply, next *target, hop *int) bool {
-	if ctx.Err() != nil {
-		return false
-	}
-	to, ok := d.nextTarget(p, a, r)
-	if !ok {
-		return false
-	}
-	if !a.free(r) && !d.take(p, a, to, hop) {
-		d.release(p, to)
-		return false
-	}
-	*next = to
-	return true
-}
-
-// take takes the extra attempt at a target from the bounds. Offering a call again
-// to one that declined it is an attempt for the budget, but sends the request to
-// no further backend server.
-func (d *Dispatcher) take(p Params, a *attempts, to target, hop *int) bool {
-	if d.cfg.HopAttempts > 0 {
-		*hop--
-		return *hop >= 0
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	further := d.cfg.Reoffers == 0 || !slices.Contains(a.tried, to.id)
-	if further && p.Ledger.Left() == 0 {
-		return false
-	}
-	now := time.Now()
-	if !d.budgets.Of(now, p.Operation.Service).Allow(now, p.priority()) {
-		d.counts.OverBudget++
-		return false
-	}
-	if further {
-		p.Ledger.Spend()
-	}
-	d.counts.Retries++
-	return true
-}
-
 // SetNodes says how many nodes share the bound of extra attempts.
 func (d *Dispatcher) SetNodes(n int) {
 	d.mu.Lock()
