--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -91,4 +91,3 @@
 	defer d.mu.Unlock()
 	d.mix.Learn(time.Now(), usualKey(p), p.Importance, used)
 }
-
--- a/dispatch/spend.go
+++ b/dispatch/spend.go
@@ -51,4 +51,3 @@
 	d.counts.Retries++
 	return true
 }
-
