--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -288,43 +287,6 @@
 	is.True(ours.During().HardServed() < ours.During().HeedingServed()+0.1)
 }
 
-// Ablation prints what each choice is worth on the load of all deployments.
-func TestAblation(t *testing.T) {
-	if os.Getenv("ABLATION") == "" {
-		t.Skip("by hand, with ABLATION=1")
-	}
-	variants := []Policy{
-		variant("t4", func(p *Policy) {}),
-		variant("sooner0", func(p *Policy) { p.Serve.Queue.SoonerShare = 0 }),
-		variant("mix1.9", func(p *Policy) { p.Dispatch.Mix.Most = 1.9 }),
-	}
-	for _, d := range []Deployment{Council(), Savukartta(), Hallwyl()} {
-		for _, kind := range strings.Split(os.Getenv("ABLATION"), ",") {
-			day := burst(d, 1.25)
-			switch kind {
-			case "burst 2":
-				day = burst(d, 2)
-			case "a third lost":
-				day.Phases[1].Load, day.Phases[1].Lost = 0.9, 1
-			case "two thirds lost":
-				day.Phases[1].Load, day.Phases[1].Lost = 0.8, 2
-			case "slow":
-				day.Phases[1].Load, day.Phases[1].Slow = 0.8, 6
-			}
-			for _, v := range variants {
-				t.Run(d.Name+" "+kind+" "+v.Name, func(t *testing.T) {
-					t.Parallel()
-					for k := range uint64(2) {
-						day := day
-						day.Seed += k
-						play(t, day, v)
-					}
-				})
-			}
-		}
-	}
-}
-
 // plays runs a day with two seeds.
 func plays(t *testing.T, day Day, p Policy) []*Report {
 	first := play(t, day, p)
