node: the crash of a start that was found before it told its time counts

Cause, found by reading: a run that began between the question at the node's start and the first heartbeat names the start without its time; its crash was taken for that of another start, and the backend server stayed in use until it was silent for 5 s.

--- a/node/instance.go
+++ b/node/instance.go
@@ -23,6 +23,12 @@
 	beaten   bool
 }
 
+// is reports whether a word about a start is about the one in use. The word may be
+// older than the first heartbeat, which told when the start was.
+func (i *instance) is(start Start) bool {
+	return i.start == start || start == Start{ID: i.start.ID}
+}
+
 // The states that a backend server announces.
 const (
 	stateReady    = "ready"
@@ -72,7 +78,7 @@
 
 func (n *Node) leaveStart(start Start) {
 	before, after := n.setInstance(func(i *instance) {
-		if i.start == start {
+		if i.is(start) {
 			i.ready = false
 		}
 	})
@@ -84,7 +90,7 @@
 // backendCrashed stops new work for a backend server whose process is gone.
 func (n *Node) backendCrashed(start Start) {
 	before, after := n.setInstance(func(i *instance) {
-		if i.start == start {
+		if i.is(start) {
 			i.ready = false
 		}
 	})
--- a/node/starts_test.go
+++ b/node/starts_test.go
@@ -134,3 +134,15 @@
 	_, ok = fresh.take(time.Time{}, instance{}, Heartbeat{Start: Start{ID: "w", Born: 8}, Sequence: 1})
 	is.True(ok)
 }
+
+// A backend server found at the node's start crashes while its first heartbeat, which
+// tells when it started, has just come: the crash is that of the start in use. One of an
+// earlier start under the same id is not.
+func TestCrashOfAStartWhoseTimeCameLater(t *testing.T) {
+	is := is.New(t)
+	in := instance{start: Start{ID: "x", Born: 5}}
+	is.True(in.is(Start{ID: "x", Born: 5}))
+	is.True(in.is(Start{ID: "x"}))
+	is.True(!in.is(Start{ID: "x", Born: 4}))
+	is.True(!in.is(Start{ID: "y"}))
+}
