--- /dev/null
+++ b/call/message_test.go
@@ -0,0 +1,36 @@
+package call
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Slot time adds up by service, without wrapping round however long a peer says that
+// a call took.
+func TestUses(t *testing.T) {
+	is := is.New(t)
+	list := AddUse(nil, "a", 3*time.Millisecond)
+	list = AddUse(list, "b", time.Second)
+	list = AddUse(list, "a", 2*time.Millisecond)
+	is.Equal(list, []Use{{Service: "a", Micros: 5000}, {Service: "b", Micros: 1_000_000}})
+	is.Equal(Names(list), []string{"a", "b"})
+	is.Equal(list[0].Seconds(), 0.005)
+	list = AddUse(AddUse(list, "a", -time.Second), "a", math.MaxInt64)
+	list = AddUse(list, "a", math.MaxInt64)
+	is.True(list[0].Micros > math.MaxUint32/2)
+}
+
+// A request that passed two levels of one service was let in by the higher one.
+func TestHighestLevels(t *testing.T) {
+	is := is.New(t)
+	a := []Level{{Service: "a", Priority: 5}, {Service: "b", Priority: 9}}
+	joined := HighestLevels(a, []Level{{Service: "a", Priority: 7}, {Service: "b", Priority: 1}, {Service: "c", Priority: 2}})
+	is.Equal(joined, []Level{{Service: "a", Priority: 7}, {Service: "b", Priority: 9}, {Service: "c", Priority: 2}})
+	is.Equal(a[0].Priority, uint16(5)) // the lists are as they were
+	r := Request{Bars: joined}
+	is.Equal(r.Bar("a"), uint16(7))
+	is.Equal(r.Bar("d"), uint16(0))
+}
