call: one copy of adding up what a call used

Cause: the node, the replay and the dispatcher each added a call's own slot time to that of the calls below it. No behaviour.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -30,3 +30,13 @@
 func Failed(e *verdict.Error) Outcome {
 	return Outcome{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
 }
+
+// AddUses adds to a list the slot time that a call of the service took, there and at
+// all services below it.
+func (o *Outcome) AddUses(list []Use, service string) []Use {
+	list = AddUse(list, service, o.RanFor)
+	for _, u := range o.Used {
+		list = AddUse(list, u.Service, time.Duration(u.Micros)*time.Microsecond)
+	}
+	return list
+}
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
@@ -86,7 +85,7 @@
 	if !p.Entering || out.Reason != verdict.None || out.Status >= http.StatusBadRequest {
 		return
 	}
-	used := call.AddUse(slices.Clone(out.Used), p.Operation.Service, out.RanFor)
+	used := out.AddUses(nil, p.Operation.Service)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.mix.Learn(time.Now(), usualKey(p), p.Importance, used)
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -163,10 +163,7 @@
 func (n *node) used(r *run, service string, out call.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r.used = call.AddUse(r.used, service, out.RanFor)
-	for _, u := range out.Used {
-		r.used = call.AddUse(r.used, u.Service, time.Duration(u.Micros)*time.Microsecond)
-	}
+	r.used = out.AddUses(r.used, service)
 	if n.calls.Learn(time.Now(), "", call.Names(r.used)) {
 		n.dispatch.PassOn(n.calls.Reach(""))
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -137,10 +137,7 @@
 func (s *server) use(r *run, service string, out call.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.used = call.AddUse(r.used, service, out.RanFor)
-	for _, u := range out.Used {
-		r.used = call.AddUse(r.used, u.Service, time.Duration(u.Micros)*time.Microsecond)
-	}
+	r.used = out.AddUses(r.used, service)
 }
 
 // used lists the slot time that the calls made for a run took.
