--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -52,11 +52,22 @@
 		w.play(i)
 	}
 	w.callers.Wait()
+	// A call that its caller has given up may still be at work, and its cancel on
+	// the way. Nothing outlives the longest deadline; what is blocked when the
+	// bubble ends, where time no longer moves, is a deadlock to it.
+	time.Sleep(w.longestDeadline())
 	close(stop)
 	w.report.finish()
 	return w.report
 }
 
+func (w *world) longestDeadline() (longest time.Duration) {
+	for _, c := range w.classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest
+}
+
 func (w *world) know(c *Class) {
 	w.classes[c.Name] = c
 	w.operations[c] = operation(c)
