readers: which nodes call the store, and when, decided apart

Ruled out: learning the routes from peers at a start; a loss of all nodes then takes some 0.3 s longer, which serves callers worse than 194 calls cost. Change: package readers plans both kinds of calls from time, situation and outcomes. Two readers a data centre wait at the store and read the list; the others look once in two seconds a data centre, and ask on during an outage only while they have no routes or know nobody. Calls are counted by cause.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -62,7 +62,9 @@
 	return cmp.Or(own.PeerAdvertise, s.Peers)
 }
 
-func newStore(s platform.Settings) *platform.Store { return platform.NewStore(s.Store.Addr) }
+func newStore(s platform.Settings, c *ops.Counters) *platform.Store {
+	return platform.NewStore(s.Store.Addr, func(cause platform.Cause) { c.StoreCalls.Add(string(cause), 1) })
+}
 
 func newPlatformNode(cfg node.Config, s *platform.Store, log zerolog.Logger, c *ops.Counters) (*node.Node, error) {
 	return node.New(cfg, s, log, c)
--- a/node/loops.go
+++ b/node/loops.go
@@ -75,9 +75,6 @@
 // Meet names addresses at which other nodes may be.
 func (n *Node) Meet(addrs []string) { n.members.seeds(addrs) }
 
-// Alone reports whether the node knows no other one.
-func (n *Node) Alone() bool { return len(n.members.view()) <= 1 }
-
 func (n *Node) tickMemberLog(now time.Time) {
 	n.members.with(func(m *membership.Members) {
 		if from, limit, ok := m.WantLog(now); ok {
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/readers"
 	"github.com/cassialoom/cassialoom/routes"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -62,17 +63,29 @@
 // be cut off from it, or gone and not yet missed.
 const readersPerDataCentre = 2
 
-// Reader reports whether this node is one of the readers of its data centre: the
-// first by identity of those that are known. It is harmless if two views differ
-// and more or fewer nodes take themselves for readers for a while.
-func (n *Node) Reader() bool {
+// Reader reports whether this node is one of the readers of its data centre.
+func (n *Node) Reader() bool { return n.Situation().Reader }
+
+// Situation is what decides how often this node calls the store. The readers of a
+// data centre are the first by identity of those that are known; it is harmless if
+// two views differ and more or fewer nodes take themselves for readers for a while.
+func (n *Node) Situation() readers.Situation {
+	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true}
 	before := 0
-	for _, rec := range n.members.view() {
-		if rec.DataCentre == n.cfg.DataCentre && rec.State == membership.Alive && bytes.Compare(rec.ID[:], n.id[:]) < 0 {
-			before++
+	n.members.with(func(m *membership.Members) {
+		for rec := range m.All() {
+			s.Alone = s.Alone && rec.ID == n.id
+			if rec.DataCentre != n.cfg.DataCentre {
+				continue
+			}
+			s.Neighbours++
+			if rec.State == membership.Alive && bytes.Compare(rec.ID[:], n.id[:]) < 0 {
+				before++
+			}
 		}
-	}
-	return before < readersPerDataCentre
+	})
+	s.Reader = before < readersPerDataCentre
+	return s
 }
 
 // offerRoutes tells all other nodes of a version; those that lack it ask.
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -37,6 +37,8 @@
 	ControlBytesIn, ControlBytesOut expvar.Int
 	// LogReads, LogAppends and LogFailures of the platform's log.
 	LogReads, LogAppends, LogFailures expvar.Int
+	// StoreCalls to the platform's store, by cause.
+	StoreCalls expvar.Map
 	// ConfigChanges put in force.
 	ConfigChanges expvar.Int
 	// RoutesRefused counts published routes that could not be taken.
@@ -89,38 +91,41 @@
 type namedVar struct {
 	name  string
 	value expvar.Var
+	// label names what the keys of a map are.
+	label string
 }
 
 func (c *Counters) list() []namedVar {
 	return []namedVar{
-		{"requests", &c.Requests},
-		{"ran", &c.Ran},
-		{"not_run", &c.NotRun},
-		{"may_have_run", &c.MayHaveRun},
-		{"reasons", &c.reasons},
-		{"local_calls", &c.LocalCalls},
-		{"attempts", &c.Attempts},
-		{"extra_attempts", &c.ExtraAttempts},
-		{"extra_refused", &c.ExtraRefused},
-		{"runs", &c.Runs},
-		{"backend_broken", &c.BackendBroken},
-		{"backend_crashes", &c.BackendCrashes},
-		{"keys_minted", &c.KeysMinted},
-		{"late_replies", &c.LateReplies},
-		{"peer_connects", &c.PeerConnects},
-		{"peer_losses", &c.PeerLosses},
-		{"bad_messages", &c.BadMessages},
-		{"control_bytes_in", &c.ControlBytesIn},
-		{"control_bytes_out", &c.ControlBytesOut},
-		{"log_reads", &c.LogReads},
-		{"log_appends", &c.LogAppends},
-		{"log_failures", &c.LogFailures},
-		{"config_changes", &c.ConfigChanges},
-		{"routes_refused", &c.RoutesRefused},
-		{"late_beats", &c.LateBeats},
-		{"hedges", &c.Hedges},
-		{"deferred", &c.Deferred},
-		{"strays", &c.Strays},
+		{name: "requests", value: &c.Requests},
+		{name: "ran", value: &c.Ran},
+		{name: "not_run", value: &c.NotRun},
+		{name: "may_have_run", value: &c.MayHaveRun},
+		{name: "reasons", value: &c.reasons, label: "reason"},
+		{name: "local_calls", value: &c.LocalCalls},
+		{name: "attempts", value: &c.Attempts},
+		{name: "extra_attempts", value: &c.ExtraAttempts},
+		{name: "extra_refused", value: &c.ExtraRefused},
+		{name: "runs", value: &c.Runs},
+		{name: "backend_broken", value: &c.BackendBroken},
+		{name: "backend_crashes", value: &c.BackendCrashes},
+		{name: "keys_minted", value: &c.KeysMinted},
+		{name: "late_replies", value: &c.LateReplies},
+		{name: "peer_connects", value: &c.PeerConnects},
+		{name: "peer_losses", value: &c.PeerLosses},
+		{name: "bad_messages", value: &c.BadMessages},
+		{name: "control_bytes_in", value: &c.ControlBytesIn},
+		{name: "control_bytes_out", value: &c.ControlBytesOut},
+		{name: "log_reads", value: &c.LogReads},
+		{name: "log_appends", value: &c.LogAppends},
+		{name: "log_failures", value: &c.LogFailures},
+		{name: "store_calls", value: &c.StoreCalls, label: "cause"},
+		{name: "config_changes", value: &c.ConfigChanges},
+		{name: "routes_refused", value: &c.RoutesRefused},
+		{name: "late_beats", value: &c.LateBeats},
+		{name: "hedges", value: &c.Hedges},
+		{name: "deferred", value: &c.Deferred},
+		{name: "strays", value: &c.Strays},
 	}
 }
 
--- a/ops/metrics.go
+++ b/ops/metrics.go
@@ -35,7 +35,7 @@
 	for _, v := range c.list() {
 		if m, ok := v.value.(*expvar.Map); ok {
 			m.Do(func(kv expvar.KeyValue) {
-				fmt.Fprintf(w, "%s%s{reason=%q} %s\n", metricPrefix, v.name, kv.Key, kv.Value)
+				fmt.Fprintf(w, "%s%s{%s=%q} %s\n", metricPrefix, v.name, v.label, kv.Key, kv.Value)
 			})
 			continue
 		}
--- /dev/null
+++ b/readers/readers_test.go
@@ -0,0 +1,211 @@
+package readers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet is one data centre whose nodes follow the routes of one store, in modelled
+// time. The first two are its readers once they have met.
+type fleet struct {
+	nodes []*Routes
+	// published is the number of versions in the store, known what each node has
+	// in force, asked when the node's read was sent.
+	published int
+	known     []int
+	waiting   []bool
+	until     []time.Time
+	calls     int
+	away      bool
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{published: 1}
+	for i := range n {
+		f.nodes = append(f.nodes, NewRoutes(DefaultRoutesConfig(), uint64(i)))
+	}
+	f.known = make([]int, n)
+	f.waiting = make([]bool, n)
+	f.until = make([]time.Time, n)
+	return f
+}
+
+const step = 10 * time.Millisecond
+
+// play lets time pass; each node does what its plan says.
+func (f *fleet) play(now time.Time, d time.Duration) time.Time {
+	for end := now.Add(d); now.Before(end); now = now.Add(step) {
+		for i := range f.nodes {
+			f.turn(now, i)
+		}
+	}
+	return now
+}
+
+func (f *fleet) turn(now time.Time, i int) {
+	if f.waiting[i] {
+		if f.away || f.known[i] == f.published && now.Before(f.until[i]) {
+			return
+		}
+		f.waiting[i] = false
+		f.learn(i)
+		f.nodes[i].Answered(now)
+	}
+	s := Situation{Reader: i < 2, Routes: f.known[i] > 0, Neighbours: len(f.nodes)}
+	next := f.nodes[i].Next(now, s)
+	if next.Action == Pause {
+		return
+	}
+	f.calls++
+	switch {
+	case f.away:
+		f.nodes[i].Failed(now)
+	case next.For > 0:
+		f.waiting[i], f.until[i] = true, now.Add(next.For)
+	default:
+		f.learn(i)
+		f.nodes[i].Answered(now)
+	}
+}
+
+// learn brings what the store holds; readers tell the others.
+func (f *fleet) learn(i int) {
+	f.known[i] = f.published
+	if i < 2 {
+		for k := range f.known {
+			f.known[k] = f.published
+		}
+	}
+}
+
+// A fleet at rest, and one whose routes change, calls the store as often with 400
+// nodes in a data centre as with 40: two readers wait there, and one of the others
+// looks in two seconds. Were every node to wait, each change alone would make 400
+// calls.
+func TestCallsDoNotGrowWithTheFleet(t *testing.T) {
+	is := is.New(t)
+	calls := func(n int) (rest, changes int) {
+		f := newFleet(n)
+		now := f.play(start, 30*time.Second)
+		f.calls = 0
+		now = f.play(now, time.Minute)
+		rest, f.calls = f.calls, 0
+		for range 20 {
+			f.published++
+			now = f.play(now, time.Second)
+		}
+		return rest, f.calls
+	}
+	rest40, changes40 := calls(40)
+	rest400, changes400 := calls(400)
+	t.Log(rest40, rest400, changes40, changes400)
+	is.True(rest400 < 2*rest40 && rest400 < 120)
+	is.True(changes400 < 80) // two for each change, and the looks of 20 s
+}
+
+// The store goes away while routes are in force everywhere. Only the readers ask on,
+// once a second; a node that has what it needs asks once at most. A store that comes
+// back is heard of by a reader within its pause.
+func TestAStoreThatIsAwayIsAskedByReaders(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(200)
+	now := f.play(start, 5*time.Second)
+	f.away, f.calls = true, 0
+	for i := range f.nodes[:2] {
+		f.waiting[i] = false
+		f.nodes[i].Failed(now)
+	}
+	now = f.play(now, 10*time.Second)
+	t.Log(f.calls)
+	is.True(f.calls <= 2*15)
+	f.away = false
+	f.published++
+	f.play(now, 1100*time.Millisecond)
+	is.Equal(f.known[150], f.published)
+}
+
+// All nodes of a fleet start at once, before they know each other. Each reads the
+// routes once; none waits at the store before it can know who the readers are.
+func TestAStartCostsOneRead(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(200)
+	f.play(start, 900*time.Millisecond)
+	is.Equal(f.calls, 200)
+}
+
+// A node starts while the store is away: it asks until a peer gives it the routes,
+// and then leaves the asking to the readers.
+func TestANodeWithRoutesStopsAsking(t *testing.T) {
+	is := is.New(t)
+	r := NewRoutes(DefaultRoutesConfig(), 1)
+	now := start
+	asked := func(s Situation, d time.Duration) (n int) {
+		for end := now.Add(d); now.Before(end); now = now.Add(step) {
+			if r.Next(now, s).Action != Pause {
+				n++
+				r.Failed(now)
+			}
+		}
+		return n
+	}
+	is.True(asked(Situation{Alone: true, Reader: true}, 5*time.Second) >= 6)
+	is.True(asked(Situation{Routes: true, Neighbours: 39}, 20*time.Second) <= 1)
+	is.True(asked(Situation{Routes: true, Neighbours: 39, Reader: true}, 5*time.Second) >= 4)
+}
+
+// Records expire before they were read: the newest routes are read again at once.
+func TestExpiredRecordsAreReadAnew(t *testing.T) {
+	is := is.New(t)
+	r := NewRoutes(DefaultRoutesConfig(), 1)
+	s := Situation{Reader: true, Routes: true}
+	is.Equal(r.Next(start, s).Action, Newest)
+	r.Answered(start)
+	is.Equal(r.Next(start, s).Action, Pause) // who the readers are is not known yet
+	later := start.Add(time.Second)
+	is.Equal(r.Next(later, s), Step{Follow, DefaultRoutesConfig().Wait})
+	r.Gone()
+	is.Equal(r.Next(later, s).Action, Newest)
+}
+
+// A node enters itself once, goes on looking while it is alone or a reader, and
+// leaves the list to the readers otherwise.
+func TestTheListIsReadByReaders(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultListConfig(), 1)
+	met := Situation{Neighbours: 39}
+	is.Equal(l.Pause(start, met), time.Duration(0))
+	is.True(l.Read(start, met, 200, false) <= time.Second) // spread over a second
+	l.Failed(start, met)                                   // its entry was not taken
+	is.True(l.Pause(start, met) > 0)
+	later := start.Add(10 * time.Second)
+	is.Equal(l.Pause(later, met), time.Duration(0))
+	l.Read(later, met, 200, false)
+	l.Entered()
+	much := later.Add(time.Hour)
+	is.True(l.Pause(much, met) > 0)
+	is.Equal(l.Pause(much, Situation{Neighbours: 39, Reader: true}), time.Duration(0))
+	is.Equal(l.Pause(much, Situation{Alone: true}), time.Duration(0))
+}
+
+// A node that knows nobody and whose store is away tries again within two seconds;
+// one that has met others and only lacks its own entry takes five.
+func TestWhoIsAloneAsksSooner(t *testing.T) {
+	is := is.New(t)
+	tries := func(s Situation) (n int) {
+		l := NewList(DefaultListConfig(), 1)
+		for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(step) {
+			if l.Pause(now, s) == 0 {
+				n++
+				l.Failed(now, s)
+			}
+		}
+		return n
+	}
+	alone, met := tries(Situation{Alone: true}), tries(Situation{Neighbours: 39})
+	is.True(alone >= 9)
+	is.True(met <= 6)
+}
--- /dev/null
+++ b/readers/routes.go
@@ -0,0 +1,136 @@
+package readers
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Action is what a node does next about its routes.
+type Action uint8
+
+const (
+	// Pause does nothing for Step.For.
+	Pause Action = iota
+	// Newest reads the routes as they are now.
+	Newest
+	// Follow reads what came after the last read, and waits Step.For at the
+	// store if that is nothing.
+	Follow
+)
+
+// Step is one action.
+type Step struct {
+	Action Action
+	For    time.Duration
+}
+
+// RoutesConfig holds the choices of Routes.
+type RoutesConfig struct {
+	// Wait is how long a read of a reader waits at the store. A store that was
+	// silent meanwhile may never answer it: the next read, on another
+	// connection, is due then, well within the time in which a version must be
+	// in force.
+	Wait time.Duration
+	// Settle is the time after the first read in which a node does not take
+	// itself for a reader: it knows few of the others, or none, and in a fleet
+	// that starts together all would.
+	Settle time.Duration
+	// CheckMin and CheckEach set the pause between the reads of a node that is
+	// no reader: CheckEach for every node of its data centre, CheckMin at least.
+	// So a data centre makes one such call in CheckEach, whatever its size.
+	CheckMin, CheckEach time.Duration
+	// RetryMin and RetryMax bound the pause after a failure. The first is short
+	// against the time in which a version must be in force, the second keeps
+	// readers from pressing a store that is down.
+	RetryMin, RetryMax time.Duration
+}
+
+// DefaultRoutesConfig returns the choices explained at RoutesConfig.
+func DefaultRoutesConfig() RoutesConfig {
+	return RoutesConfig{
+		Wait:      2500 * time.Millisecond,
+		Settle:    time.Second,
+		CheckMin:  25 * time.Second,
+		CheckEach: 2 * time.Second,
+		RetryMin:  100 * time.Millisecond,
+		RetryMax:  time.Second,
+	}
+}
+
+// Routes plans how a node follows the operator's routes. It is used by one
+// goroutine: Next, then what that says, then Answered, Gone or Failed.
+type Routes struct {
+	cfg     RoutesConfig
+	rng     *rand.Rand
+	retries backoff
+	// known says that the newest routes were read and can be followed.
+	known      bool
+	settleTill time.Time
+	retryAt    time.Time
+	checkAt    time.Time
+}
+
+// NewRoutes returns the plan of a node that has read nothing.
+func NewRoutes(cfg RoutesConfig, seed uint64) *Routes {
+	return &Routes{
+		cfg:     cfg,
+		rng:     rand.New(rand.NewPCG(seed, 0)),
+		retries: backoff{min: cfg.RetryMin, max: cfg.RetryMax},
+	}
+}
+
+// Next returns what to do now.
+func (r *Routes) Next(now time.Time, s Situation) Step {
+	if left := r.retryAt.Sub(now); left > 0 {
+		return Step{Pause, min(left, look)}
+	}
+	switch {
+	case !s.Routes && !r.known:
+		return Step{Action: Newest}
+	case !s.Routes && s.Reader:
+		return Step{Follow, r.cfg.Wait}
+	case !s.Routes: // the operator has written none yet
+		return Step{Follow, r.cfg.CheckMin}
+	}
+	if left := r.settleTill.Sub(now); left > 0 {
+		return Step{Pause, min(left, look)}
+	}
+	if r.known && r.checkAt.IsZero() {
+		r.checkAt = r.nextCheck(now, s) // the neighbours are known by now
+	}
+	if !s.Reader && now.Before(r.checkAt) {
+		return Step{Action: Pause, For: look}
+	}
+	return r.read(now, s)
+}
+
+func (r *Routes) nextCheck(now time.Time, s Situation) time.Time {
+	return now.Add(jitter(r.rng, max(r.cfg.CheckMin, time.Duration(s.Neighbours)*r.cfg.CheckEach)))
+}
+
+// read is the step of a node whose turn it is.
+func (r *Routes) read(now time.Time, s Situation) Step {
+	r.checkAt = r.nextCheck(now, s)
+	switch {
+	case !r.known:
+		return Step{Action: Newest}
+	case s.Reader:
+		return Step{Follow, r.cfg.Wait}
+	}
+	return Step{Action: Follow}
+}
+
+// Answered reports that the store answered the last read.
+func (r *Routes) Answered(now time.Time) {
+	r.retries.reset()
+	if !r.known {
+		r.known = true
+		r.settleTill = now.Add(r.cfg.Settle)
+	}
+}
+
+// Gone reports that the records to be read next have expired.
+func (r *Routes) Gone() { r.known = false }
+
+// Failed reports that the last read brought nothing.
+func (r *Routes) Failed(now time.Time) { r.retryAt = now.Add(r.retries.step()) }
