admission, node: nodes tell each other the levels of services

Cause: levels came with replies alone. At 194 nodes each has three or four replies a second, which passed through nodes with a dozen; what an entry node knew of the deepest service was a second old and half faded, and differed from node to node. Fresh news go before words that came with replies.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -24,6 +24,11 @@
 type service struct {
 	nodes    []learned
 	recovery recovery
+	// straight counts the words since the last telling that came from the
+	// service's own nodes; speaks says that there were enough in the time
+	// before to speak for it.
+	straight int
+	speaks   bool
 	// combined is the level until valid, unless a word changes.
 	combined uint16
 	valid    time.Time
@@ -37,16 +42,18 @@
 type Levels struct {
 	cfg      LevelsConfig
 	rng      *rand.Rand
+	news     *News
 	services map[string]*service
 	passOn   []string
 	scratch  []uint16
 }
 
-// NewLevels returns Levels that admit everything. The seed spreads the times to
-// come back.
-func NewLevels(cfg LevelsConfig, seed uint64) *Levels {
+// NewLevels returns Levels that admit everything. Where the news are fresh they go
+// before words that came with replies. The seed spreads the times to come back.
+func NewLevels(cfg LevelsConfig, news *News, seed uint64) *Levels {
 	return &Levels{
 		cfg:      cfg,
+		news:     news,
 		rng:      rand.New(rand.NewPCG(seed, 0)),
 		services: make(map[string]*service),
 	}
@@ -75,7 +82,22 @@
 		l.services[name] = s
 	}
 	s.learn(word, l.cfg.Nodes)
-	l.follow(now, s)
+	if word.speaker == name {
+		s.straight++
+	}
+	l.follow(now, name, s)
+}
+
+// Speak notes in the news what is known here of services whose own nodes were heard
+// often since it was last called.
+func (l *Levels) Speak(now time.Time) {
+	for name, s := range l.services {
+		s.speaks = s.straight >= l.news.cfg.Words
+		s.straight = 0
+		if s.speaks {
+			l.news.note(now, name, l.level(now, s), now)
+		}
+	}
 }
 
 // room reports whether another service can be remembered. A peer could name any
@@ -190,9 +212,14 @@
 	return l.scratch[int(l.cfg.Quantile*float64(len(l.scratch)-1))]
 }
 
-// follow is level, and keeps count of how long it stays above zero.
-func (l *Levels) follow(now time.Time, s *service) uint16 {
+// follow is the level that counts: what was heard from the service's own nodes, else
+// the news, else what replies passed on. It keeps count of how long that stays above
+// zero.
+func (l *Levels) follow(now time.Time, name string, s *service) uint16 {
 	level := l.level(now, s)
+	if told, ok := l.news.Level(now, name); ok && !s.speaks {
+		level = told
+	}
 	s.recovery.follow(now, level > 0)
 	return level
 }
@@ -201,9 +228,13 @@
 func (l *Levels) Level(now time.Time, name string) uint16 {
 	s, ok := l.services[name]
 	if !ok {
-		return 0
+		if told, _ := l.news.Level(now, name); told == 0 || !l.room(now) {
+			return 0
+		}
+		s = &service{}
+		l.services[name] = s
 	}
-	return l.follow(now, s)
+	return l.follow(now, name, s)
 }
 
 // Entry is the decision about one request that would enter.
@@ -280,7 +311,7 @@
 	for name, s := range l.services {
 		out = append(out, LevelState{
 			Service:  name,
-			Level:    l.level(now, s),
+			Level:    l.follow(now, name, s),
 			Nodes:    len(s.nodes),
 			Recovery: s.recovery.mean.String(),
 		})
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -26,7 +26,7 @@
 func TestLevelsKeepTheOrder(t *testing.T) {
 	services := []string{"a", "b", "c"}
 	proptest.Check(t, func(r *rapid.T) {
-		l := NewLevels(DefaultLevelsConfig(), 1)
+		l := NewLevels(DefaultLevelsConfig(), NewNews(NewsConfig{}), 1)
 		now := start
 		for range rapid.IntRange(1, 40).Draw(r, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(r, "ms")) * time.Millisecond)
@@ -63,7 +63,7 @@
 func TestLevelsStragglerAndSilence(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultLevelsConfig()
-	l := NewLevels(cfg, 1)
+	l := NewLevels(cfg, NewNews(NewsConfig{}), 1)
 	low := Priority(importance.Low, "r1")
 	closed := []call.Level{{Service: "plumecast", Priority: 60000}}
 	l.Heard(start, "plumecast", node(0), closed)
@@ -95,7 +95,7 @@
 // names a service takes its level back, and only services below are passed on.
 func TestLevelsForgetAndPassOn(t *testing.T) {
 	is := is.New(t)
-	l := NewLevels(DefaultLevelsConfig(), 1)
+	l := NewLevels(DefaultLevelsConfig(), NewNews(NewsConfig{}), 1)
 	l.PassOn([]string{"fieldlog", "stationlog"})
 	l.Heard(start, "plumecast", node(1), []call.Level{{Service: "stationlog", Priority: 50}, {Service: "alertdesk", Priority: 70}})
 	is.Equal(l.Report(start), []call.Level{{Service: "stationlog", Priority: 50}})
@@ -112,7 +112,7 @@
 func TestLevelsStayBounded(t *testing.T) {
 	is := is.New(t)
 	cfg := DefaultLevelsConfig()
-	l := NewLevels(cfg, 1)
+	l := NewLevels(cfg, NewNews(NewsConfig{}), 1)
 	for i := range 200 {
 		l.Learn(start.Add(time.Duration(i)*time.Millisecond), "dossier-svc", node(i), 10)
 	}
--- a/call/message.go
+++ b/call/message.go
@@ -177,6 +177,16 @@
 	Priority uint16
 }
 
+// LevelNews is a level that one node tells another, and how old the word is.
+type LevelNews struct {
+	_        struct{} `cbor:",toarray"`
+	Service  string
+	Priority uint16
+	// AgeMillis is the time in milliseconds since a node heard it from the
+	// service's own nodes.
+	AgeMillis uint16
+}
+
 // LevelOf finds the level of a service in a list, zero if it is not there.
 func LevelOf(levels []Level, service string) uint16 {
 	for _, l := range levels {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,6 +69,8 @@
 	Balancer   balancer.Config
 	Budget     retry.Config
 	Levels     admission.LevelsConfig
+	// News lets nodes tell each other levels; the zero value switches it off.
+	News admission.NewsConfig
 	// Margin is kept back from the deadline at each hop, so that the
 	// callee's own answer to an expired call is back in time.
 	Margin time.Duration
@@ -130,6 +132,7 @@
 	// the calls of the node's backend server; only own is passed on.
 	entering *admission.Levels
 	own      *admission.Levels
+	news     *admission.News
 	outlook  *admission.Outlook
 	mix      *admission.Mix
 	budgets  *retry.Budgets
@@ -160,6 +163,7 @@
 
 // New returns a Dispatcher.
 func New(cfg Config, l Linker, m Members, notes *explain.Recorder) *Dispatcher {
+	news := admission.NewNews(cfg.News)
 	return &Dispatcher{
 		cfg:      cfg,
 		linker:   l,
@@ -168,8 +172,9 @@
 		random:   rand.New(rand.NewPCG(cfg.Seed, 0)),
 		waiting:  make(map[uint64]*wait),
 		pickers:  make(map[string]*picker),
-		entering: admission.NewLevels(cfg.Levels, cfg.Seed),
-		own:      admission.NewLevels(cfg.Levels, cfg.Seed+1),
+		entering: admission.NewLevels(cfg.Levels, news, cfg.Seed),
+		own:      admission.NewLevels(cfg.Levels, news, cfg.Seed+1),
+		news:     news,
 		outlook:  admission.NewOutlook(cfg.Outlook, cfg.Seed),
 		mix:      admission.NewMix(cfg.Mix),
 		budgets:  retry.NewBudgets(cfg.Budget),
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -226,6 +226,22 @@
 	return d.own.Report(now)
 }
 
+// TellLevels returns what to tell other nodes about levels now.
+func (d *Dispatcher) TellLevels(now time.Time) []call.LevelNews {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own.Speak(now)
+	d.entering.Speak(now)
+	return d.news.Tell(now)
+}
+
+// HearLevels takes what another node tells about levels.
+func (d *Dispatcher) HearLevels(now time.Time, told []call.LevelNews) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.news.Hear(now, told)
+}
+
 // grant takes the share of one attempt out of the request's ledger.
 func (d *Dispatcher) grant(p Params) retry.Grant {
 	d.mu.Lock()
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -57,9 +57,9 @@
 	}
 	if m.policy.Admission {
 		n.gate = admission.NewGate(m.policy.Gate)
-		n.levels = admission.NewLevels(m.policy.Levels, m.scenario.Seed)
+		n.levels = admission.NewLevels(m.policy.Levels, admission.NewNews(admission.NewsConfig{}), m.scenario.Seed)
 		n.levels.PassOn(m.scenario.below(s))
-		n.entry = admission.NewLevels(m.policy.Levels, m.scenario.Seed+1)
+		n.entry = admission.NewLevels(m.policy.Levels, admission.NewNews(admission.NewsConfig{}), m.scenario.Seed+1)
 	}
 	return n
 }
--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -11,8 +12,8 @@
 )
 
 const (
-	// tries of one caller at most.
-	tries = 4
+	// usualReturns is how often a caller tries again at most.
+	usualReturns = 3
 	// heedShare of the time left is the longest that a caller waits when it is
 	// told when to come back.
 	heedShare = 1.0 / 3
@@ -34,7 +35,8 @@
 
 func (r *request) send() {
 	deadline := r.start.Add(r.class.Deadline)
-	for try := 1; ; try++ {
+	returns := cmp.Or(r.class.Returns, usualReturns)
+	for try := 0; ; try++ {
 		id := fmt.Sprint("r", r.world.nextID())
 		n := r.world.all[r.rng.IntN(len(r.world.all))]
 		ctx, stop := context.WithDeadline(context.Background(), deadline)
@@ -44,9 +46,9 @@
 			r.world.report.good(r, id)
 			return
 		}
-		r.world.report.bad(out)
+		r.world.report.bad(out, try)
 		pause, again := r.pause(out, time.Until(deadline))
-		if !again || try == tries {
+		if !again || try == returns {
 			return
 		}
 		time.Sleep(pause)
--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -9,6 +9,7 @@
 package replay
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
@@ -20,6 +21,9 @@
 	// Speeds has one entry for each backend server: work takes its time divided
 	// by the speed.
 	Speeds []float64
+	// Centres names the data centre of each backend server; all are in one if it
+	// is empty.
+	Centres []string
 	// Slots is how many calls a backend server works on at once, Backlog how
 	// many more it queues before it declines.
 	Slots, Backlog int
@@ -47,6 +51,14 @@
 	// caller's own.
 	Timeout    time.Duration
 	Idempotent bool
+	// Aim is the time within which an answer serves its caller in full; later
+	// ones count for LateShare. Both are zero where only the deadline counts.
+	Aim       time.Duration
+	LateShare float64
+	// Worth of a served request, one if it is zero.
+	Worth float64
+	// Returns is how often a caller tries again at most; usualReturns if zero.
+	Returns int
 	// Calls are made one after the other while the request holds its slot, or
 	// at once if Together. Each is needed.
 	Calls    []*Class
@@ -60,8 +72,9 @@
 	Classes  []*Class
 	// Deepest names the service that is short first.
 	Deepest string
-	// Delay is the one-way delay between two nodes.
-	Delay time.Duration
+	// Delay is the one-way delay between two nodes, Near that within a data
+	// centre where the deployment has several.
+	Delay, Near time.Duration
 }
 
 func times(n int, c *Class) []*Class {
@@ -159,6 +172,57 @@
 	}
 }
 
+// Wide is the first users' deployment at the size of a large fleet: 194 nodes in
+// five data centres. The ten backend servers of the deepest service are spread
+// unevenly over them, one to three in each.
+func Wide() Deployment {
+	sync := &Class{Name: "station-sync", Service: "stationlog", Work: 55 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
+	fetch := &Class{Name: "obs-fetch", Service: "fieldlog", Work: 15 * time.Millisecond, Deadline: 2 * time.Second, Idempotent: true, Calls: times(4, sync)}
+	lookup := &Class{Name: "notice-lookup", Service: "alertdesk", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: times(1, fetch)}
+	return Deployment{
+		Name: "wide",
+		Services: []Service{
+			spread(Service{Name: "plumecast", Slots: 30, Backlog: 60}, []float64{0.6, 1, 1.4}, 18, 21, 21, 18, 17),
+			spread(Service{Name: "alertdesk", Slots: 30, Backlog: 60}, []float64{0.5, 1, 1, 1.5}, 15, 13, 13, 14, 14),
+			spread(Service{Name: "fieldlog", Slots: 67, Backlog: 60}, []float64{0.7, 0.7, 1.6}, 4, 5, 4, 4, 3),
+			spread(Service{Name: "stationlog", Slots: 35, Backlog: 132, Knee: 0.95, KneeFactor: 1.3}, []float64{0.6, 1, 1.4}, 3, 2, 2, 1, 2),
+		},
+		Classes: []*Class{
+			{Name: "plume-view", Service: "plumecast", Importance: importance.Normal, Share: 0.593, Work: 220 * time.Millisecond, Returns: 1,
+				Deadline: 5 * time.Second, Timeout: 1500 * time.Millisecond, Aim: 1500 * time.Millisecond, LateShare: 0.3, Idempotent: true, Calls: times(1, lookup)},
+			{Name: "notice-issue", Service: "alertdesk", Importance: importance.Critical, Share: 0.249, Work: 280 * time.Millisecond, Returns: 1, Worth: 3,
+				Deadline: 5 * time.Second, Timeout: 2 * time.Second, Aim: 2 * time.Second, LateShare: 0.6, Calls: times(2, fetch), Together: true},
+			{Name: "obs-file", Service: "fieldlog", Importance: importance.Normal, Share: 0.09, Work: 170 * time.Millisecond, Returns: 1,
+				Deadline: 5 * time.Second, Aim: 1200 * time.Millisecond, LateShare: 0.3, Idempotent: true},
+			{Name: "station-hist", Service: "stationlog", Importance: importance.Normal, Share: 0.068, Work: 170 * time.Millisecond, Spread: 0.8, Returns: 1,
+				Deadline: 2500 * time.Millisecond, Timeout: 1200 * time.Millisecond, Aim: 600 * time.Millisecond, LateShare: 0.3},
+		},
+		Deepest: "stationlog",
+		Delay:   900 * time.Microsecond,
+		Near:    100 * time.Microsecond,
+	}
+}
+
+// spread gives a service backend servers in several data centres, with speeds that
+// repeat.
+func spread(s Service, speeds []float64, counts ...int) Service {
+	for centre, n := range counts {
+		for range n {
+			s.Speeds = append(s.Speeds, speeds[len(s.Speeds)%len(speeds)])
+			s.Centres = append(s.Centres, fmt.Sprint("centre-", centre+1))
+		}
+	}
+	return s
+}
+
+// centre is the data centre of a backend server.
+func (s *Service) centre(k int) string {
+	if len(s.Centres) == 0 {
+		return "one"
+	}
+	return s.Centres[k]
+}
+
 func (d *Deployment) service(name string) *Service {
 	for i := range d.Services {
 		if d.Services[i].Name == name {
--- a/internal/replay/members.go
+++ b/internal/replay/members.go
@@ -25,10 +25,10 @@
 // Known implements dispatch.Members; no node ends.
 func (m *members) Known(wire.NodeID) bool { return true }
 
-func (m *members) join(service string, id wire.NodeID) {
+func (m *members) join(service, centre string, id wire.NodeID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.candidates[service] = append(m.candidates[service], balancer.Candidate{ID: id, DataCentre: "one"})
+	m.candidates[service] = append(m.candidates[service], balancer.Candidate{ID: id, DataCentre: centre})
 	m.version++
 }
 
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
@@ -24,9 +25,13 @@
 	world    *world
 	id       wire.NodeID
 	service  *Service
+	centre   string
 	backend  *backend
 	dispatch *dispatch.Dispatcher
 
+	// arrived counts attempts sent here, refused ones too.
+	arrived atomic.Int64
+
 	mu     sync.Mutex
 	callee *serve.Server
 	// running are the tasks at the backend server, by task.
@@ -48,16 +53,16 @@
 // rest is what a node keeps of its decisions here; nobody reads it.
 var rest = explain.Config{Notable: 1, Ordinary: 1}
 
-func newNode(w *world, s *Service, speed float64, id wire.NodeID) *node {
+func newNode(w *world, s *Service, speed float64, centre string, id wire.NodeID) *node {
 	n := &node{
-		world: w, id: id, service: s,
+		world: w, id: id, service: s, centre: centre,
 		backend: newBackend(s, speed, w.seed()),
 		running: make(map[uint64]*run),
 		book:    reach.New(reach.DefaultConfig()),
 		calls:   reach.New(reach.DefaultConfig()),
 	}
 	dc := w.policy.Dispatch
-	dc.Self, dc.Seed = id, w.seed()
+	dc.Self, dc.Seed, dc.DataCentre = id, w.seed(), centre
 	n.dispatch = dispatch.New(dc, linker{n}, w.members, explain.New(rest))
 	sc := w.policy.Serve
 	sc.Self, sc.Service, sc.Seed = id, s.Name, w.seed()
@@ -85,7 +90,11 @@
 	if l.from == l.to {
 		return 0
 	}
-	return l.from.world.deployment.Delay
+	d := l.from.world.deployment
+	if d.Near > 0 && l.from.centre == l.to.centre {
+		return d.Near
+	}
+	return d.Delay
 }
 
 func (l link) Call(req call.Request) (func() bool, error) {
@@ -156,6 +165,7 @@
 		Root: req.RootID(), Priority: req.Priority, Bars: req.Bars, Admitted: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
 	n.used(r, c.Service, out)
+	n.world.report.called(c.Service, out)
 	return out.Verdict == verdict.Ran && out.Status == statusOK
 }
 
@@ -176,6 +186,7 @@
 
 func (n *node) arrive(req call.Request) {
 	c := n.world.classes[req.Operation]
+	n.arrived.Add(1)
 	n.do(func(now time.Time, s *serve.Server) serve.Effects {
 		return s.Arrive(now, req, n.world.operations[c], true)
 	})
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -1,7 +1,10 @@
 package replay
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -26,6 +29,9 @@
 
 	hard, heeding, hardGood, heedingGood int
 	offered, good                        map[string]int // by class
+	// owed is the worth of all offered requests, earned that of those that were
+	// served, late ones for their share.
+	owed, earned float64
 }
 
 // Report is what one run gave.
@@ -35,6 +41,9 @@
 	// Recovery is the time from the start of the last phase until requests
 	// succeed again as before.
 	Recovery time.Duration
+	// Busiest is the most that a backend server of the deepest service was sent
+	// of what its speed gives it.
+	Busiest float64
 
 	day    *Day
 	start  time.Time
@@ -44,8 +53,20 @@
 	// whole and broken are the tries that were let in and ended well, and that
 	// ended badly after they had run.
 	whole, broken int
-	binGood       []int
-	binAll        []int
+	// refusals are tries that were told that they have not run, again those of
+	// callers that had come back.
+	refusals, again int
+	// failures of calls under way, by service and reason.
+	failures map[failure]int
+	calls    map[string]int
+	binGood  []int
+	binAll   []int
+}
+
+// failure is how a call under way ended badly.
+type failure struct {
+	service string
+	reason  verdict.Reason
 }
 
 // bin is the resolution of the recovery time, recovered the share of a bin's
@@ -56,7 +77,8 @@
 )
 
 func newReport(day *Day, policy string) *Report {
-	r := &Report{Policy: policy, day: day, start: time.Now(), spent: make(map[string]time.Duration)}
+	r := &Report{Policy: policy, day: day, start: time.Now(), spent: make(map[string]time.Duration),
+		failures: make(map[failure]int), calls: make(map[string]int)}
 	var whole time.Duration
 	for _, p := range day.Phases {
 		whole += p.For
@@ -76,6 +98,7 @@
 	p := &r.Phases[q.phase]
 	p.Offered[q.class.Importance]++
 	p.offered[q.class.Name]++
+	p.owed += q.class.worth()
 	if q.hard {
 		p.hard++
 	} else {
@@ -90,6 +113,7 @@
 	p := &r.Phases[q.phase]
 	p.Good[q.class.Importance]++
 	p.good[q.class.Name]++
+	p.earned += q.class.credit(time.Since(q.start))
 	r.whole++
 	if q.hard {
 		p.hardGood++
@@ -105,12 +129,51 @@
 }
 
 // bad notes a try that did not end well.
-func (r *Report) bad(out call.Outcome) {
+func (r *Report) bad(out call.Outcome, returned int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if out.Verdict != verdict.NotRun {
 		r.broken++
+		return
+	}
+	r.refusals++
+	if returned > 0 {
+		r.again++
+	}
+}
+
+// called notes how a call under way ended.
+func (r *Report) called(service string, out call.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls[service]++
+	if out.Reason != verdict.None {
+		r.failures[failure{service, out.Reason}]++
+	}
+}
+
+func (c *Class) worth() float64 { return cmp.Or(c.Worth, 1) }
+
+// credit is what an answer after so long is worth to its caller.
+func (c *Class) credit(took time.Duration) float64 {
+	if c.Aim > 0 && took > c.Aim {
+		return c.worth() * c.LateShare
+	}
+	return c.worth()
+}
+
+// Credit is the share of the phase's worth that was earned.
+func (p *PhaseReport) Credit() float64 { return p.earned / max(p.owed, 1) }
+
+// Details lists failures of calls under way by service and reason, and refusals.
+func (r *Report) Details() string {
+	var lines []string
+	for f, n := range r.failures {
+		lines = append(lines, fmt.Sprintf("%s %s %.2f%%", f.service, f.reason, 100*float64(n)/float64(r.calls[f.service])))
 	}
+	slices.Sort(lines)
+	return fmt.Sprintf("%s; refusals %d, of those that came back %d; busiest of %s %.2f of its share", strings.Join(lines, ", "),
+		r.refusals, r.again, r.day.Deployment.Deepest, r.Busiest)
 }
 
 // Broken is the share of the tries that were let in which ended badly after they
@@ -230,6 +293,6 @@
 	for _, c := range r.day.Deployment.Classes {
 		row += fmt.Sprintf("  %s %.2f", c.Name, p.ServedOf(c.Name))
 	}
-	row += fmt.Sprintf("  all %.3f  broken %4.1f%%", p.ServedAll(), 100*r.Broken())
+	row += fmt.Sprintf("  all %.3f  credit %.3f  broken %4.1f%%", p.ServedAll(), p.Credit(), 100*r.Broken())
 	return row + fmt.Sprintf("  wasted %4.1f%%, recovery %.2fs", 100*r.Wasted(), r.Recovery.Seconds())
 }
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/graph"
+	production "github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -47,6 +48,9 @@
 	stop := make(chan struct{})
 	for _, n := range w.all {
 		go n.tick(stop)
+		if policy.Dispatch.News.Interval > 0 {
+			go n.tellLevels(stop, rand.New(rand.NewPCG(w.seed(), 5)))
+		}
 	}
 	for i := range day.Phases {
 		w.play(i)
@@ -58,9 +62,28 @@
 	time.Sleep(w.longestDeadline())
 	close(stop)
 	w.report.finish()
+	w.report.Busiest = w.busiest()
 	return w.report
 }
 
+// busiest is the most that a backend server of the deepest service was sent of the
+// share that its speed gives it.
+func (w *world) busiest() float64 {
+	var sent, speeds, most float64
+	for _, n := range w.all {
+		if n.service.Name == w.deployment.Deepest {
+			sent += float64(n.arrived.Load())
+			speeds += n.backend.speed
+		}
+	}
+	for _, n := range w.all {
+		if n.service.Name == w.deployment.Deepest {
+			most = max(most, float64(n.arrived.Load())/sent/(n.backend.speed/speeds))
+		}
+	}
+	return most
+}
+
 func (w *world) longestDeadline() (longest time.Duration) {
 	for _, c := range w.classes {
 		longest = max(longest, c.Deadline)
@@ -82,13 +105,13 @@
 	for i := range w.deployment.Services {
 		s := &w.deployment.Services[i]
 		for k := range s.Speeds {
-			w.members.join(s.Name, wire.NodeID{byte(i + 1), byte(k + 1)})
+			w.members.join(s.Name, s.centre(k), wire.NodeID{byte(i + 1), byte(k + 1)})
 		}
 	}
 	for i := range w.deployment.Services {
 		s := &w.deployment.Services[i]
 		for k, speed := range s.Speeds {
-			n := newNode(w, s, speed, wire.NodeID{byte(i + 1), byte(k + 1)})
+			n := newNode(w, s, speed, s.centre(k), wire.NodeID{byte(i + 1), byte(k + 1)})
 			w.nodes[n.id] = n
 			w.all = append(w.all, n)
 		}
@@ -118,6 +141,29 @@
 	}
 }
 
+// tellLevels passes the levels of services on to a few nodes, as in production.
+func (n *node) tellLevels(stop <-chan struct{}, rng *rand.Rand) {
+	interval := n.world.policy.Dispatch.News.Interval
+	time.Sleep(time.Duration(rng.Int64N(int64(interval))))
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+		told := n.dispatch.TellLevels(time.Now())
+		if len(told) == 0 {
+			continue
+		}
+		for range production.NewsFanOut {
+			to := n.world.all[rng.IntN(len(n.world.all))]
+			time.AfterFunc(link{from: n, to: to}.delay(), func() { to.dispatch.HearLevels(time.Now(), told) })
+		}
+	}
+}
+
 // play sends the requests of one phase; they do not wait for answers.
 func (w *world) play(i int) {
 	p := &w.day.Phases[i]
--- a/node/node.go
+++ b/node/node.go
@@ -125,6 +125,9 @@
 
 	pressure pressure // used by one loop alone
 
+	// levelsHeard wakes the loop that passes levels on.
+	levelsHeard chan struct{}
+
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
@@ -168,6 +171,8 @@
 		requests: retry.NewRequests(cfg.Dispatch.Budget),
 		routing:  newRouting(cfg.DecodeRoutes),
 		started:  now,
+
+		levelsHeard: make(chan struct{}, 1),
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.server = newServer(serve.New(cfg.Serve, secret, now))
@@ -199,6 +204,7 @@
 // Start begins the node's own work; Stop ends it.
 func (n *Node) Start() {
 	n.background(n.watchServer)
+	n.background(n.tellLevels)
 	n.loop(memberTick, n.tickMembers)
 	if !n.routing.enabled() {
 		n.loop(bindingTick, n.tickBindings)
--- a/node/peers.go
+++ b/node/peers.go
@@ -82,6 +82,8 @@
 		return decode(f, func(m config.Message) { n.handleConfig(from, m) })
 	case wire.KindRoutes:
 		return decode(f, func(m routesMessage) { n.handleRoutes(from, m) })
+	case wire.KindLevels:
+		return decode(f, func(m levelsMessage) { n.handleLevels(m) })
 	case wire.KindPoison:
 		return decode(f, func(m poison.Notice) { n.handleNotice(m) })
 	default:
@@ -121,6 +123,9 @@
 
 func (n *Node) handleReply(from wire.NodeID, r call.Reply) {
 	n.dispatch.Reply(from, r)
+	if len(r.Levels) > 0 {
+		n.noteLevels()
+	}
 	if n.routing.enabled() {
 		n.sawRoutes(from, r.ConfigVersion)
 		return
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -23,6 +23,7 @@
 	KindPoison
 	KindRoutes
 	KindOpened
+	KindLevels
 )
 
 // Limits for what a peer may send. A peer that exceeds them is disconnected:
