readers: five of the fleet, lists read once, starts settle for three seconds

Cause: two readers in each of five data centres were a third of a fleet of 30 nodes; a node that was alone when it read the list read again two seconds later, though it had met others; in the first seconds all took themselves for readers. Change: as many readers a data centre as make five in all; the time of the next reading follows the situation of now; three seconds until a node may be a reader.

--- a/node/routing_test.go
+++ b/node/routing_test.go
@@ -340,21 +340,26 @@
 	is.Equal(string((<-got).Body), "whole")
 }
 
-// Of three nodes of a data centre two read the store often. What one of them
-// reads is in force at all, without a request between them; the third keeps what
+// Of six nodes of the only data centre five read the store often. What one of them
+// reads is in force at all, without a request between them; the sixth keeps what
 // it reads to itself, since the readers have it, too.
 func TestReadersTellTheOthers(t *testing.T) {
 	is := is.New(t)
 	c := startRouted(t, nil)
-	nodes := []*testnode.Instance{c.Add("a", testnode.Echo), c.Add("b", testnode.Echo), c.Add("c", testnode.Echo)}
+	var nodes []*testnode.Instance
+	for range 6 {
+		nodes = append(nodes, c.Add("a", testnode.Echo))
+	}
 	c.AwaitWhole()
 	slices.SortFunc(nodes, func(a, b *testnode.Instance) int {
 		x, y := a.Node.ID(), b.Node.ID()
 		return bytes.Compare(x[:], y[:])
 	})
-	is.True(nodes[0].Node.Reader() && nodes[1].Node.Reader() && !nodes[2].Node.Reader())
+	for i, n := range nodes {
+		is.Equal(n.Node.Reader(), i < 5)
+	}
 	nodes[1].Node.Publish(routesText{Version: 5, Services: []string{"a"}}.encode(t), node.SourceStore)
 	testnode.Await(t, "all have the routes", func() bool {
-		return nodes[0].Node.Routes() != nil && nodes[2].Node.Routes() != nil
+		return !slices.ContainsFunc(nodes, func(n *testnode.Instance) bool { return n.Node.Routes() == nil })
 	})
 }
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -59,9 +59,10 @@
 // SourceStore names the store as where routes were read.
 const SourceStore = "store"
 
-// readersPerDataCentre is the number of nodes that read the store often. One may
-// be cut off from it, or gone and not yet missed.
-const readersPerDataCentre = 2
+// readersOfFleet is the least number of nodes that follow the routes at the store, in
+// all data centres together. Each tells all other nodes, so some may be cut off from
+// the store, or gone and not yet missed.
+const readersOfFleet = 5
 
 // Reader reports whether this node is one of the readers of its data centre.
 func (n *Node) Reader() bool { return n.Situation().Reader }
@@ -72,10 +73,12 @@
 func (n *Node) Situation() readers.Situation {
 	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true}
 	before := 0
+	centres := map[string]struct{}{n.cfg.DataCentre: {}}
 	n.members.with(func(m *membership.Members) {
 		for rec := range m.All() {
 			s.Alone = s.Alone && rec.ID == n.id
 			if rec.DataCentre != n.cfg.DataCentre {
+				centres[rec.DataCentre] = struct{}{}
 				continue
 			}
 			s.Neighbours++
@@ -84,7 +87,7 @@
 			}
 		}
 	})
-	s.Reader = before < readersPerDataCentre
+	s.Reader = before < (readersOfFleet+len(centres)-1)/len(centres)
 	return s
 }
 
--- a/readers/list.go
+++ b/readers/list.go
@@ -45,7 +45,11 @@
 	retries backoff
 	// listed says that the list was seen to hold this node, or took its entry.
 	listed bool
-	readAt time.Time
+	// last is when the list was read, spread what the time until the next reading
+	// is multiplied by, retryAt the end of the pause after a failure.
+	last    time.Time
+	spread  float64
+	retryAt time.Time
 }
 
 // NewList returns the plan of a node that has read nothing.
@@ -63,23 +67,37 @@
 	if l.listed && !s.Reader && !s.Alone {
 		return look
 	}
-	if left := l.readAt.Sub(now); left > 0 {
+	due := l.retryAt
+	if read := l.due(s); read.After(due) {
+		due = read
+	}
+	if left := due.Sub(now); left > 0 {
 		return min(left, look)
 	}
 	return 0
 }
 
+// due is when the list is to be read again if the last reading succeeded. A node that
+// was alone then and is not any more has the time of those that are not.
+func (l *List) due(s Situation) time.Time {
+	if l.last.IsZero() || !l.listed {
+		return time.Time{}
+	}
+	every := l.cfg.Every
+	if s.Alone {
+		every = l.cfg.AloneEvery
+	}
+	return l.last.Add(time.Duration(l.spread * float64(every)))
+}
+
 // Read reports that the list was read and whether it holds this node. It returns
 // how long to wait before the node enters itself; nothing is to be entered if it is
 // listed.
-func (l *List) Read(now time.Time, s Situation, entries int, listed bool) time.Duration {
+func (l *List) Read(now time.Time, entries int, listed bool) time.Duration {
 	l.retries.reset()
 	l.listed = l.listed || listed
-	every := l.cfg.Every
-	if s.Alone {
-		every = l.cfg.AloneEvery
-	}
-	l.readAt = now.Add(jitter(l.rng, every))
+	l.last = now
+	l.spread = l.rng.Float64()/2 + 0.75
 	return time.Duration(l.rng.Float64() * float64(l.cfg.WriteSpread) * float64(entries) / 100)
 }
 
@@ -95,5 +113,5 @@
 	if s.Alone {
 		pause = l.retries.step()
 	}
-	l.readAt = now.Add(jitter(l.rng, pause))
+	l.retryAt = now.Add(jitter(l.rng, pause))
 }
--- a/readers/readers_test.go
+++ b/readers/readers_test.go
@@ -165,7 +165,7 @@
 	is.Equal(r.Next(start, s).Action, Newest)
 	r.Answered(start)
 	is.Equal(r.Next(start, s).Action, Pause) // who the readers are is not known yet
-	later := start.Add(time.Second)
+	later := start.Add(DefaultRoutesConfig().Settle)
 	is.Equal(r.Next(later, s), Step{Follow, DefaultRoutesConfig().Wait})
 	r.Gone()
 	is.Equal(r.Next(later, s).Action, Newest)
@@ -178,12 +178,12 @@
 	l := NewList(DefaultListConfig(), 1)
 	met := Situation{Neighbours: 39}
 	is.Equal(l.Pause(start, met), time.Duration(0))
-	is.True(l.Read(start, met, 200, false) <= time.Second) // spread over a second
-	l.Failed(start, met)                                   // its entry was not taken
+	is.True(l.Read(start, 200, false) <= time.Second) // spread over a second
+	l.Failed(start, met)                              // its entry was not taken
 	is.True(l.Pause(start, met) > 0)
 	later := start.Add(10 * time.Second)
 	is.Equal(l.Pause(later, met), time.Duration(0))
-	l.Read(later, met, 200, false)
+	l.Read(later, 200, false)
 	l.Entered()
 	much := later.Add(time.Hour)
 	is.True(l.Pause(much, met) > 0)
@@ -191,6 +191,19 @@
 	is.Equal(l.Pause(much, Situation{Alone: true}), time.Duration(0))
 }
 
+// A node of a fleet that starts reads the list while it is alone, and meets the others
+// a moment later. It is a reader, and waits for as long as readers do; it does not
+// read again as soon as one that is alone.
+func TestWhoHasMetOthersDoesNotHurry(t *testing.T) {
+	is := is.New(t)
+	l := NewList(DefaultListConfig(), 1)
+	l.Read(start, 0, false)
+	l.Entered()
+	later := start.Add(3 * time.Second)
+	is.Equal(l.Pause(later, Situation{Alone: true, Reader: true}), time.Duration(0))
+	is.True(l.Pause(later, Situation{Neighbours: 39, Reader: true}) > 0)
+}
+
 // A node that knows nobody and whose store is away tries again within two seconds;
 // one that has met others and only lacks its own entry takes five.
 func TestWhoIsAloneAsksSooner(t *testing.T) {
--- a/readers/routes.go
+++ b/readers/routes.go
@@ -33,7 +33,7 @@
 	Wait time.Duration
 	// Settle is the time after the first read in which a node does not take
 	// itself for a reader: it knows few of the others, or none, and in a fleet
-	// that starts together all would.
+	// that starts together all would. It is the time in which all have met.
 	Settle time.Duration
 	// CheckMin and CheckEach set the pause between the reads of a node that is
 	// no reader: CheckEach for every node of its data centre, CheckMin at least.
@@ -49,7 +49,7 @@
 func DefaultRoutesConfig() RoutesConfig {
 	return RoutesConfig{
 		Wait:      2500 * time.Millisecond,
-		Settle:    time.Second,
+		Settle:    3 * time.Second,
 		CheckMin:  25 * time.Second,
 		CheckEach: 2 * time.Second,
 		RetryMin:  100 * time.Millisecond,
