--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -296,6 +296,27 @@
 	is.True(ours.During().HardServed() < ours.During().HeedingServed()+0.1)
 }
 
+// trial is one play to be made.
+type trial struct {
+	day    Day
+	policy Policy
+}
+
+// playAll makes plays beside each other; their reports come in the same order.
+func playAll(t *testing.T, trials []trial) []*Report {
+	t.Helper()
+	reports := make([]*Report, len(trials))
+	t.Run("plays", func(t *testing.T) {
+		for i, r := range trials {
+			t.Run(fmt.Sprint(r.policy.Name, r.day.Seed), func(t *testing.T) {
+				t.Parallel()
+				reports[i] = play(t, r.day, r.policy)
+			})
+		}
+	})
+	return reports
+}
+
 // plays runs a day with two seeds.
 func plays(t *testing.T, day Day, p Policy) []*Report {
 	first := play(t, day, p)
@@ -318,14 +339,19 @@
 func TestShortRequestsGoFirst(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	var ours, byHash []*Report
-	for k := range uint64(2) {
-		day := burst(Council(), 2)
-		day.Seed += 2 * k
-		ours = append(ours, plays(t, day, Ours())...)
-		byHash = append(byHash, plays(t, day, variant("placed by hash alone", func(p *Policy) { p.Dispatch.Mix = admission.MixConfig{} }))...)
+	const days = 4
+	byHash := variant("placed by hash alone", func(p *Policy) { p.Dispatch.Mix = admission.MixConfig{} })
+	var trials []trial
+	for _, policy := range []Policy{Ours(), byHash} {
+		for k := range uint64(days) {
+			day := burst(Council(), 2)
+			day.Seed += k
+			trials = append(trials, trial{day, policy})
+		}
 	}
-	is.True(mean(ours, servedInTrouble) > mean(byHash, servedInTrouble)+0.01)
+	reports := playAll(t, trials)
+	ours, hashed := reports[:days], reports[days:]
+	is.True(mean(ours, servedInTrouble) > mean(hashed, servedInTrouble)+0.01)
 	most := admission.DefaultMixConfig().Most
 	long := func(r *Report) float64 {
 		return r.During().ServedOf("digest-read") / r.During().ServedOf("agenda-read")
--- a/internal/replay/wide_test.go
+++ b/internal/replay/wide_test.go
@@ -28,22 +28,9 @@
 func TestNewsInAWideFleet(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	plays := make(chan *Report, 2)
-	t.Run("plays", func(t *testing.T) {
-		for _, p := range []Policy{
-			Ours(),
-			variant("levels with replies alone", func(p *Policy) { p.Dispatch.News = admission.NewsConfig{} }),
-		} {
-			t.Run(p.Name, func(t *testing.T) {
-				t.Parallel()
-				plays <- play(t, wideBurst(), p)
-			})
-		}
-	})
-	ours, other := <-plays, <-plays
-	if ours.Policy != Ours().Name {
-		ours, other = other, ours
-	}
+	replies := variant("levels with replies alone", func(p *Policy) { p.Dispatch.News = admission.NewsConfig{} })
+	reports := playAll(t, []trial{{wideBurst(), Ours()}, {wideBurst(), replies}})
+	ours, other := reports[0], reports[1]
 	t.Log(ours.Details())
 	t.Log(other.Details())
 	is.True(ours.Broken() < other.Broken()/2)
