node: a call that its connection held up waits for its cancel

The cut began at 12.446 s and ended at 15.988 s; the calls reached the server at 18.660 s, 6.21 s after it began: 0.2+0.4+0.8+1.6+3.2 s are the waits of TCP between resends. One direction of a connection that had outlived the cut came to life only then, and handed over at once all that was written since, each call before its cancel. Change: calls tell the sender's clock; the connection compares it with that of the fastest call of the last 10 to 20 s. A call 250 ms later than that waits 100 ms for its cancel. Test: TestHeldUpCallWaitsForItsCancel failed before (the call of the caller that had left ran and was answered).

--- a/call/message.go
+++ b/call/message.go
@@ -64,6 +64,9 @@
 	// Bars are the levels above zero that let the request in, by which a node
 	// knows what part of those like it were not.
 	Bars []Level `cbor:"23,keyasint,omitempty"`
+	// SentMillis is the sender's clock in milliseconds when the message was
+	// written, from any beginning and modulo 2^32; zero if it is not told.
+	SentMillis uint32 `cbor:"24,keyasint,omitempty"`
 	// Via is the callee's number of the connection that the call came by.
 	Via uint64 `cbor:"-"`
 }
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -144,8 +144,10 @@
 	is.NoErr(first.Leave(t.Context()))
 	for i := range 50 {
 		id := "once" + strconv.Itoa(i)
-		status, _ := s.ask(a, "deep", id)
-		is.Equal(status, 200)
+		status, body := s.ask(a, "deep", id)
+		if status != 200 {
+			t.Fatalf("request %s: status %d, %s", id, status, body)
+		}
 		is.Equal(len(s.journal.Runs(id)), 1)
 		is.True(s.journal.Runs(id)[0] != first.ID()) // it had said that it leaves
 	}
--- /dev/null
+++ b/node/late_test.go
@@ -0,0 +1,48 @@
+package node_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// A cut between two nodes heals. The connection delivers at once what was written to
+// it in the last two seconds: a call, the cancel of its caller, who has left, and a
+// call whose caller still waits. The first reached the backend server before its cancel
+// was read, and took a slot from the second.
+func TestHeldUpCallWaitsForItsCancel(t *testing.T) {
+	is := is.New(t)
+	c := start(t, func(cfg *node.Config) { cfg.LateCallWait = 2 * time.Second })
+	n := c.Add("fieldlog", testnode.Echo)
+	c.AwaitWhole()
+	p := n.Dial(t, wire.NewNodeID())
+	const clock, held = 100_000, 2_000 // milliseconds
+	send := func(seq uint64, body string, sent uint32) {
+		req := request(p, n, seq, body)
+		req.RequestID = body
+		req.SentMillis = sent
+		is.NoErr(p.Send(wire.KindCall, req))
+	}
+	var reply call.Reply
+	send(1, "on time", clock)
+	is.NoErr(p.NextOf(wire.KindReply, &reply))
+	is.Equal(reply.Verdict, verdict.Ran)
+
+	send(2, "left", clock-held)
+	is.NoErr(p.Sync()) // the backlog comes in more than one piece
+	is.NoErr(p.Send(wire.KindCancel, call.Cancel{From: p.ID, Seq: 2, To: n.Node.ID()}))
+	send(3, "waits", clock-held)
+
+	is.NoErr(p.NextOf(wire.KindReply, &reply))
+	is.Equal(reply.Seq, uint64(3))
+	is.Equal(reply.Verdict, verdict.Ran)
+	is.Equal(n.Backend.Runs("left"), 0)
+	is.Equal(n.Backend.Runs("waits"), 1)
+}
--- a/node/links.go
+++ b/node/links.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return hold(c), nil
+	return l.n.hold(c), nil
 }
 
 // connect returns a connection to a member.
@@ -45,14 +45,18 @@
 }
 
 // peerLink is a connection in use by one attempt.
-type peerLink struct{ c *transport.Conn }
+type peerLink struct {
+	n *Node
+	c *transport.Conn
+}
 
-func hold(c *transport.Conn) peerLink {
+func (n *Node) hold(c *transport.Conn) peerLink {
 	c.Hold()
-	return peerLink{c}
+	return peerLink{n: n, c: c}
 }
 
 func (l peerLink) Call(req call.Request) (func() bool, error) {
+	req.SentMillis = l.n.clockMillis()
 	d, err := l.c.Send(wire.KindCall, req)
 	if err != nil {
 		return nil, err
--- a/node/node.go
+++ b/node/node.go
@@ -61,6 +61,10 @@
 	// BackendSilence is how long a backend server may go without announcing
 	// itself before it counts as gone. It announces every second.
 	BackendSilence time.Duration
+	// LateCallWait is how long a call that a connection held up waits for its
+	// cancel before it goes on: several round trips inside a region, in which a
+	// connection that begins anew hands over its backlog.
+	LateCallWait time.Duration
 	// LogTimeout bounds one operation of the log.
 	LogTimeout time.Duration
 
@@ -85,6 +89,7 @@
 	return Config{
 		DrainGrace:     time.Second,
 		BackendSilence: 5 * time.Second,
+		LateCallWait:   100 * time.Millisecond,
 		LogTimeout:     3 * time.Second,
 		Transport:      transport.DefaultConfig(),
 		Membership:     membership.DefaultConfig(),
--- a/node/peers.go
+++ b/node/peers.go
@@ -130,7 +130,7 @@
 		return
 	}
 	req.Via = c.Number()
-	n.arrive(req)
+	n.arriveAfter(c.Delay(time.Now(), req.SentMillis), req)
 }
 
 func (n *Node) handleCancel(from wire.NodeID, c call.Cancel) {
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -28,6 +28,8 @@
 	KeysMinted expvar.Int
 	// Late replies matched no waiting attempt and were dropped.
 	LateReplies expvar.Int
+	// LateCalls came from other nodes long after they were sent.
+	LateCalls expvar.Int
 	// PeerConnects and PeerLosses of connections to other nodes.
 	PeerConnects, PeerLosses expvar.Int
 	// BadMessages from peers could not be decoded or broke a limit.
@@ -114,6 +116,7 @@
 		{name: "backend_crashes", value: &c.BackendCrashes},
 		{name: "keys_minted", value: &c.KeysMinted},
 		{name: "late_replies", value: &c.LateReplies},
+		{name: "late_calls", value: &c.LateCalls},
 		{name: "peer_connects", value: &c.PeerConnects},
 		{name: "peer_losses", value: &c.PeerLosses},
 		{name: "bad_messages", value: &c.BadMessages},
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -32,6 +32,8 @@
 	once   sync.Once
 	holds  atomic.Int64
 	active atomic.Int64 // unix nanoseconds of the last message
+	// transit measures how long the peer's messages were under way.
+	transit transit
 	// stalled closes the connection when a write takes too long. One timer
 	// for all writes: a context for each would cost more than the write.
 	stalled *time.Timer
@@ -61,6 +63,13 @@
 // Number is never used again for another connection of the same Transport.
 func (c *Conn) Number() uint64 { return c.number }
 
+// Delay returns how long a message was under way beyond the fastest one of late.
+// sentMillis is what the peer's clock said when it wrote it, in milliseconds, zero if
+// it did not say: that gives no delay.
+func (c *Conn) Delay(now time.Time, sentMillis uint32) time.Duration {
+	return c.transit.delay(now, sentMillis)
+}
+
 // Done is closed when the connection has ended: what is not Written by then
 // never is. One message that had arrived may still be handed to the Handler.
 func (c *Conn) Done() <-chan struct{} { return c.done }
