transport: calls leave a connection that passes nothing

Calls handed to it wait until their callers leave. Ruled out: closing it at once (the peer may have stood still for a moment, and the answer to a call that may not be repeated would be lost); asking every connection at intervals (100 connections asked four times a second take more than 1% of a core). Change: a call is to be shown to have come through, by an answer or by the WebSocket's own ping after ProofAfter; without a pong within StallAfter the connection is set aside, the next call opens another, and the membership asks about the peer. Tests: TestCallsLeaveAConnectionThatPassesNothing, TestConnectionThatComesBackIsUsedAgain, TestReceipts.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -40,6 +40,8 @@
 	Call(req call.Request) (written func() bool, err error)
 	// Cancel tells the other end that nobody waits for the attempt.
 	Cancel(c call.Cancel)
+	// Answered tells that the attempt has been answered.
+	Answered()
 	// Done is closed when the connection has ended.
 	Done() <-chan struct{}
 	// Release ends the use of the link by one attempt.
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -107,6 +107,7 @@
 func (l *line) Cancel(c call.Cancel)  { l.canceled = append(l.canceled, c) }
 func (l *line) Done() <-chan struct{} { return l.done }
 func (l *line) Release()              {}
+func (l *line) Answered()             {}
 
 const text = `
 service "s" { 
--- a/dispatch/reroute_test.go
+++ b/dispatch/reroute_test.go
@@ -44,6 +44,7 @@
 func (s *scripted) Cancel(call.Cancel)    {}
 func (s *scripted) Done() <-chan struct{} { return s.done }
 func (s *scripted) Release()              {}
+func (s *scripted) Answered()             {}
 
 func newAnswers(change func(*Config), script ...call.Reply) *answers {
 	a := &answers{script: script}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -65,6 +65,7 @@
 func (d *Dispatcher) await(ctx context.Context, link Link, w *wait, req call.Request, written func() bool, to target) (r call.Reply, settled bool) {
 	select {
 	case r := <-w.reply:
+		link.Answered()
 		return r, true
 	case <-link.Done():
 	case <-ctx.Done():
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -113,6 +113,8 @@
 
 func (l link) Done() <-chan struct{} { return nil }
 
+func (l link) Answered() {}
+
 func (l link) Release() {}
 
 func operation(c *Class) *graph.Operation {
--- a/node/links.go
+++ b/node/links.go
@@ -46,16 +46,18 @@
 
 // peerLink is a connection in use by one attempt.
 type peerLink struct {
-	n *Node
-	c *transport.Conn
+	n    *Node
+	c    *transport.Conn
+	sent time.Time
 }
 
-func (n *Node) hold(c *transport.Conn) peerLink {
+func (n *Node) hold(c *transport.Conn) *peerLink {
 	c.Hold()
-	return peerLink{n: n, c: c}
+	return &peerLink{n: n, c: c}
 }
 
-func (l peerLink) Call(req call.Request) (func() bool, error) {
+func (l *peerLink) Call(req call.Request) (func() bool, error) {
+	l.sent = time.Now()
 	req.SentMillis = l.n.clockMillis()
 	d, err := l.c.Send(wire.KindCall, req)
 	if err != nil {
@@ -64,14 +66,16 @@
 	return d.Written, nil
 }
 
-func (l peerLink) Cancel(c call.Cancel) {
+func (l *peerLink) Cancel(c call.Cancel) {
 	// Without room for it the callee finds out by the call's own deadline.
 	_, _ = l.c.Send(wire.KindCancel, c)
 }
 
-func (l peerLink) Done() <-chan struct{} { return l.c.Done() }
+func (l *peerLink) Answered() { l.c.Answered(l.sent) }
 
-func (l peerLink) Release() { l.c.Release() }
+func (l *peerLink) Done() <-chan struct{} { return l.c.Done() }
+
+func (l *peerLink) Release() { l.c.Release() }
 
 // ownLink leads to this node's own backend server.
 type ownLink struct{ n *Node }
@@ -83,6 +87,8 @@
 
 func (l ownLink) Cancel(c call.Cancel) { l.n.cancel(c) }
 
+func (l ownLink) Answered() {}
+
 func (l ownLink) Done() <-chan struct{} { return nil }
 
 func (l ownLink) Release() {}
--- a/node/peers.go
+++ b/node/peers.go
@@ -40,6 +40,15 @@
 	(*Node)(h).counts.PeerLosses.Add(1)
 }
 
+// Stalled implements transport.Handler. The membership asks others about the peer at
+// once, so that calls leave it soon if it is gone.
+func (h *peerHandler) Stalled(c *transport.Conn) {
+	n := (*Node)(h)
+	n.counts.PeerStalls.Add(1)
+	now := time.Now()
+	n.members.with(func(m *membership.Members) { m.Failed(now, c.Peer().ID) })
+}
+
 // Busy implements transport.Handler.
 func (h *peerHandler) Busy(id wire.NodeID) bool {
 	return (*Node)(h).server.busy(id)
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -32,6 +32,8 @@
 	LateCalls expvar.Int
 	// PeerConnects and PeerLosses of connections to other nodes.
 	PeerConnects, PeerLosses expvar.Int
+	// PeerStalls are connections set aside because calls did not come through.
+	PeerStalls expvar.Int
 	// BadMessages from peers could not be decoded or broke a limit.
 	BadMessages expvar.Int
 	// ControlBytesIn and ControlBytesOut are all messages but calls and
@@ -119,6 +121,7 @@
 		{name: "late_calls", value: &c.LateCalls},
 		{name: "peer_connects", value: &c.PeerConnects},
 		{name: "peer_losses", value: &c.PeerLosses},
+		{name: "peer_stalls", value: &c.PeerStalls},
 		{name: "bad_messages", value: &c.BadMessages},
 		{name: "control_bytes_in", value: &c.ControlBytesIn},
 		{name: "control_bytes_out", value: &c.ControlBytesOut},
--- a/transport/config.go
+++ b/transport/config.go
@@ -51,6 +51,14 @@
 	// because it is frozen: what waits for it then fails instead of waiting
 	// for good.
 	WriteTimeout time.Duration
+	// ProofAfter is the time after which a call without an answer needs another
+	// sign that it has come through: most calls are answered sooner, so that few
+	// connections are ever asked.
+	ProofAfter time.Duration
+	// StallAfter sets a connection aside whose peer gave no sign for so long when
+	// asked: twice the round trip between the most distant regions, and a fraction
+	// of what callers wait for.
+	StallAfter time.Duration
 	// IdleTimeout closes a connection that nothing used, so that their
 	// number follows the work and not the size of the fleet.
 	IdleTimeout time.Duration
@@ -67,6 +75,8 @@
 	return Config{
 		DialTimeout:  time.Second,
 		WriteTimeout: 3 * time.Second,
+		ProofAfter:   250 * time.Millisecond,
+		StallAfter:   500 * time.Millisecond,
 		IdleTimeout:  30 * time.Second,
 		Outbound:     1024,
 		MaxInbound:   4096,
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -33,7 +33,10 @@
 	holds  atomic.Int64
 	active atomic.Int64 // unix nanoseconds of the last message
 	// transit measures how long the peer's messages were under way.
-	transit transit
+	transit  transit
+	receipts receipts
+	// asking says that the peer is being asked for a sign.
+	asking atomic.Bool
 	// stalled closes the connection when a write takes too long. One timer
 	// for all writes: a context for each would cost more than the write.
 	stalled *time.Timer
@@ -88,7 +91,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return c.enqueue(data)
+	d, err := c.enqueue(data)
+	if err == nil && kind == wire.KindCall {
+		c.receipts.sent(time.Now())
+	}
+	return d, err
 }
 
 // SendEncoded queues a frame made by wire.Encode.
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -27,6 +27,9 @@
 	Up(c *Conn)
 	// Down is called once when a connection has ended.
 	Down(c *Conn)
+	// Stalled is called when nothing new goes out by a connection because its
+	// peer gives no sign that calls come through.
+	Stalled(c *Conn)
 	// Busy reports whether the peer waits for something: its connection is
 	// not closed as idle.
 	Busy(id wire.NodeID) bool
@@ -66,8 +69,9 @@
 		dials:   make(map[string]*dial),
 		stop:    make(chan struct{}),
 	}
-	t.wg.Add(1)
+	t.wg.Add(2)
 	go t.sweep()
+	go t.watch()
 	return t
 }
 
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -38,6 +38,7 @@
 }
 func (r *recorder) Up(c *Conn)            { r.up <- c.Peer().ID }
 func (r *recorder) Busy(wire.NodeID) bool { return false }
+func (r *recorder) Stalled(*Conn)         {}
 func (r *recorder) Down(c *Conn)          { r.down <- c.Peer().ID }
 
 type peer struct {
@@ -48,6 +49,11 @@
 }
 
 func startPeer(t *testing.T, cluster string) *peer {
+	t.Helper()
+	return startPeerWith(t, cluster, func(*Config) {})
+}
+
+func startPeerWith(t *testing.T, cluster string, change func(*Config)) *peer {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -57,6 +63,7 @@
 	cfg.Cluster = cluster
 	cfg.ID = wire.NewNodeID()
 	cfg.Addr = ln.Addr().String()
+	change(&cfg)
 	p := &peer{recorder: newRecorder(), id: cfg.ID, addr: cfg.Addr}
 	p.Transport = New(cfg, p.recorder)
 	srv := &http.Server{Handler: p.Transport}
@@ -292,14 +299,20 @@
 }
 
 func (p *peer) awaitUsable(t *testing.T, id wire.NodeID) {
+	t.Helper()
+	p.awaitUse(t, id, func(c *Conn) bool { return c != nil })
+}
+
+// awaitUse waits until the connection in use for a peer, nil for none, is as wanted.
+func (p *peer) awaitUse(t *testing.T, id wire.NodeID, wanted func(*Conn) bool) {
 	t.Helper()
 	for {
-		if _, usable := p.Lookup(id); usable {
+		if c, _ := p.Lookup(id); wanted(c) {
 			return
 		}
 		select {
 		case <-t.Context().Done():
-			t.Fatal("the connection is not used")
+			t.Fatal("the connection in use is not the one that is wanted")
 		case <-time.After(time.Millisecond):
 		}
 	}
