balancer, transport: a node whose connection passes nothing rests; asked sooner

Hypothesis: after a connection is set aside each new call to its node waits for a dial that fails after a second, and the first half second of a cut is long against what callers wait. Change: the balancers rest the node as after a failed call; ProofAfter 250 to 150 ms, StallAfter 500 to 250 ms and two round trips as the opening took. Test: TestUnreachableNodeGetsNoCalls.

--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -159,6 +159,14 @@
 	}
 }
 
+// Unreachable tells that a candidate gives no sign on its connection: it rests as
+// after a failed call, before the calls that wait there have ended.
+func (p *Picker) Unreachable(now time.Time, id wire.NodeID) {
+	if m := p.members[id]; m != nil {
+		p.eject(now, m)
+	}
+}
+
 // eject rests a candidate after a failure, longer with each one in a row.
 func (p *Picker) eject(now time.Time, m *member) {
 	// Calls that were in flight together fail together: they count once.
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -338,3 +338,33 @@
 	t.Logf("%.2f leave, %.2f by queues alone", near, even)
 	is.True(near < 0.8*even)
 }
+
+// The connection to one of three nodes passes nothing. Its calls are still waiting,
+// so no failure has told of it yet; each further call to it would wait as long. It
+// gets none until half the rest has passed, and some again afterwards.
+func TestUnreachableNodeGetsNoCalls(t *testing.T) {
+	is := is.New(t)
+	m := newModel(1, 3)
+	cfg := DefaultConfig()
+	p := New(cfg, node(0), "a", rand.NewPCG(1, 2))
+	p.Update(m.now, m.candidates())
+	silent := m.servers[0].id
+	picks := func(at time.Time) (there int) {
+		for range 300 {
+			id, ok := p.Pick(at, nil)
+			is.True(ok)
+			if id == silent {
+				there++
+			}
+			p.Done(at, id, Result{Latency: time.Millisecond})
+		}
+		return there
+	}
+	is.True(picks(m.now) > 0)
+
+	p.Unreachable(m.now, silent)
+
+	is.Equal(picks(m.now.Add(cfg.EjectBase/2-1)), 0)
+	is.True(picks(m.now.Add(2*cfg.EjectBase)) > 0)
+	p.Unreachable(m.now, node(99)) // not a candidate of this service
+}
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -117,6 +117,17 @@
 	return pk.candidates[pk.turn%len(pk.candidates)].ID, true
 }
 
+// Unreachable tells that the connection to a node passes nothing: calls go to other
+// nodes for a while.
+func (d *Dispatcher) Unreachable(id wire.NodeID) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, pk := range d.pickers {
+		pk.balancer.Unreachable(now, id)
+	}
+}
+
 // Choose returns a node of the service for something other than a call, such
 // as minting a key.
 func (d *Dispatcher) Choose(service string) (wire.NodeID, bool) {
--- a/node/peers.go
+++ b/node/peers.go
@@ -45,6 +45,7 @@
 func (h *peerHandler) Stalled(c *transport.Conn) {
 	n := (*Node)(h)
 	n.counts.PeerStalls.Add(1)
+	n.dispatch.Unreachable(c.Peer().ID)
 	now := time.Now()
 	n.members.with(func(m *membership.Members) { m.Failed(now, c.Peer().ID) })
 }
--- a/transport/config.go
+++ b/transport/config.go
@@ -56,8 +56,8 @@
 	// connections are ever asked.
 	ProofAfter time.Duration
 	// StallAfter sets a connection aside whose peer gave no sign for so long when
-	// asked: twice the round trip between the most distant regions, and a fraction
-	// of what callers wait for.
+	// asked, besides two round trips as its opening took: what a busy machine needs
+	// to answer, and a fraction of what callers wait for.
 	StallAfter time.Duration
 	// IdleTimeout closes a connection that nothing used, so that their
 	// number follows the work and not the size of the fleet.
@@ -75,8 +75,8 @@
 	return Config{
 		DialTimeout:  time.Second,
 		WriteTimeout: 3 * time.Second,
-		ProofAfter:   250 * time.Millisecond,
-		StallAfter:   500 * time.Millisecond,
+		ProofAfter:   150 * time.Millisecond,
+		StallAfter:   250 * time.Millisecond,
 		IdleTimeout:  30 * time.Second,
 		Outbound:     1024,
 		MaxInbound:   4096,
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -33,8 +33,10 @@
 	holds  atomic.Int64
 	active atomic.Int64 // unix nanoseconds of the last message
 	// transit measures how long the peer's messages were under way.
-	transit  transit
-	receipts receipts
+	transit transit
+	// roundTrip is about what the opening took for one.
+	roundTrip time.Duration
+	receipts  receipts
 	// asking says that the peer is being asked for a sign.
 	asking atomic.Bool
 	// stalled closes the connection when a write takes too long. One timer
--- a/transport/stall.go
+++ b/transport/stall.go
@@ -21,6 +21,10 @@
 // what callers wait for, and a few lookups a second for each peer.
 const proofTick = 100 * time.Millisecond
 
+// farthest is the round trip between the most distant regions: an opening that took
+// longer met a loss or a busy machine.
+const farthest = 300 * time.Millisecond
+
 // receipts tells since when calls have gone out that nothing has come back for. Safe
 // for concurrent use.
 type receipts struct {
@@ -110,7 +114,8 @@
 		defer c.asking.Store(false)
 		ctx, cancel := context.WithTimeout(context.Background(), t.cfg.WriteTimeout)
 		defer cancel()
-		late := time.AfterFunc(t.cfg.StallAfter, func() { t.setAside(c) })
+		patience := t.cfg.StallAfter + 2*min(c.roundTrip, farthest)
+		late := time.AfterFunc(patience, func() { t.setAside(c) })
 		defer late.Stop()
 		begin := time.Now()
 		if c.ws.Ping(ctx) != nil {
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -150,11 +151,14 @@
 	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.DialTimeout)
 	defer cancel()
 	opts := &websocket.DialOptions{CompressionMode: websocket.CompressionDisabled}
+	begin := time.Now()
 	ws, _, err := websocket.Dial(ctx, "ws://"+addr+Path, opts)
 	if err != nil {
 		return nil, fmt.Errorf("dial peer %s: %w", addr, err)
 	}
-	return t.open(ctx, ws, addr, func() {})
+	// One for the connection and one for the answer to the request.
+	roundTrip := time.Since(begin) / 2
+	return t.open(ctx, ws, opening{dialed: addr, roundTrip: roundTrip, ended: func() {}})
 }
 
 // ServeHTTP takes a connection from a peer.
@@ -172,7 +176,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.DialTimeout)
 	defer cancel()
 	// open reports its own failures to the peer by closing the connection.
-	_, _ = t.open(ctx, ws, "", t.releaseInbound)
+	_, _ = t.open(ctx, ws, opening{ended: t.releaseInbound})
 }
 
 func (t *Transport) admitInbound() bool {
@@ -195,25 +199,37 @@
 // connection.
 const maxHelloBytes = 512
 
-// open exchanges the hellos and starts the connection's goroutines. ended is
-// called once when the connection has ended or was never opened.
-func (t *Transport) open(ctx context.Context, ws *websocket.Conn, dialed string, ended func()) (*Conn, error) {
+// opening is what is known of a connection before the hellos.
+type opening struct {
+	// dialed is the address that this end dialled, empty if the peer did.
+	dialed string
+	// roundTrip to the peer, zero if the hellos will tell.
+	roundTrip time.Duration
+	// ended is called once when the connection has ended or was never opened.
+	ended func()
+}
+
+// open exchanges the hellos and starts the connection's goroutines.
+func (t *Transport) open(ctx context.Context, ws *websocket.Conn, o opening) (*Conn, error) {
 	ws.SetReadLimit(maxHelloBytes)
+	begin := time.Now()
 	peer, err := t.greet(ctx, ws)
 	if err != nil {
 		ws.CloseNow()
-		ended()
+		o.ended()
 		return nil, err
 	}
 	ws.SetReadLimit(wire.MaxMessageBytes)
 	c := newConn(&t.cfg, ws, peer)
-	c.dialed = dialed
+	c.dialed = o.dialed
+	// The dialler's hello comes after it has heard that it is connected.
+	c.roundTrip = cmp.Or(o.roundTrip, time.Since(begin))
 	if !t.register(c) {
 		c.Close()
-		ended()
+		o.ended()
 		return nil, ErrClosed
 	}
-	if dialed != "" {
+	if o.dialed != "" {
 		t.use(c)
 		_, _ = c.Send(wire.KindOpened, Opened{}) // the first message always has room
 	}
@@ -224,7 +240,7 @@
 	}()
 	go func() {
 		defer t.wg.Done()
-		defer ended()
+		defer o.ended()
 		t.read(c)
 		t.unregister(c)
 		t.handler.Down(c)
