balancer, serve: a backend server that fails requests is left, whatever its health says

Cause: balancers left a backend server for its latency alone. One that answers two of five requests with a failure is as fast as ever, or faster, and one that leaves a third without an answer moves the average too little; a caller's node in a large fleet sees a few of its calls a second, too few to judge by. Ruled out: judging by each caller's own calls (at 2 calls/s to each it takes ten seconds); the answer to health checks (it is good). Change: the node beside the backend server keeps the share of its latest requests that were not answered in four times the usual time, broke off, or failed without a failed call of their own, and tells it in each reply; balancers leave one that is a tenth above the median, at most a third of a service, and probe it until it is within a twentieth.

--- a/balancer/config.go
+++ b/balancer/config.go
@@ -37,6 +37,12 @@
 	// changing to and fro.
 	FastRun      int
 	ReturnFactor float64
+	// LeaveFaults is how much the share of requests that a candidate's backend
+	// server fails must exceed the median of the candidates to leave it: a request
+	// of ten calls fails two times in three at a tenth. Probes let it return once
+	// it is below ReturnFaults.
+	LeaveFaults  float64
+	ReturnFaults float64
 	// LeaveGap is the least difference to the median, so that fast services
 	// are not judged by noise of the network.
 	LeaveGap time.Duration
@@ -91,6 +97,8 @@
 		SlowRunFactor: 6,
 		FastRun:       3,
 		ReturnFactor:  1.7,
+		LeaveFaults:   0.1,
+		ReturnFaults:  0.05,
 		LeaveGap:      5 * time.Millisecond,
 		LeaveShare:    1.0 / 3,
 		MinSamples:    8,
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -30,6 +30,7 @@
 	Share      float64       `json:"share"`
 	Latency    time.Duration `json:"latency_ns"`
 	Samples    int           `json:"samples"`
+	Faults     float64       `json:"faults,omitempty"`
 	Straggler  bool          `json:"straggler,omitempty"`
 	Ejected    bool          `json:"ejected,omitempty"`
 	Full       bool          `json:"full,omitempty"`
@@ -65,6 +66,7 @@
 		Load:       load,
 		Share:      m.share,
 		Samples:    m.samples,
+		Faults:     m.faults,
 		Straggler:  m.left,
 		Ejected:    c == ejected,
 		Full:       c == fullLocal || c == fullRemote,
--- a/balancer/member.go
+++ b/balancer/member.go
@@ -30,6 +30,7 @@
 	limit      float64
 	others     float64
 	reportedAt time.Time
+	faults     float64
 	refused    bool
 	fullUntil  time.Time
 
@@ -71,12 +72,13 @@
 }
 
 // report takes in the load that the node gave with its answer.
-func (m *member) report(now time.Time, inFlight, limit int) {
-	if limit <= 0 {
+func (m *member) report(now time.Time, r Result) {
+	if r.Limit <= 0 {
 		return
 	}
-	m.limit = float64(limit)
-	m.others = max(0, float64(inFlight-m.inFlight))
+	m.limit = float64(r.Limit)
+	m.others = max(0, float64(r.InFlight-m.inFlight))
+	m.faults = r.Faults
 	m.reportedAt = now
 	m.fresh = 1
 }
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -38,6 +38,9 @@
 	// reply; Limit is zero if there was none.
 	InFlight int
 	Limit    int
+	// Faults is the share of the backend server's latest requests that it failed,
+	// by the node beside it; it comes with Limit.
+	Faults float64
 }
 
 // Picker chooses among the candidates of one service. It is not safe for
@@ -55,6 +58,7 @@
 
 	median      float64
 	usualLimit  float64
+	usualFaults float64
 	evaluatedAt time.Time
 	leftNow     int
 	sinceProbe  int
@@ -137,7 +141,7 @@
 		return
 	}
 	m.inFlight--
-	m.report(now, r.InFlight, r.Limit)
+	m.report(now, r)
 	switch r.Outcome {
 	case Success:
 		m.failures = 0
--- a/balancer/picker_test.go
+++ b/balancer/picker_test.go
@@ -368,3 +368,34 @@
 	is.True(picks(m.now.Add(2*cfg.EjectBase)) > 0)
 	p.Unreachable(m.now, node(99)) // not a candidate of this service
 }
+
+// One of five backend servers fails two of five requests, as the node beside it says
+// with each answer, and answers as fast as ever. It is left but for probes, and gets
+// its part again once the probes' answers say that it is sound. Where all fail alike,
+// leaving one would only add to the load of the others: none is left.
+func TestFailingServerIsLeftAndReturns(t *testing.T) {
+	is := is.New(t)
+	m := newModel(1, 5)
+	p := New(DefaultConfig(), node(0), "a", rand.NewPCG(1, 2))
+	p.Update(m.now, m.candidates())
+	now := m.now
+	share := func(faults ...float64) float64 {
+		const picks = 2000
+		first := 0
+		for range picks {
+			now = now.Add(5 * time.Millisecond)
+			id, ok := p.Pick(now, nil)
+			is.True(ok)
+			at := slices.IndexFunc(m.servers, func(s *server) bool { return s.id == id })
+			if at == 0 {
+				first++
+			}
+			p.Done(now, id, Result{Latency: time.Millisecond, Limit: 20, Faults: faults[at]})
+		}
+		return float64(first) / picks
+	}
+	is.True(share(0, 0, 0, 0, 0) > 0.15)
+	is.True(share(0.4, 0, 0.01, 0, 0) < 0.03)
+	is.True(share(0.01, 0, 0.01, 0, 0) > 0.1)
+	is.True(share(0.4, 0.4, 0.4, 0.4, 0.4) > 0.15)
+}
--- a/balancer/straggler.go
+++ b/balancer/straggler.go
@@ -11,6 +11,7 @@
 	p.evaluatedAt = now
 	p.usualLimit = p.medianLimit()
 	p.median = p.medianLatency()
+	p.usualFaults = p.medianOf(func(m *member) (float64, bool) { return m.faults, m.limit > 0 })
 	p.recover(now)
 	p.leave(now)
 	for _, m := range p.active {
@@ -56,11 +57,11 @@
 		if !m.left {
 			continue
 		}
-		if m.fastRun < p.cfg.FastRun && now.Sub(m.leftSince) < p.cfg.MaxLeft {
-			p.leftNow++
+		if p.mayReturn(m) || now.Sub(m.leftSince) >= p.cfg.MaxLeft {
+			p.takeBack(now, m)
 			continue
 		}
-		p.takeBack(now, m)
+		p.leftNow++
 	}
 	for p.leftNow > p.mayLeave() {
 		p.takeBack(now, p.fastestLeft())
@@ -68,6 +69,12 @@
 	}
 }
 
+// mayReturn reports whether the probes of a straggler were fast and its backend
+// server fails no more than others.
+func (p *Picker) mayReturn(m *member) bool {
+	return m.fastRun >= p.cfg.FastRun && m.faults <= p.usualFaults+p.cfg.ReturnFaults
+}
+
 func (p *Picker) takeBack(now time.Time, m *member) {
 	m.left = false
 	m.samples = 0
@@ -86,12 +93,12 @@
 	return best
 }
 
-// leave leaves the slowest stragglers, as many as the bound allows. A candidate
+// leave leaves the worst stragglers, as many as the bound allows. A candidate
 // in slow start is not judged: its share is small already, and it is slow
 // because it is new.
 func (p *Picker) leave(now time.Time) {
 	for p.leftNow < p.mayLeave() {
-		m := p.slowest(now)
+		m := p.worst(now)
 		if m == nil {
 			return
 		}
@@ -104,10 +111,17 @@
 	}
 }
 
-func (p *Picker) slowest(now time.Time) *member {
+// worst returns the candidate to leave next: one that fails before one that is slow.
+func (p *Picker) worst(now time.Time) *member {
 	var worst *member
 	for _, m := range p.active {
-		if m.left || now.Sub(m.rampFrom) < m.ramp || !p.straggles(m) {
+		if m.left {
+			continue
+		}
+		if p.fails(m) {
+			return m
+		}
+		if now.Sub(m.rampFrom) < m.ramp || !p.straggles(m) {
 			continue
 		}
 		if worst == nil || m.logLatency > worst.logLatency {
@@ -117,6 +131,11 @@
 	return worst
 }
 
+// fails reports whether a candidate's backend server fails more than others.
+func (p *Picker) fails(m *member) bool {
+	return m.faults > p.usualFaults+p.cfg.LeaveFaults
+}
+
 func (p *Picker) straggles(m *member) bool {
 	if m.slowRun >= p.cfg.SlowRun {
 		return true
--- a/call/message.go
+++ b/call/message.go
@@ -119,6 +119,9 @@
 	// InFlight and Limit are the replying node's own measure of its load.
 	InFlight uint32 `cbor:"13,keyasint,omitempty"`
 	Limit    uint32 `cbor:"14,keyasint,omitempty"`
+	// Faults is the part, in percent, of the backend server's latest requests that
+	// it did not answer, or answered with a failure of its own.
+	Faults uint8 `cbor:"25,keyasint,omitempty"`
 	// ConfigVersion is the configuration in force at the replying node.
 	ConfigVersion uint64 `cbor:"15,keyasint,omitempty"`
 	// BoundTo names the incarnation that a key is bound to, when it is
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -31,6 +31,15 @@
 	return Outcome{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, RetryAfter: e.RetryAfter}
 }
 
+// LeastServerError is the least status with which a backend server says that it failed,
+// and not its caller.
+const LeastServerError = 500
+
+// Served reports whether the backend server answered, and no failure of its own.
+func (o *Outcome) Served() bool {
+	return o.Verdict == verdict.Ran && o.Reason == verdict.None && o.Status < LeastServerError
+}
+
 // AddUses adds to a list the slot time that a call of the service took, there and at
 // all services below it.
 func (o *Outcome) AddUses(list []Use, service string) []Use {
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -174,6 +174,7 @@
 		Outcome:  balance(r),
 		InFlight: int(r.InFlight),
 		Limit:    int(r.Limit),
+		Faults:   float64(r.Faults) / 100,
 	})
 }
 
--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -26,6 +26,9 @@
 	// turned away without having run; gone takes none and answers none.
 	slow, decline float64
 	gone          bool
+	// mute is the share of requests that it does not answer, errors of those that
+	// it answers with a failure.
+	mute, errors float64
 }
 
 func newBackend(s *Service, speed float64, seed uint64) *backend {
@@ -105,6 +108,30 @@
 	return time.Duration(took * float64(time.Second))
 }
 
+// ending is how a backend server ends a piece of work.
+type ending uint8
+
+const (
+	answers ending = iota
+	silent
+	fails
+)
+
+// end draws how the next piece of work ends.
+func (b *backend) end() ending {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	x := b.rng.Float64()
+	switch {
+	case x < b.mute:
+		return silent
+	case x < b.mute+b.errors:
+		return fails
+	default:
+		return answers
+	}
+}
+
 // lognormal has a mean of one and the given coefficient of variation.
 func (b *backend) lognormal(spread float64) float64 {
 	sigma2 := math.Log(1 + spread*spread)
--- a/internal/replay/day.go
+++ b/internal/replay/day.go
@@ -13,6 +13,11 @@
 	Slow    float64
 	Decline float64
 	Lost    int
+	// Grey of its backend servers do not answer the share Mute of their requests
+	// and answer the share Errors with a failure, though all look healthy.
+	Grey   int
+	Mute   float64
+	Errors float64
 }
 
 // Day is one run.
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -43,11 +43,12 @@
 
 // run is one task at the backend server.
 type run struct {
-	task  *serve.Task
-	class *Class
-	ctx   context.Context
-	stop  context.CancelFunc
-	used  []call.Use
+	task        *serve.Task
+	class       *Class
+	ctx         context.Context
+	stop        context.CancelFunc
+	callsFailed bool
+	used        []call.Use
 }
 
 // rest is what a node keeps of its decisions here; nobody reads it.
@@ -179,6 +180,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r.used = out.AddUses(r.used, service)
+	r.callsFailed = r.callsFailed || !out.Served()
 	if n.calls.Learn(time.Now(), "", call.Names(r.used)) {
 		n.dispatch.PassOn(n.calls.Reach(""))
 	}
@@ -242,6 +244,7 @@
 	n.mu.Lock()
 	delete(n.running, r.task.ID)
 	result.Used = r.used
+	result.CallsFailed = r.callsFailed
 	n.mu.Unlock()
 	n.do(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
@@ -257,7 +260,15 @@
 	if !ok {
 		return serve.Result{Verdict: verdict.Ran, Status: statusFailed}
 	}
-	return serve.Result{Verdict: verdict.Ran, Status: statusOK}
+	switch n.backend.end() {
+	case silent:
+		<-r.ctx.Done()
+		return serve.Result{Verdict: verdict.MayHaveRun, Reason: verdict.Deadline}
+	case fails:
+		return serve.Result{Verdict: verdict.Ran, Status: statusFailed}
+	default:
+		return serve.Result{Verdict: verdict.Ran, Status: statusOK}
+	}
 }
 
 // callAll makes the calls of a task until one fails.
--- a/internal/replay/replay_test.go
+++ b/internal/replay/replay_test.go
@@ -382,3 +382,19 @@
 	}
 	is.True(mean(ours, long) > 1/(most*most))
 }
+
+// The caller sees: of a hundred requests twenty fail, at once and for as long as the
+// fault lasts, in a service with room to spare. One of three backend servers answers two
+// of five requests with a failure, looks healthy, and is as fast as the others. The node
+// beside it tells the callers' nodes, which leave it but for probes.
+func TestFailuresThatHealthDoesNotShow(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	day := burst(Savukartta(), 0.6)
+	day.Phases[1].Grey = 1
+	day.Phases[1].Errors = 0.4
+	blind := variant("failures are not told", func(p *Policy) { p.Dispatch.Balancer.LeaveFaults = 1 })
+	reports := playAll(t, []trial{{day, Ours()}, {day, blind}})
+	is.True(reports[0].During().Credit() > 0.95)
+	is.True(reports[1].During().Credit() < 0.8)
+}
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -194,7 +194,14 @@
 			slow = p.Slow
 		}
 		gone := at < p.Lost
-		n.backend.set(func(b *backend) { b.slow, b.decline, b.gone = slow, p.Decline, gone })
+		mute, errors := 0.0, 0.0
+		if at < p.Grey {
+			mute, errors = p.Mute, p.Errors
+		}
+		n.backend.set(func(b *backend) {
+			b.slow, b.decline, b.gone = slow, p.Decline, gone
+			b.mute, b.errors = mute, errors
+		})
 		if gone {
 			w.members.leave(n.service.Name, n.id)
 		}
--- a/node/run.go
+++ b/node/run.go
@@ -80,19 +80,21 @@
 }
 
 func (n *Node) result(r *run, res backend.Result, touched bool) serve.Result {
+	used, callsFailed := n.server.used(r)
 	result := serve.Result{
-		Verdict:    res.Verdict,
-		Reason:     res.Reason,
-		Detail:     res.Detail,
-		RetryAfter: res.RetryAfter,
-		Status:     res.Status,
-		Header:     res.Header,
-		Body:       res.Body,
-		Latency:    res.Latency,
-		Crashed:    res.Crashed,
-		Offered:    res.Offered,
-		Used:       n.server.used(r),
-		Unused:     n.dispatch.CloseLedger(r.ledger),
+		Verdict:     res.Verdict,
+		Reason:      res.Reason,
+		Detail:      res.Detail,
+		RetryAfter:  res.RetryAfter,
+		Status:      res.Status,
+		Header:      res.Header,
+		Body:        res.Body,
+		Latency:     res.Latency,
+		Crashed:     res.Crashed,
+		Offered:     res.Offered,
+		Used:        used,
+		CallsFailed: callsFailed,
+		Unused:      n.dispatch.CloseLedger(r.ledger),
 	}
 	// A backend server that declines after it made calls of its own has left
 	// traces elsewhere: the request as a whole may have run.
--- a/node/server.go
+++ b/node/server.go
@@ -46,6 +46,8 @@
 	// touched is set when a call made for the task may have run: the task
 	// itself can then no longer claim "not run".
 	touched bool
+	// callsFailed says that one of them failed.
+	callsFailed bool
 	// used is the slot time that calls made for the task took at each service.
 	used []call.Use
 }
@@ -138,13 +140,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r.used = out.AddUses(r.used, service)
+	r.callsFailed = r.callsFailed || !out.Served()
 }
 
-// used lists the slot time that the calls made for a run took.
-func (s *server) used(r *run) []call.Use {
+// used lists the slot time that the calls made for a run took, and tells whether any
+// of them failed.
+func (s *server) used(r *run) (uses []call.Use, callsFailed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(r.used)
+	return slices.Clone(r.used), r.callsFailed
 }
 
 // find returns the run that a token names.
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -30,7 +30,10 @@
 	Ready    bool `json:"backend_ready"`
 	Crashed  bool `json:"backend_crashed"`
 	Draining bool `json:"draining"`
-	Running  int  `json:"running"`
+	// FaultsPercent is the part of its latest requests that the backend server did
+	// not answer or answered with a failure of its own.
+	FaultsPercent uint8 `json:"backend_faults_percent"`
+	Running       int   `json:"running"`
 	// Concurrency is how many may run at once.
 	Concurrency int                 `json:"concurrency"`
 	Parked      int                 `json:"waiting_for_binding"`
@@ -48,9 +51,12 @@
 // Dump returns the state as of now.
 func (s *Server) Dump(now time.Time) Dump {
 	return Dump{
-		Ready:       s.ready,
-		Crashed:     s.crashed,
-		Draining:    s.drain,
+		Ready:    s.ready,
+		Crashed:  s.crashed,
+		Draining: s.drain,
+
+		FaultsPercent: s.faults.percent(),
+
 		Running:     len(s.running),
 		Concurrency: s.concurrency(),
 		Parked:      len(s.parked),
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -99,6 +99,7 @@
 		Via:      to.via,
 		InFlight: uint32(len(s.running) + s.queue.Len()),
 		Limit:    uint32(min(s.concurrency(), maxConcurrency)),
+		Faults:   s.faults.percent(),
 	}
 }
 
--- a/serve/run.go
+++ b/serve/run.go
@@ -177,6 +177,7 @@
 		s.crash(now, &e)
 	} else {
 		s.judge(now, t, r, &e)
+		s.faults.note(r.Latency-t.downstream, r)
 	}
 	delete(s.running, id)
 	if s.lone == t {
@@ -221,6 +222,7 @@
 // announced itself: what still ran at the old one ended with it.
 func (s *Server) Restarted(now time.Time) Effects {
 	var e Effects
+	s.faults = faults{}
 	if len(s.running) > 0 {
 		s.crash(now, &e)
 	}
--- a/serve/server.go
+++ b/serve/server.go
@@ -30,6 +30,7 @@
 	gate    *admission.Gate
 	guard   *poison.Guard
 	random  *rand.Rand
+	faults  faults
 
 	tasks   map[uint64]*Task   // waiting or running
 	running map[uint64]*Task   // handed to the backend server
--- a/serve/task.go
+++ b/serve/task.go
@@ -76,6 +76,9 @@
 	// Offered says that a request which did not run had reached the backend
 	// server.
 	Offered bool
+	// CallsFailed says that a call which the task made failed: a failure that
+	// the backend server answers may not be its own.
+	CallsFailed bool
 	// Used is the slot time that calls made for the task took at each service
 	// that they reached.
 	Used []call.Use
