daemon: the whole-path test waits until its first node knows the last backend server

Beside other packages' tests 2 of 24 runs failed alike; the answer was "not run: no-backend: backend server has not announced itself", the same request was served at the last machine at that moment and at the first a second later. The first node had not heard of the last backend server when the other one left: the test had waited until each machine serves, not until each knows all. Ruled out: a fault of the product: the answer is true, and says when to come back; the last backend server was in use all the while. Change: before the leave the test asks at the first machine until a request has run at the last one.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -125,7 +125,7 @@
 	s := newSite(t)
 	a, _ := s.add(1, "top", "deep")
 	b, first := s.add(2, "deep", "")
-	c, _ := s.add(3, "deep", "")
+	c, last := s.add(3, "deep", "")
 	for i, m := range []standin.Machine{a, b, c} {
 		s.await("served through "+m.Name, func() bool {
 			status, _ := s.ask(m, "top", fmt.Sprint("warm", i))
@@ -139,6 +139,14 @@
 	status, _ = s.ask(a, "nowhere", "r2")
 	is.Equal(status, 404)
 
+	// A node that has not heard of the last backend server yet may say so, "not run".
+	tries := 0
+	s.await("the first node knows the last backend server", func() bool {
+		tries++
+		id := "known" + strconv.Itoa(tries)
+		status, _ := s.ask(a, "deep", id)
+		return status == 200 && s.journal.Runs(id)[0] == last.ID()
+	})
 	s.store.Set(standin.Silent)
 	s.publish(4, "deep")
 	is.NoErr(first.Leave(t.Context()))
