platform: a node that starts asks its own data centre first

Cause: a node that starts sends its empty list of members to four others, and each answers with the whole list; of five data centres four of five lists come from another one. Ruled out: asking one node alone (it may be gone; a start then takes as long as a dial). Change: the entry of a node in the store's list names its data centre; three of four addresses tried are of the own one, the fourth is not.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -104,7 +104,7 @@
 		OnStart: func(context.Context) error {
 			n.Start()
 			go platform.Watch(watching, store, n, log)
-			go platform.Announce(watching, store, advertised(s, own), n, log)
+			go platform.Announce(watching, store, platform.Place{Addr: advertised(s, own), DataCentre: s.DataCentre}, n, log)
 			go reloads.run(watching)
 			if !s.First {
 				go findBackend(watching, s, n, log)
