admission, queue: places by use and yielding by need are removed

Since levels follow each estimate queues are short, and what the two rules order is little. Change: both go, with the place that requests carried. Instead all calls let those go first that have less time, not calls under way alone.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -239,9 +239,6 @@
 
 // Entry is the decision about one request that would enter.
 type Entry struct {
-	// Priority is the place that decided: that among the requests for the
-	// service whose level is the highest.
-	Priority uint16
 	// BlockedBy names the service that does not admit the request, empty if all
 	// do; RetryAfter is when to come back.
 	BlockedBy  string
@@ -253,29 +250,21 @@
 // Admitted reports whether the request may be started.
 func (e Entry) Admitted() bool { return e.BlockedBy == "" }
 
-// Admit decides whether a request may be started that will reach the services.
-// place returns its priority among the requests for one of them, or that without
-// a service. If it may not, the one with the highest level is named.
-func (l *Levels) Admit(now time.Time, services []string, place func(service string) uint16) Entry {
+// Admit decides whether a request of a priority may be started that will reach the
+// services. If it may not, the one with the highest level is named.
+func (l *Levels) Admit(now time.Time, services []string, prio uint16) Entry {
 	var entry Entry
-	var highest, blocked uint16
+	var blocked uint16
 	for _, name := range services {
 		level := l.Level(now, name)
 		if level == 0 {
 			continue
 		}
-		prio := place(name)
 		entry.Bars = append(entry.Bars, call.Level{Service: name, Priority: level})
-		if level > highest {
-			highest, entry.Priority = level, prio
-		}
 		if level > prio && level > blocked {
 			blocked, entry.BlockedBy = level, name
 		}
 	}
-	if highest == 0 {
-		entry.Priority = place("")
-	}
 	if !entry.Admitted() {
 		r := &l.services[entry.BlockedBy].recovery
 		entry.RetryAfter = r.retryAfter(now, l.cfg.RetryMin, l.cfg.RetryMax, l.rng)
--- a/call/message.go
+++ b/call/message.go
@@ -58,9 +58,6 @@
 	// Repeat says that the call, or the request that it is made for, may have
 	// run before: its own calls are extra attempts.
 	Repeat bool `cbor:"20,keyasint,omitempty"`
-	// Priority is the request's among all, as the node that it entered at placed
-	// it; zero for the one that its importance and id give.
-	Priority uint16 `cbor:"21,keyasint,omitempty"`
 	// Bars are the levels above zero that let the request in, by which a node
 	// knows what part of those like it were not.
 	Bars []Level `cbor:"23,keyasint,omitempty"`
--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -27,19 +27,10 @@
 	waitMax = 600 * time.Millisecond
 	// waitShare of its spare time is what a call may wait.
 	waitShare = 0.9
-	// yieldShare of its spare time and at most yieldNeeds times its own work is
-	// how long a request that enters at a service lets calls of requests under
-	// way go first: a call that waits too long wastes what was done for its
-	// request. In replays of a burst of twice the slots on the deployment whose
-	// routes leave least time, 57% of all requests are served in order of arrival
-	// and 65% so. Were calls always first, short requests that enter at a short
-	// service would starve: on two other deployments 10% of them are served in
-	// place of half.
-	yieldShare = 0.8
-	yieldNeeds = 2
-	// soonerShare of its spare time is how long a call under way lets those go
-	// first that have less. In the same replays 22% of the tries that were let in
-	// break with it, 26% without.
+	// soonerShare of its spare time is how long a call lets those go first that
+	// have less: a call that waits too long wastes what was done for its request. In
+	// replays of a burst of twice the slots on the deployment whose routes leave
+	// least time, 61% of all requests are served in order of arrival and 64% so.
 	soonerShare = 0.25
 	// waitMin is the number of calls that may wait before the rate at which
 	// they are served is known.
@@ -123,8 +114,6 @@
 // how calls wait, where they go and how often they are tried again.
 func LoadPolicy(cfg *node.Config, b platform.Bounds) {
 	cfg.Serve.TellOnly = true
-	cfg.Serve.Queue.YieldShare = yieldShare
-	cfg.Serve.Queue.YieldNeeds = yieldNeeds
 	cfg.Serve.Queue.SoonerShare = soonerShare
 	cfg.Serve.Gate.Queue = levelQueue
 	cfg.Serve.Gate.Settle = levelSettle
@@ -136,7 +125,6 @@
 	cfg.Dispatch.Reoffers = reoffers
 	cfg.Dispatch.Hedge = true
 	cfg.Dispatch.Outlook = admission.DefaultOutlookConfig()
-	cfg.Dispatch.Mix = admission.DefaultMixConfig()
 	cfg.Dispatch.News = admission.DefaultNewsConfig()
 	cfg.Dispatch.Balancer.SlowStart = slowStart
 	cfg.Dispatch.Budget.Window = b.RetryWindow
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -24,31 +24,13 @@
 	if d.cfg.NoAdmission || p.Admitted {
 		return nil
 	}
-	entry := d.levels(*p).Admit(now, p.reach(), d.place(now, p))
-	p.Priority = entry.Priority
+	entry := d.levels(*p).Admit(now, p.reach(), p.priority())
 	p.Bars = call.HighestLevels(p.Bars, entry.Bars)
 	if entry.Admitted() {
 		return d.outlookFor(now, *p)
 	}
 	d.counts.Refused++
-	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", entry.BlockedBy, entry.Priority).After(entry.RetryAfter)
-}
-
-// place returns the request's place among those that need a service. The caller of
-// this holds the lock.
-func (d *Dispatcher) place(now time.Time, p *Params) func(service string) uint16 {
-	prio := p.priority()
-	if !p.Entering {
-		return func(string) uint16 { return prio }
-	}
-	route := usualKey(*p)
-	d.mix.Arrived(now, route)
-	return func(service string) uint16 {
-		if service == "" {
-			return prio
-		}
-		return d.mix.Place(now, service, route, prio)
-	}
+	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", entry.BlockedBy, p.priority()).After(entry.RetryAfter)
 }
 
 // outlookFor defers a request that enters here while those of its route fail. The
@@ -78,15 +60,3 @@
 	now := time.Now()
 	d.outlook.Ended(now, usualKey(p), good)
 }
-
-// learnUse notes what a request used that entered here and ended well: one that
-// failed has made only some of its calls.
-func (d *Dispatcher) learnUse(p Params, out call.Outcome) {
-	if !p.Entering || out.Reason != verdict.None || out.Status >= http.StatusBadRequest {
-		return
-	}
-	used := out.AddUses(nil, p.Operation.Service)
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.mix.Learn(time.Now(), usualKey(p), p.Importance, used)
-}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -14,7 +14,6 @@
 package dispatch
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"sync"
@@ -99,9 +98,6 @@
 	// Outlook defers requests that enter here while those of their route fail;
 	// the zero value defers none.
 	Outlook admission.OutlookConfig
-	// Mix places requests that enter here by what their kind uses; the zero
-	// value places all by their importance and id alone.
-	Mix admission.MixConfig
 	// RoundRobin replaces the choice of a backend server, for experiments.
 	RoundRobin bool
 	Seed       uint64
@@ -136,7 +132,6 @@
 	own      *admission.Levels
 	news     *admission.News
 	outlook  *admission.Outlook
-	mix      *admission.Mix
 	budgets  *retry.Budgets
 	usual    map[string]*usual // by operation
 	random   *rand.Rand
@@ -178,7 +173,6 @@
 		own:      admission.NewLevels(cfg.Levels, news, cfg.Seed+1),
 		news:     news,
 		outlook:  admission.NewOutlook(cfg.Outlook, cfg.Seed),
-		mix:      admission.NewMix(cfg.Mix),
 		budgets:  retry.NewBudgets(cfg.Budget),
 		usual:    make(map[string]*usual),
 	}
@@ -189,9 +183,6 @@
 	RequestID  string
 	Operation  *graph.Operation
 	Importance importance.Importance
-	// Priority is the place of the request that the call is made for; zero for
-	// one that enters here.
-	Priority uint16
 	// Bars are the levels that have let that request in so far.
 	Bars     []call.Level
 	Deadline time.Time
@@ -256,7 +247,7 @@
 
 // priority is the request's place among all.
 func (p *Params) priority() uint16 {
-	return cmp.Or(p.Priority, admission.Priority(p.Importance, p.root()))
+	return admission.Priority(p.Importance, p.root())
 }
 
 // Call makes one call and returns when its outcome is final.
@@ -274,7 +265,6 @@
 	defer cancel()
 	out := d.attempt(ctx, p)
 	d.ended(p, out)
-	d.learnUse(p, out)
 	return out
 }
 
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -122,7 +122,6 @@
 		HTTP:        p.HTTP,
 		Idempotent:  p.Operation.Idempotent,
 		Root:        p.Root,
-		Priority:    p.Priority,
 		Bars:        p.Bars,
 		Repeat:      p.Repeat || p.repeated,
 	}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -168,7 +168,7 @@
 	out := n.dispatch.Call(r.ctx, dispatch.Params{
 		RequestID: n.world.nextID(), Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.New(uint32(op.ExtraAttempts)), Fanout: 1,
-		Root: req.RootID(), Priority: req.Priority, Bars: req.Bars, Admitted: true, Repeat: req.Repeat, Depth: req.Depth + 1,
+		Root: req.RootID(), Bars: req.Bars, Admitted: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
 	n.used(r, c.Service, out)
 	n.world.report.called(c.Service, out)
--- a/node/entry.go
+++ b/node/entry.go
@@ -140,7 +140,7 @@
 	p.RequestID = parent.Request.RequestID
 	p.Importance = lower(parent.Request.Importance, in.Importance)
 	if p.Importance == parent.Request.Importance {
-		p.Priority, p.Bars = parent.Request.Priority, parent.Request.Bars
+		p.Bars = parent.Request.Bars
 	}
 	p.Depth = parent.Request.Depth + 1
 	p.Fanout = len(parent.Operation.DependsOn)
--- a/node/forward.go
+++ b/node/forward.go
@@ -114,7 +114,7 @@
 	req := &parent.task.Request
 	p.Root = req.RootID()
 	p.Importance = req.Importance
-	p.Priority, p.Bars = req.Priority, req.Bars
+	p.Bars = req.Bars
 	p.Depth = req.Depth + 1
 	p.Admitted = true
 	p.Repeat = req.Repeat
--- a/queue/config.go
+++ b/queue/config.go
@@ -23,14 +23,9 @@
 	// is served with only the usual service time left fails half the time,
 	// after the work was done.
 	WaitShare float64
-	// YieldShare of its spare time, and at most YieldNeeds times what it needs,
-	// is how long an item that would start a request lets later calls of
-	// requests under way go first: the longer it would hold the place, the more
-	// of them are served instead.
-	YieldShare, YieldNeeds float64
-	// SoonerShare of its spare time is how long a call of a request under way
-	// lets later ones go first that have less: those are nearer to the end of
-	// their request.
+	// SoonerShare of its spare time is how long an item lets later ones go first
+	// that have less: those are nearer to the end of their request, and what was
+	// done for it is lost if they come too late.
 	SoonerShare float64
 	// RateSpan is the busy time over which the service rate is averaged.
 	RateSpan time.Duration
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -2,8 +2,8 @@
 // server.
 //
 // The more important item goes first. Within one importance the oldest goes
-// first, but for the time that an item may yield to others, and under overload
-// the newest, because the oldest are about to expire.
+// first, but for a part of its spare time in which it lets those go that have less,
+// and under overload the newest, because the oldest are about to expire.
 // The queue is bounded by what can be served soon; when it is full the item of
 // the least priority leaves, never a more important one for a lesser. An item
 // that cannot be served before its deadline is refused when it arrives.
@@ -150,17 +150,13 @@
 	return now.Add(time.Duration(float64(spare) * q.cfg.WaitShare))
 }
 
-// yields is how long an item lets later ones of its importance go first.
-func (q *Queue[T]) yields(now time.Time, item *Item[T]) time.Duration {
+// lets is how long an item lets later ones of its importance go first.
+func (q *Queue[T]) lets(now time.Time, item *Item[T]) time.Duration {
 	if item.Deadline.IsZero() {
 		return 0
 	}
-	spare := max(0, item.Deadline.Sub(now)-item.Need).Seconds()
-	if item.UnderWay {
-		return time.Duration(spare * q.cfg.SoonerShare * float64(time.Second))
-	}
-	yields := min(spare*q.cfg.YieldShare, item.Need.Seconds()*q.cfg.YieldNeeds)
-	return time.Duration(yields * float64(time.Second))
+	spare := max(0, item.Deadline.Sub(now)-item.Need)
+	return time.Duration(float64(spare) * q.cfg.SoonerShare)
 }
 
 // ahead is the number of items that go before a new one of the rank.
@@ -258,7 +254,7 @@
 
 func (q *Queue[T]) add(now time.Time, item Item[T]) {
 	q.seq++
-	e := &entry[T]{item: item, rank: q.rank(item.Priority), seq: q.seq, pushed: now, turn: now.Add(q.yields(now, &item))}
+	e := &entry[T]{item: item, rank: q.rank(item.Priority), seq: q.seq, pushed: now, turn: now.Add(q.lets(now, &item))}
 	q.byID[item.ID] = e
 	q.ranks[e.rank].add(e)
 	q.worth.add(e)
--- a/serve/server.go
+++ b/serve/server.go
@@ -1,7 +1,6 @@
 package serve
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -183,7 +182,7 @@
 		Deadline:  now.Add(req.Budget),
 		arrived:   now,
 		waiter:    waiter{from: req.From, seq: req.Seq},
-		priority:  cmp.Or(req.Priority, admission.Priority(req.Importance, req.RootID())),
+		priority:  admission.Priority(req.Importance, req.RootID()),
 		class:     uint32(xxhash.Sum64String(req.Operation)),
 	}
 }
