--- a/balancer/straggler.go
+++ b/balancer/straggler.go
@@ -93,9 +93,9 @@
 	return best
 }
 
-// leave leaves the worst stragglers, as many as the bound allows. A candidate
-// in slow start is not judged: its share is small already, and it is slow
-// because it is new.
+// leave leaves the worst stragglers, as many as the bound allows. The
+// latency of a candidate in slow start is not judged: its share is small already, and
+// it is slow because it is new.
 func (p *Picker) leave(now time.Time) {
 	for p.leftNow < p.mayLeave() {
 		m := p.worst(now)
