transport, dispatch: one ticking loop, one meaning of a served call

Cause: the loop that looks for connections in doubt was a copy of the one that closes idle ones, and the outlook judged an outcome by the two conditions that call.Outcome.Served now states. Ruled out: another meaning: an outcome without a reason holds the answer of its last attempt, so its verdict is Ran. Change: Transport.every runs both; Dispatcher.ended asks Served. No behaviour.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
@@ -54,9 +53,8 @@
 	if !p.Entering || out.Verdict == verdict.NotRun || len(out.Used) == 0 {
 		return
 	}
-	good := out.Reason == verdict.None && out.Status < http.StatusInternalServerError
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.outlook.Ended(now, usualKey(p), good)
+	d.outlook.Ended(now, usualKey(p), out.Served())
 }
--- a/transport/stall.go
+++ b/transport/stall.go
@@ -74,20 +74,10 @@
 // before it has come through as well.
 func (c *Conn) Answered(sent time.Time) { c.receipts.shown(sent) }
 
-// watch looks for connections in doubt.
-func (t *Transport) watch() {
-	defer t.wg.Done()
-	ticker := time.NewTicker(proofTick)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-t.stop:
-			return
-		case now := <-ticker.C:
-			for _, c := range t.doubtful(now) {
-				t.ask(c)
-			}
-		}
+// askDoubtful asks the connections in doubt.
+func (t *Transport) askDoubtful(now time.Time) {
+	for _, c := range t.doubtful(now) {
+		t.ask(c)
 	}
 }
 
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -71,8 +71,8 @@
 		stop:    make(chan struct{}),
 	}
 	t.wg.Add(2)
-	go t.sweep()
-	go t.watch()
+	go t.every(cfg.IdleTimeout/4, t.closeIdle)
+	go t.every(proofTick, t.askDoubtful)
 	return t
 }
 
@@ -383,17 +383,17 @@
 	return true
 }
 
-// sweep closes idle connections.
-func (t *Transport) sweep() {
+// every calls f at intervals until the Transport is closed.
+func (t *Transport) every(interval time.Duration, f func(now time.Time)) {
 	defer t.wg.Done()
-	ticker := time.NewTicker(t.cfg.IdleTimeout / 4)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-t.stop:
 			return
 		case now := <-ticker.C:
-			t.closeIdle(now)
+			f(now)
 		}
 	}
 }
