--- /dev/null
+++ b/bootclock/bootclock_test.go
@@ -0,0 +1,16 @@
+package bootclock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestNowGoesOn(t *testing.T) {
+	is := is.New(t)
+	var clock Clock = Now
+	before := clock()
+	time.Sleep(time.Millisecond)
+	is.True(clock().Sub(before) >= time.Millisecond)
+}
--- /dev/null
+++ b/freshness/freshness_test.go
@@ -0,0 +1,95 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+func TestNothingIsFreshUnproved(t *testing.T) {
+	is := is.New(t)
+	var k Keeper
+	k.InForce(3)
+	is.True(!k.Fresh(at(0), time.Hour))
+	_, known := k.Best()
+	is.True(!known)
+}
+
+// A caller's key is taken away in version 4. A peer tells this node, which still has
+// version 3, that 4 was the newest a moment ago. That proves nothing for version 3, and
+// counts once 4 is in force.
+func TestProofOfANewerVersionCountsOnceItIsInForce(t *testing.T) {
+	is := is.New(t)
+	var k Keeper
+	k.InForce(3)
+	k.Learn(Proof{Version: 3, At: at(0)})
+	k.Learn(Proof{Version: 4, At: at(5)})
+	is.True(!k.Fresh(at(5), 4*time.Second))
+	k.InForce(4)
+	is.True(k.Fresh(at(5), 4*time.Second))
+}
+
+func TestOlderProofChangesNothing(t *testing.T) {
+	is := is.New(t)
+	var k Keeper
+	k.InForce(3)
+	k.Learn(Proof{Version: 3, At: at(4)})
+	k.Learn(Proof{Version: 2, At: at(1)})
+	age, known := k.Age(at(5))
+	is.True(known)
+	is.Equal(age, time.Second)
+}
+
+// Versions are published at random; readers ask the store, and nodes pass proofs and
+// versions on in any order, late and twice. A node that is fresh has every version that
+// is older than the bound.
+func TestFreshMeansNothingOlderIsMissing(t *testing.T) {
+	const bound = 5 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		var published []time.Time // of version i+1
+		var nodes [3]Keeper
+		type message struct {
+			proof Proof
+			to    int
+		}
+		var onTheWay []message
+		now := start
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 2).Draw(t, "node")
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				published = append(published, now)
+			case 1: // a read of the store, answered at once or later
+				onTheWay = append(onTheWay, message{Proof{uint64(len(published)), now}, i})
+			case 2: // a question to another node
+				if p, ok := nodes[i].Best(); ok {
+					onTheWay = append(onTheWay, message{p, (i + 1) % 3})
+				}
+			case 3:
+				if len(onTheWay) > 0 {
+					m := onTheWay[rapid.IntRange(0, len(onTheWay)-1).Draw(t, "message")]
+					nodes[m.to].Learn(m.proof)
+				}
+			case 4:
+				nodes[i].InForce(uint64(rapid.IntRange(0, len(published)).Draw(t, "version")))
+			}
+			for j := range nodes {
+				if !nodes[j].Fresh(now, bound) {
+					continue
+				}
+				for v, when := range published {
+					if now.Sub(when) > bound && nodes[j].inForce < uint64(v+1) {
+						t.Fatalf("node %d is fresh with version %d; %d is %s old", j, nodes[j].inForce, v+1, now.Sub(when))
+					}
+				}
+			}
+		}
+	})
+}
