node, platform, dispatch: keys, quotas and the age of the configuration on the request's path

Cause: the caller's key reached the backend server, unknown and withdrawn keys ran, no quota held (docs/design/shifted-load.md). Ruled out: each node reading the store by itself (a call each of 68 nodes every two seconds; readers and proofs passed on by question and answer need a call of each of six readers in 1.25 s); proofs that readers push (their time on the way is not known). Change: a key names the workspace where the request enters, its rank goes before the route's; 401, 429 and 503 tell unknown key, used quota and unproved configuration.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -43,6 +43,8 @@
 	// Instance is the start of the backend server that is meant, empty for
 	// any.
 	Instance string
+	// Workspace names that of the caller, empty for none.
+	Workspace string
 
 	address string // IP:PORT
 }
--- a/call/message.go
+++ b/call/message.go
@@ -64,6 +64,9 @@
 	// SentMillis is the sender's clock in milliseconds when the message was
 	// written, from any beginning and modulo 2^32; zero if it is not told.
 	SentMillis uint32 `cbor:"24,keyasint,omitempty"`
+	// Workspace is that of the caller's key; empty if the request has none, as the
+	// calls that backend servers make.
+	Workspace string `cbor:"26,keyasint,omitempty"`
 	// Via is the callee's number of the connection that the call came by.
 	Via uint64 `cbor:"-"`
 }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -103,7 +103,10 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			n.Start()
-			go platform.Watch(watching, store, n, log)
+			go platform.Watch(watching, store, n, routeReads(cfg), log)
+			if cfg.Quota.Parts > 0 {
+				go platform.Lease(watching, store, n, cfg.Quota, log)
+			}
 			go platform.Announce(watching, store, platform.Place{Addr: advertised(s, own), DataCentre: s.DataCentre}, n, log)
 			go reloads.run(watching)
 			if !s.First {
--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -10,6 +10,7 @@
 	"github.com/cassialoom/cassialoom/logs"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/platform"
+	"github.com/cassialoom/cassialoom/readers"
 	"github.com/cassialoom/cassialoom/settings"
 )
 
@@ -84,8 +85,25 @@
 	// service and the one above it turn away half of what they get, those are a
 	// quarter of what is spent.
 	budgetShare = 0.68
+	// revokeShare of the time in which a key that was taken away must not be served any
+	// more is the age of a configuration that is relied on.
+	revokeShare = 0.9
+	// proofReads of the configuration are made by each reader in that age: a proof is up
+	// to two of them old when its reader gets the next one, and takes another moment to
+	// reach the other nodes.
+	proofReads = 3.6
 )
 
+// routeReads is how often the routes are read: where keys depend on the age of the
+// configuration, often enough that its proof is young when it reaches the other nodes.
+func routeReads(cfg node.Config) readers.RoutesConfig {
+	reads := readers.DefaultRoutesConfig()
+	if cfg.FreshWithin > 0 {
+		reads.Wait = min(reads.Wait, time.Duration(float64(cfg.FreshWithin)/proofReads))
+	}
+	return reads
+}
+
 func platformConfig(s platform.Settings, own settings.Platform, log zerolog.Logger) node.Config {
 	cfg := node.DefaultConfig()
 	cfg.Explain.Sink = logs.NewDecisions(logs.DefaultConfig(), log)
@@ -106,6 +124,11 @@
 	cfg.Backend.Dialect = platform.Target{}
 	cfg.Backend.IdleTimeout = time.Minute // the backend server states its own
 	cfg.Entry.IdleTimeout = keptIdle
+	cfg.Quota.Parts = s.Store.Parts
+	cfg.Quota.Window = s.Bounds.QuotaWindow
+	cfg.Quota.Overage = s.Bounds.QuotaOverage
+	cfg.Quota.Slack = s.Bounds.QuotaSlack
+	cfg.FreshWithin = time.Duration(float64(s.Bounds.Revoke) * revokeShare)
 	body := min(int64(float64(s.Memory)*bodyShare), settings.MaxPayload)
 	cfg.Entry.MaxBody = max(cfg.Entry.MaxBody, body)
 	cfg.Backend.MaxAnswer = max(cfg.Backend.MaxAnswer, body)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -210,6 +210,8 @@
 	Body   []byte
 	// HTTP is set for a request that came by host and path.
 	HTTP call.HTTP
+	// Workspace is that of the caller's key, empty for none.
+	Workspace string
 	// Root names the request that this call is made for; empty if it is one
 	// that enters here.
 	Root string
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -124,6 +124,7 @@
 		Root:        p.Root,
 		Bars:        p.Bars,
 		Repeat:      p.Repeat || p.repeated,
+		Workspace:   p.Workspace,
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -37,6 +37,11 @@
 	Received time.Time
 	// HTTP is the request as it came, for routes by host and path.
 	HTTP call.HTTP
+	// Credentials are the header fields that bear the caller's key. They are no part of
+	// Header, so that none travels by oversight.
+	Credentials []call.Field
+	// WorkspaceKey is the key in them, empty for none.
+	WorkspaceKey string
 	// Parent is the request that this one says it is a call of, empty for
 	// none. It is a hint: the node believes it only while that request runs
 	// at its own backend server.
--- a/node/forward.go
+++ b/node/forward.go
@@ -11,6 +11,7 @@
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/retry"
+	"github.com/cassialoom/cassialoom/routes"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -60,22 +61,35 @@
 	if !ok {
 		return call.Failed(verdict.Refuse(verdict.UnknownOperation, "no route for %s%s in version %d", in.HTTP.Host, path, table.Version))
 	}
-	op := n.routing.pick(table, route).Operation
 	in.HTTP.Origin = n.cfg.Service
-	p := routeParams(in, op)
-	p.Version = table.Version
+	if table.Workspaces == nil {
+		in.Header = append(in.Header, in.Credentials...) // nobody here asks for keys
+	}
 	var out call.Outcome
+	var p dispatch.Params
 	if parent, ok := n.server.running(in.Parent); ok && in.Parent != "" {
+		p = n.routeParams(table, route, in)
 		out = n.forwardCall(ctx, parent, p)
 	} else {
+		visitor, err := n.authorize(ctx, route, in.WorkspaceKey)
+		if err != nil {
+			n.noteRefused(in, table.Version, err)
+			return call.Failed(err)
+		}
+		p = n.routeParams(table, route, in)
+		p.Importance = route.ImportanceFor(visitor.workspace)
+		p.Workspace = visitor.name()
 		out = n.forwardRoot(ctx, p)
+		n.leaveToken(visitor, out)
 	}
 	n.timed(p, in.Received, out)
 	return out
 }
 
-func routeParams(in entry.Incoming, op *graph.Operation) dispatch.Params {
+func (n *Node) routeParams(table *routes.Table, route *routes.Route, in entry.Incoming) dispatch.Params {
+	op := n.routing.pick(table, route).Operation
 	return dispatch.Params{
+		Version:     table.Version,
 		RequestID:   in.RequestID,
 		Operation:   op,
 		Importance:  op.Importance,
--- a/node/node.go
+++ b/node/node.go
@@ -20,6 +20,7 @@
 
 	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/backend"
+	"github.com/cassialoom/cassialoom/bootclock"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/entry"
@@ -27,6 +28,7 @@
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/ops"
+	"github.com/cassialoom/cassialoom/quota"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/routes"
 	"github.com/cassialoom/cassialoom/serve"
@@ -79,6 +81,13 @@
 	// Directory says that others tell the node where its peers may be (Meet),
 	// in place of a stream of the log.
 	Directory bool
+	// Quota bounds the requests of workspaces; without parts none are bounded.
+	Quota quota.Config
+	// FreshWithin is the age of the configuration beyond which requests that need a key
+	// are refused, since the key may have been taken away; zero for any age.
+	FreshWithin time.Duration
+	// Clock judges leases and ages.
+	Clock bootclock.Clock
 	// DecodeRoutes reads published routes. If it is set the node serves
 	// those instead of a graph text.
 	DecodeRoutes func(text []byte) (*routes.Table, error)
@@ -99,6 +108,8 @@
 		Backend:        backend.DefaultConfig(),
 		Entry:          entry.DefaultConfig(),
 		Explain:        explain.DefaultConfig(),
+		Quota:          quota.DefaultConfig(),
+		Clock:          bootclock.Now,
 	}
 }
 
@@ -118,6 +129,7 @@
 	members *roster
 	graph   *graphs
 	routing *routing
+	quotas  *quotas
 	server  *server
 	posts   *postman
 
@@ -176,6 +188,7 @@
 		graph:    newGraphs(config.NewSpread(cfg.Spread, id, cfg.DataCentre, seed)),
 		requests: retry.NewRequests(cfg.Dispatch.Budget),
 		routing:  newRouting(cfg.DecodeRoutes),
+		quotas:   newQuotas(cfg.Quota, cfg.FreshWithin, cfg.Clock),
 		started:  now,
 
 		levelsHeard: make(chan struct{}, 1),
@@ -211,6 +224,7 @@
 func (n *Node) Start() {
 	n.background(n.watchServer)
 	n.background(n.tellLevels)
+	n.background(n.tendQuotas)
 	n.loop(memberTick, n.tickMembers)
 	if !n.routing.enabled() {
 		n.loop(bindingTick, n.tickBindings)
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/quota"
 	"github.com/cassialoom/cassialoom/transport"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -89,6 +90,7 @@
 var messageNames = map[wire.Kind]string{
 	wire.KindCall: "call", wire.KindReply: "reply", wire.KindCancel: "cancel", wire.KindMembership: "membership",
 	wire.KindConfig: "config", wire.KindPoison: "poison", wire.KindRoutes: "routes", wire.KindLevels: "levels",
+	wire.KindQuotaAsk: "quota", wire.KindQuotaAnswer: "quota", wire.KindQuotaClaim: "quota",
 }
 
 // countPeerBytes counts a message by its kind, apart for what comes from another data
@@ -116,6 +118,12 @@
 		return decode(f, func(m levelsMessage) { n.handleLevels(m) })
 	case wire.KindPoison:
 		return decode(f, func(m poison.Notice) { n.handleNotice(m) })
+	case wire.KindQuotaAsk:
+		return decode(f, func(m quotaAsk) { n.handleQuotaAsk(from, m) })
+	case wire.KindQuotaAnswer:
+		return decode(f, func(m quotaAnswer) { n.handleQuotaAnswer(from, m) })
+	case wire.KindQuotaClaim:
+		return decode(f, func(m quota.Claim) { n.handleQuotaClaim(from, m) })
 	default:
 		// A kind that this release does not know: a newer one may send it.
 		return nil
--- /dev/null
+++ b/node/quota_owner.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/freshness"
+	"github.com/cassialoom/cassialoom/quota"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// Leases says whether this node should own quotas, and takes what the store gave it.
+// The node implements it for whoever speaks with the store.
+
+// WantsLease reports whether this node should be one of the few that own quotas.
+func (n *Node) WantsLease() bool {
+	table := n.routing.table()
+	return table != nil && table.Workspaces != nil && !n.draining.Load() && !n.joining() && n.Reader()
+}
+
+// LeaseGeneration is the store's number of the last change of owners that this node
+// knows.
+func (n *Node) LeaseGeneration() (generation uint64) {
+	n.quotas.with(func(time.Time) { generation = n.quotas.tenure.Generation() })
+	return generation
+}
+
+// LeaseMember is the name of this start of the node among the owners.
+func (n *Node) LeaseMember() string { return n.id.String() }
+
+// LeaseClock is the clock by which a renewal's sending is told.
+func (n *Node) LeaseClock() time.Time { return n.quotas.clock() }
+
+// LeaseRenewed takes the store's answer to a renewal that was sent at a moment.
+func (n *Node) LeaseRenewed(sent time.Time, life time.Duration, generation uint64, parts []int) {
+	changed := false
+	claim := quota.Claim{Owner: n.id, Generation: generation, Parts: parts}
+	n.quotas.with(func(now time.Time) {
+		q := n.quotas
+		changed = q.tenure.Renewed(sent, life, generation, parts)
+		q.bank.Keep(func(name string) bool { _, owned := q.tenure.Owns(now, q.cfg.Part(name)); return owned })
+		q.owners.Heard(claim)
+	})
+	if !changed {
+		return
+	}
+	n.log.Info().Uint64("generation", generation).Ints("parts", parts).Msg("owns quotas")
+	for _, rec := range n.members.view() {
+		if rec.ID != n.id && !rec.State.Gone() {
+			n.posts.post(rec.ID, wire.KindQuotaClaim, claim)
+		}
+	}
+	n.quotas.stir()
+}
+
+// LeaseEnded gives up what this node owns.
+func (n *Node) LeaseEnded() {
+	n.quotas.with(func(time.Time) { n.quotas.tenure.Ended() })
+	n.log.Info().Msg("owns no quotas any more")
+}
+
+// Proved says that at a moment, by LeaseClock, nothing newer was published than what is
+// in force here.
+func (n *Node) Proved(at time.Time) {
+	version := n.routing.version()
+	n.quotas.with(func(time.Time) {
+		n.quotas.proof.Learn(freshness.Proof{Version: version, At: at})
+		n.quotas.tell()
+	})
+}
+
+// unproved reports that nobody whom this node reaches has proved the configuration for
+// long, while requests need it.
+func (q *quotas) unproved() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	now := q.clock()
+	return q.freshWithin > 0 && q.inUse(now) && !q.proof.Fresh(now, time.Duration(proofLate*float64(q.freshWithin)))
+}
--- a/node/run.go
+++ b/node/run.go
@@ -65,6 +65,7 @@
 		Body:       req.Body,
 		HTTP:       req.HTTP,
 		Instance:   inst.start.ID,
+		Workspace:  req.Workspace,
 		Idempotent: req.Idempotent || r.task.Operation != nil && r.task.Operation.Idempotent,
 	})
 	touched := n.server.ended(r)
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -35,25 +35,27 @@
 }
 
 // Publish takes routes as the operator wrote them, wherever they were read. A
-// text that cannot be taken leaves the routes in force as they are.
-func (n *Node) Publish(text []byte, source string) {
+// text that cannot be taken leaves the routes in force as they are; false then.
+func (n *Node) Publish(text []byte, source string) bool {
 	table, err := n.routing.decode(text)
 	if err != nil {
 		n.counts.RoutesRefused.Add(1)
 		n.log.Error().Err(err).Str("source", source).Uint64("in_force", n.routing.version()).Msg("routes refused")
-		return
+		return false
 	}
 	before := n.routing.version()
 	if !n.routing.take(time.Now(), table, text) {
-		return
+		return true // older than what is in force
 	}
 	n.inForce.Store(table.Version)
+	n.quotas.inForce(table.Version)
 	n.counts.ConfigChanges.Add(1)
 	n.log.Info().Uint64("version", table.Version).Uint64("before", before).Int("routes", table.Len()).
 		Str("source", source).Msg("routes in force")
 	if source == SourceStore && n.Reader() {
 		n.offerRoutes(table.Version)
 	}
+	return true
 }
 
 // SourceStore names the store as where routes were read.
@@ -71,7 +73,7 @@
 // data centre are the first by identity of those that are known; it is harmless if
 // two views differ and more or fewer nodes take themselves for readers for a while.
 func (n *Node) Situation() readers.Situation {
-	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true}
+	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true, Unproved: n.quotas.unproved()}
 	before := 0
 	centres := map[string]struct{}{n.cfg.DataCentre: {}}
 	n.members.with(func(m *membership.Members) {
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -50,6 +50,8 @@
 	ConfigChanges expvar.Int
 	// RoutesRefused counts published routes that could not be taken.
 	RoutesRefused expvar.Int
+	// QuotaAsks are questions of other nodes for tokens or proofs that were answered.
+	QuotaAsks expvar.Int
 	// LateBeats counts heartbeats of the backend server that came after newer
 	// ones.
 	LateBeats expvar.Int
@@ -117,6 +119,7 @@
 		{name: "backend_broken", value: &c.BackendBroken},
 		{name: "backend_crashes", value: &c.BackendCrashes},
 		{name: "keys_minted", value: &c.KeysMinted},
+		{name: "quota_asks", value: &c.QuotaAsks},
 		{name: "late_replies", value: &c.LateReplies},
 		{name: "late_calls", value: &c.LateCalls},
 		{name: "peer_connects", value: &c.PeerConnects},
--- a/readers/readers.go
+++ b/readers/readers.go
@@ -24,6 +24,9 @@
 	Alone bool
 	// Routes says that routes are in force here, whoever brought them.
 	Routes bool
+	// Unproved says that requests need a proof that the routes here are the newest, and
+	// that no node within reach has one that is recent.
+	Unproved bool
 	// Neighbours is the number of nodes in the data centre, this one included.
 	Neighbours int
 }
--- a/readers/readers_test.go
+++ b/readers/readers_test.go
@@ -222,3 +222,21 @@
 	is.True(alone >= 9)
 	is.True(met <= 6)
 }
+
+// Requests with keys come to a node whose peers have no recent proof of the routes. It
+// reads the store itself, also right after its start, and not more than twice a second
+// if that does not help.
+func TestUnprovedNodeReadsItself(t *testing.T) {
+	is := is.New(t)
+	r := NewRoutes(DefaultRoutesConfig(), 1)
+	is.Equal(r.Next(start, Situation{}), Step{Action: Newest})
+	r.Answered(start)
+	reads := 0
+	for now := start; now.Before(start.Add(2 * time.Second)); now = now.Add(step) {
+		if next := r.Next(now, Situation{Routes: true, Unproved: true, Neighbours: 20}); next.Action == Follow {
+			reads++
+			r.Answered(now)
+		}
+	}
+	is.True(reads >= 3 && reads <= 4)
+}
--- a/readers/routes.go
+++ b/readers/routes.go
@@ -68,6 +68,8 @@
 	settleTill time.Time
 	retryAt    time.Time
 	checkAt    time.Time
+	// provedAt is when the routes were last read for a proof alone.
+	provedAt time.Time
 }
 
 // NewRoutes returns the plan of a node that has read nothing.
@@ -92,6 +94,10 @@
 	case !s.Routes: // the operator has written none yet
 		return Step{Follow, r.cfg.CheckMin}
 	}
+	if r.known && s.Unproved && now.Sub(r.provedAt) >= look {
+		r.provedAt = now
+		return Step{Action: Follow}
+	}
 	if left := r.settleTill.Sub(now); left > 0 {
 		return Step{Pause, min(left, look)}
 	}
--- a/routes/route.go
+++ b/routes/route.go
@@ -15,6 +15,7 @@
 
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/workspace"
 )
 
 // Route is one rule: requests for Host whose path begins with Prefix.
@@ -32,6 +33,8 @@
 	MaxAttempts int
 	// Rank orders routes under overload; zero is the highest.
 	Rank int
+	// Open says that requests need no key of a workspace.
+	Open bool
 	// Shares are the services that serve the route. Their weights are
 	// relative to each other.
 	Shares []Share
@@ -56,8 +59,24 @@
 }
 
 // Importance maps the rank to the importances that the queues and levels know.
-func (r *Route) Importance() importance.Importance {
-	return importance.Critical - importance.Importance(min(max(r.Rank, 0), int(importance.Critical)))
+func (r *Route) Importance() importance.Importance { return ranked(r.Rank) }
+
+// ImportanceFor is the importance of a workspace's requests: its rank goes before the
+// route's, which counts among workspaces of one rank. There are four importances for
+// all pairs: workspaces of the highest rank share the first, and of the others the
+// highest route is told apart.
+func (r *Route) ImportanceFor(w *workspace.Workspace) importance.Importance {
+	switch {
+	case w == nil || !w.Ranked:
+		return r.Importance()
+	case w.Rank <= 0 || r.Rank <= 0:
+		return ranked(w.Rank)
+	}
+	return ranked(w.Rank + 1)
+}
+
+func ranked(rank int) importance.Importance {
+	return importance.Critical - importance.Importance(min(max(rank, 0), int(importance.Critical)))
 }
 
 func (r *Route) check() error {
@@ -116,6 +135,8 @@
 	byHost  map[string][]*Route // longest prefix first
 	count   int
 	health  map[string]string
+	// Workspaces is nil if requests need no keys.
+	Workspaces *workspace.Directory
 }
 
 // Health names the path at which backend servers of a service tell their
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -30,6 +30,14 @@
 	KeyNotBound      Reason = "key-not-bound"
 	AnswerDropped    Reason = "answer-dropped"
 	TooDeep          Reason = "too-deep"
+	// Unauthorized: no workspace has the request's key.
+	Unauthorized Reason = "unauthorized"
+	// OverQuota: the workspace has sent as many requests as it may.
+	OverQuota Reason = "over-quota"
+	// QuotaUnknown: nobody could say whether the workspace may send more.
+	QuotaUnknown Reason = "quota-unknown"
+	// StaleConfiguration: a newer configuration may have taken the key away.
+	StaleConfiguration Reason = "stale-configuration"
 )
 
 // Status is the HTTP status that a caller sees for the reason.
@@ -49,6 +57,10 @@
 		return http.StatusBadGateway
 	case TooDeep:
 		return http.StatusLoopDetected
+	case Unauthorized:
+		return http.StatusUnauthorized
+	case OverQuota:
+		return http.StatusTooManyRequests
 	default:
 		return http.StatusServiceUnavailable
 	}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -24,6 +24,9 @@
 	KindRoutes
 	KindOpened
 	KindLevels
+	KindQuotaAsk
+	KindQuotaAnswer
+	KindQuotaClaim
 )
 
 // Limits for what a peer may send. A peer that exceeds them is disconnected:
