--- a/node/ops.go
+++ b/node/ops.go
@@ -27,6 +27,7 @@
 	Membership membership.Dump `json:"membership"`
 	Explain    explain.Dump    `json:"explain"`
 	Routes     RoutesState     `json:"routes"`
+	Workspaces WorkspacesState `json:"workspaces"`
 }
 
 // BackendState is what the backend server last said of itself.
@@ -55,6 +56,7 @@
 		Config:     n.graph.dump(),
 		Explain:    n.notes.Dump(),
 		Routes:     n.routing.dump(now),
+		Workspaces: n.dumpWorkspaces(),
 	}
 	n.members.with(func(m *membership.Members) { s.Membership = m.Dump() })
 	return s
@@ -140,6 +142,7 @@
 	gauges := []ops.Gauge{
 		{Name: "routes_version", Value: float64(routes.Version)},
 		{Name: "routes_age_seconds", Value: float64(routes.AgeMs) / 1000},
+		{Name: "routes_proof_age_seconds", Value: n.quotas.proofAge().Seconds()},
 		{Name: "routes_learned", Value: float64(len(routes.Reach))},
 		{Name: "members", Value: float64(len(n.members.view()))},
 		{Name: "connected_peers", Value: float64(len(n.peers.Connected()))},
--- a/node/peers.go
+++ b/node/peers.go
@@ -25,6 +25,10 @@
 		// here. If the offer is lost, replies name the version, too.
 		_, _ = c.Send(wire.KindRoutes, routesMessage{Version: v})
 	}
+	if claim, owns := n.ownClaim(); owns {
+		// A node that has just started knows no owner.
+		_, _ = c.Send(wire.KindQuotaClaim, claim)
+	}
 	now := time.Now()
 	if c.Dialed() != "" {
 		n.members.with(func(m *membership.Members) { m.Answered(now, c.Dialed(), c.Peer().ID) })
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -26,7 +26,7 @@
 
 // leaseAfter is the time after its start in which a node does not own quotas: it knows
 // few others, and all nodes that start together would take themselves for owners.
-const leaseAfter = 600 * time.Millisecond
+const leaseAfter = 400 * time.Millisecond
 
 // cutOff reports whether this node reaches less than half of the nodes that it knew a
 // while ago. It may still reach the store: its leases would go on, and the nodes that it
@@ -86,6 +86,15 @@
 	n.quotas.stir()
 }
 
+// ownClaim is what this node owns, false if that is nothing.
+func (n *Node) ownClaim() (c quota.Claim, owns bool) {
+	n.quotas.with(func(now time.Time) {
+		t := &n.quotas.tenure
+		c = quota.Claim{Owner: n.id, Generation: t.Generation(), Parts: t.Parts(now)}
+	})
+	return c, len(c.Parts) > 0
+}
+
 // LeaseEnded gives up what this node owns.
 func (n *Node) LeaseEnded() {
 	n.quotas.with(func(time.Time) { n.quotas.tenure.Ended() })
