quota: a token that has come is not asked for again

Cause: the answer of an owner woke the loop before the request that waited had taken its token; it was counted as waiting still, a second token was lent and ended unused. Ruled out: tokens ahead that hold up new ones (the owner's log of each loan: 3 to 40 of 92 lent, all tokens used up by pairs of questions 2 ms apart from one node). Change: waiting requests less the tokens held are asked for.

--- a/quota/holder.go
+++ b/quota/holder.go
@@ -142,9 +142,12 @@
 
 func (s *stock) want(now time.Time, name string, cfg Config) Want {
 	target := uint32(s.demand.rate(now) * cfg.Ahead.Seconds())
-	w := Want{Workspace: name, Held: s.count(), Waiting: s.waiting}
-	if w.Held < target {
-		w.Ahead = target - w.Held
+	held := s.count()
+	// A token that has just come may still be there with the request that waited for it:
+	// asked for again, it would be lent in vain.
+	w := Want{Workspace: name, Held: held, Waiting: s.waiting - min(s.waiting, held)}
+	if held < target {
+		w.Ahead = target - held
 	}
 	return w
 }
