--- a/admission/news.go
+++ b/admission/news.go
@@ -46,9 +46,8 @@
 // at hundreds of nodes. Each has a few replies a second, which passed through a
 // chain of nodes with a few replies a second of their own; what they say of the deep
 // service is a second old and differs from node to node. By then its queues hold
-// several times what they should, and a fifth of the requests that were let in fail
-// under way: in a replay of 194 nodes at 1.5 times the slots 23.6% of the tries, with
-// News 6.8%. Those that call the service itself hear of it a hundred times a second.
+// several times what they should, and requests that were let in fail under way. Those
+// that call the service itself hear of it a hundred times a second.
 // They tell a few peers, who tell others, the latest word only: all of some hundred
 // nodes have it within three intervals, of thousands within six, and a node sends as
 // many messages at any size of the fleet.
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -77,8 +77,7 @@
 	ReportFor time.Duration
 	// RemoteLoad is how much shorter, as a share of its limit, the queue of a full
 	// candidate of another data centre must be to be chosen: half a limit is a
-	// wait of half a call, and in a replayed shortage of 194 nodes 14% fewer calls
-	// leave their data centre with as much worth served.
+	// wait of half a call, and fewer calls leave their data centre in a shortage.
 	RemoteLoad float64
 	// DefaultLimit is assumed while no candidate has reported a limit.
 	DefaultLimit int
--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -23,15 +23,12 @@
 	bodyShare = 1.0 / 64
 	// waitMax is how long a queue beside a backend server is at most, in time at the
 	// rate at which it serves: what a call of the shortest deadlines has. Levels keep
-	// it far shorter. In replays of bursts and of two thirds of the slots lost, a bound
-	// of half of this serves no more.
+	// it far shorter.
 	waitMax = 600 * time.Millisecond
 	// waitShare of its spare time is what a call may wait.
 	waitShare = 0.9
 	// soonerShare of its spare time is how long a call lets those go first that
-	// have less: a call that waits too long wastes what was done for its request. In
-	// replays of a burst of twice the slots on the deployment whose routes leave
-	// least time, 61% of all requests are served in order of arrival and 64% so.
+	// have less: a call that waits too long wastes what was done for its request.
 	soonerShare = 0.25
 	// waitMin is the number of calls that may wait before the rate at which
 	// they are served is known.
@@ -43,8 +40,7 @@
 	// levelSettle is the number of intervals of 50 ms in which a level brings
 	// the queue to its target. A request reaches the deepest service half a
 	// second after its entry: a level that answers sooner swings, and slots
-	// stand idle between the swings. In a replayed burst the useful share of
-	// the deepest slots rises from 86.7% with 6 and a queue of 1 to 91.8%.
+	// stand idle between the swings.
 	levelSettle = 20
 	// keptIdle is how long a caller's connection without a request is kept:
 	// longer than the operators' limits ask for, since closing one that is
--- a/serve/config.go
+++ b/serve/config.go
@@ -37,8 +37,8 @@
 	// time of recovery, such as a drain: another node serves at once.
 	RefuseRetryAfter time.Duration
 	// SlotShare is the part of its stated slots that a backend server is
-	// given at once. Above 95% some slow down by a third, which costs more
-	// than the last slots bring.
+	// given at once. Some slow down when nearly all are in use, which costs
+	// more than the last slots bring.
 	SlotShare float64
 	// TellOnly leaves the admission level to the nodes at which requests
 	// enter. What arrives here then belongs to requests under way: refusing
