cmd/cassialoom: check-routes says whether requests need keys

Cause: an operator who checks a text saw nothing of its workspaces. Ruled out: - Change: a line with their number; rows that are wrong are named as for routes.

--- a/cmd/cassialoom/main_test.go
+++ b/cmd/cassialoom/main_test.go
@@ -64,6 +64,8 @@
 	}{
 		{"check-routes", `{"version":3,"routes":{"columns":["name"],"rows":[["r"]]},"limits":{}}`, "kind", 1},
 		{"check-routes", `{"version":3,"routes":{"columns":[],"rows":[]},"limits":{"max-header-bytes":1,"max-body-bytes":1,"header-timeout-s":1,"idle-timeout-s":1}}`, "version 3 with 0 routes", 0},
+		{"check-routes", `{"version":3,"routes":{"columns":[],"rows":[]},"limits":{"max-header-bytes":1,"max-body-bytes":1,"header-timeout-s":1,"idle-timeout-s":1},"tenants":{"columns":["name"],"rows":[["north"]]}}`, "one of 1 workspaces", 0},
+		{"check-routes", `{"version":3,"routes":{"columns":[],"rows":[]},"limits":{"max-header-bytes":1,"max-body-bytes":1,"header-timeout-s":1,"idle-timeout-s":1},"tenants":{"columns":["name"],"rows":[["north"],["north"]]}}`, "row 2: workspace north", 1},
 		{"check-settings", "node-id: x", "service", 1},
 	} {
 		t.Run(c.command, func(t *testing.T) {
--- a/cmd/cassialoom/options.go
+++ b/cmd/cassialoom/options.go
@@ -177,6 +177,9 @@
 		return fmt.Errorf("%w: %s: %w", operator.ErrRefused, c.Args.File, err)
 	}
 	o.Report("%s: version %d with %d routes is right\n", c.Args.File, table.Version, table.Len())
+	if table.Workspaces != nil {
+		o.Report("requests need the key of one of %d workspaces\n", table.Workspaces.Len())
+	}
 	return nil
 }
 
