--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -26,7 +26,7 @@
 
 // leaseAfter is the time after its start in which a node does not own quotas: it knows
 // few others, and all nodes that start together would take themselves for owners.
-const leaseAfter = 400 * time.Millisecond
+const leaseAfter = 600 * time.Millisecond
 
 // cutOff reports whether this node reaches less than half of the nodes that it knew a
 // while ago. It may still reach the store: its leases would go on, and the nodes that it
