--- /dev/null
+++ b/node/quotas_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/quota"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// heldClock is a clock that stands until it is moved.
+type heldClock struct{ now time.Time }
+
+func (c *heldClock) read() time.Time      { return c.now }
+func (c *heldClock) move(d time.Duration) { c.now = c.now.Add(d) }
+
+const hot = "hot"
+
+func testQuotas(bound time.Duration) (*quotas, *heldClock) {
+	clock := &heldClock{now: time.Unix(1000, 0)}
+	cfg := quota.DefaultConfig()
+	cfg.Parts = 1
+	q := newQuotas(cfg, bound, clock.read)
+	q.inForce(3)
+	q.fresh() // a request with a key has come
+	return q, clock
+}
+
+var (
+	owner = wire.NodeID{1}
+	other = wire.NodeID{2}
+)
+
+// A key is taken away while this node's link to its peers is held up. A peer's answer,
+// "the newest a moment ago", arrives seconds after the question was sent: it may be as old
+// as the question, and must not let the key be served for another whole bound.
+func TestProofCountsFromBeforeTheQuestion(t *testing.T) {
+	is := is.New(t)
+	q, clock := testQuotas(4 * time.Second)
+	asks := q.askGuide(other)
+	is.Equal(len(asks), 1)
+	clock.move(3 * time.Second)
+	q.answered(clock.now, other, quotaAnswer{Number: asks[0].msg.Number, Proved: true, Version: 3, AgeMillis: 500})
+	age, known := q.proof.Age(clock.now)
+	is.True(known)
+	is.Equal(age, 3500*time.Millisecond)
+}
+
+// An answer that comes after its question was given up lends nothing: the node has asked
+// again, and told the owner that it holds none.
+func TestAnswerToAQuestionGivenUpIsDropped(t *testing.T) {
+	is := is.New(t)
+	q, clock := testQuotas(0)
+	q.owners.Heard(quota.Claim{Owner: owner, Generation: 1, Parts: []int{0}})
+	q.take(hot, false)
+	q.waiting(hot, 1)
+	first, _ := q.due()
+	is.Equal(len(first), 1)
+	clock.move(q.cfg.AskTimeout)
+	second, guided := q.due()
+	is.Equal(len(second), 1)
+	is.True(guided) // another node may know a newer owner
+	q.answered(clock.now, owner, quotaAnswer{Number: first[0].msg.Number, Grants: []quota.Grant{{Workspace: hot, Now: 1}}})
+	_, answer, _ := q.take(hot, true)
+	is.Equal(answer, quota.Wait)
+	q.answered(clock.now, owner, quotaAnswer{Number: second[0].msg.Number, Grants: []quota.Grant{{Workspace: hot, Now: 1}}})
+	_, answer, _ = q.take(hot, true)
+	is.Equal(answer, quota.Taken)
+}
+
+// A machine sleeps for longer than the bound, with a proof that was young before. When it
+// wakes it serves no key until it has a new one.
+func TestProofEndsWhileTheMachineSleeps(t *testing.T) {
+	is := is.New(t)
+	q, clock := testQuotas(4 * time.Second)
+	asks := q.askGuide(other)
+	q.answered(clock.now, other, quotaAnswer{Number: asks[0].msg.Number, Proved: true, Version: 3})
+	ok, _ := q.fresh()
+	is.True(ok)
+	clock.move(5 * time.Second)
+	ok, _ = q.fresh()
+	is.True(!ok)
+}
+
+// At rest nobody is asked: no request needs a key.
+func TestNobodyIsAskedAtRest(t *testing.T) {
+	is := is.New(t)
+	q, clock := testQuotas(4 * time.Second)
+	_, guided := q.due()
+	is.True(guided)
+	clock.move(keyNeeded)
+	asks, guided := q.due()
+	is.Equal(len(asks), 0)
+	is.True(!guided)
+	is.True(q.resting())
+}
