node: a node owns quotas once it knows most of the fleet

Nodes that start took themselves for owners while they knew few others, and the parts went round. Change: 80% of the addresses listed at the start are reached, or the number of nodes did not change for 250 ms, or three seconds have passed.

--- a/node/loops.go
+++ b/node/loops.go
@@ -73,7 +73,10 @@
 }
 
 // Meet names addresses at which other nodes may be.
-func (n *Node) Meet(addrs []string) { n.members.seeds(addrs) }
+func (n *Node) Meet(addrs []string) {
+	n.listed.Store(int64(len(addrs)) + 1) // and this one
+	n.members.seeds(addrs)
+}
 
 func (n *Node) tickMemberLog(now time.Time) {
 	n.members.with(func(m *membership.Members) {
--- a/node/node.go
+++ b/node/node.go
@@ -149,6 +149,7 @@
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
 	leaving  atomic.Int64 // when the planned stop began, in Unix nanoseconds
+	listed   atomic.Int64 // addresses at which there may be nodes
 	entered  atomic.Int64 // callers' requests under way
 	replying atomic.Int64 // effects of the callee's decisions being carried out
 	stop     context.CancelFunc
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -39,9 +39,7 @@
 	// changed is closed when tokens or a proof came.
 	changed chan struct{}
 
-	// fleet is the largest number of nodes known lately. Only the loop that renews
-	// leases uses it.
-	fleet float64
+	fleet fleetView
 
 	// wake tells the loop that a request waits.
 	wake chan struct{}
@@ -65,6 +63,7 @@
 		asks:        make(map[wire.NodeID]ask),
 		changed:     make(chan struct{}),
 		wake:        make(chan struct{}, 1),
+		fleet:       fleetView{started: time.Now()},
 	}
 }
 
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -84,6 +84,35 @@
 	is.True(!ok)
 }
 
+// All nodes of a fleet start together. While one still learns of others it owns nothing;
+// nodes that come and go all the time do not keep it from owning for ever.
+func TestNodeOwnsOnceItKnowsTheFleet(t *testing.T) {
+	is := is.New(t)
+	start := time.Unix(1000, 0)
+	f := fleetView{started: start}
+	is.True(!f.settled(start, 3, 68))
+	is.True(!f.settled(start.Add(settleFor-time.Millisecond), 3, 68))
+	is.True(!f.settled(start.Add(settleFor), 40, 68)) // more have come
+	is.True(f.settled(start.Add(settleFor+1), 60, 68))
+	is.True(!f.settled(start.Add(settleFor+2), 41, 68)) // some have gone
+	is.True(f.settled(start.Add(2*settleFor+2), 41, 68))
+	is.True(f.settled(start.Add(settleMost), 42, 68))
+}
+
+// A node that reaches less than half of those it knew owns nothing: the others could not
+// ask it. A fleet that has shrunk is believed after a while.
+func TestNodeThatIsCutOffOwnsNothing(t *testing.T) {
+	is := is.New(t)
+	var f fleetView
+	is.True(!f.cutOff(60))
+	is.True(!f.cutOff(31))
+	is.True(f.cutOff(20))
+	for range 150 {
+		f.cutOff(20)
+	}
+	is.True(!f.cutOff(20))
+}
+
 // At rest nobody is asked: no request needs a key.
 func TestNobodyIsAskedAtRest(t *testing.T) {
 	is := is.New(t)
