--- a/quota/owners.go
+++ b/quota/owners.go
@@ -21,6 +21,10 @@
 	byPart map[int]wire.NodeID
 }
 
+// maxClaims bounds the owners that are known: a peer could name any number. There are a
+// few, and those that were replaced.
+const maxClaims = 128
+
 // NewOwners returns Owners that know none.
 func NewOwners() *Owners { return &Owners{byPart: make(map[int]wire.NodeID)} }
 
@@ -51,6 +55,7 @@
 		}
 		return 0
 	})
+	o.claims = o.claims[max(0, len(o.claims)-maxClaims):]
 	clear(o.byPart)
 	for _, c := range o.claims {
 		for _, p := range c.Parts {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -117,9 +117,10 @@
 	return max(1, spareShare*(c.Overage*(q.Rate*c.Window.Seconds()+q.Burst)+c.Slack))
 }
 
-// Part is the part that a workspace belongs to.
+// Part is the part that a workspace belongs to. Without parts it is the first, which
+// nobody owns: a peer's question must not end the process.
 func (c Config) Part(workspace string) int {
-	return int(xxhash.Sum64String(workspace) % uint64(c.Parts))
+	return int(xxhash.Sum64String(workspace) % uint64(max(1, c.Parts)))
 }
 
 // Want is what a node asks an owner for one workspace.
