node: who knows no owner asks where owners should be

Change: three of four questions go to the first node of a data centre, by the order in which owners are chosen. A request with a key is a caller's, also with the id of a call.

--- a/node/admission.go
+++ b/node/authorize.go
@@ -32,31 +32,31 @@
 	return w, nil
 }
 
-// admission is the token of a request of a workspace that has a quota.
-type admission struct {
+// quotaUse is what one request takes of its workspace's quota.
+type quotaUse struct {
 	node      *Node
 	workspace *workspace.Workspace
 	token     quota.Token
 	taken     bool
 }
 
-// enter takes a token.
-func (a *admission) enter(ctx context.Context) *verdict.Error {
-	if a.workspace == nil || !a.workspace.Quota.Limited() || a.node.cfg.Quota.Parts == 0 {
+// take takes a token, if the workspace has a quota.
+func (u *quotaUse) take(ctx context.Context) *verdict.Error {
+	if !u.workspace.Quota.Limited() || u.node.cfg.Quota.Parts == 0 {
 		return nil
 	}
-	token, err := a.node.awaitToken(ctx, a.workspace.Name)
+	token, err := u.node.awaitToken(ctx, u.workspace.Name)
 	if err != nil {
 		return err
 	}
-	a.token, a.taken = token, true
+	u.token, u.taken = token, true
 	return nil
 }
 
-// leave gives the token of a request back that has not run.
-func (a *admission) leave(out call.Outcome) {
-	if a.taken && out.Verdict == verdict.NotRun {
-		a.node.quotas.giveBack(a.token)
+// settle gives the token of a request back that has not run.
+func (u *quotaUse) settle(out call.Outcome) {
+	if u.taken && out.Verdict == verdict.NotRun {
+		u.node.quotas.giveBack(u.token)
 	}
 }
 
--- a/node/forward.go
+++ b/node/forward.go
@@ -13,6 +13,7 @@
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/routes"
 	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/workspace"
 )
 
 // operation finds what a call asks for. A call for a route brings all that the
@@ -65,31 +66,39 @@
 	if table.Workspaces == nil {
 		in.Header = append(in.Header, in.Credentials...) // nobody here asks for keys
 	}
-	var out call.Outcome
-	var p dispatch.Params
-	if parent, ok := n.server.running(in.Parent); ok && in.Parent != "" {
-		p = n.routeParams(table, route, in)
-		out = n.forwardCall(ctx, parent, p)
-	} else {
-		space, err := n.authorize(ctx, route, in.WorkspaceKey)
-		if err != nil {
-			n.noteRefused(in, table.Version, err)
-			return call.Failed(err)
-		}
-		p = n.routeParams(table, route, in)
-		p.Importance = route.ImportanceFor(space)
-		pass := admission{node: n, workspace: space}
-		if space != nil {
-			p.Workspace = space.Name
-			p.Enter = pass.enter
-		}
-		out = n.forwardRoot(ctx, p)
-		pass.leave(out)
+	// The calls of backend servers bear no key; a request with one is a caller's, whatever
+	// its id looks like.
+	if parent, ok := n.server.running(in.Parent); ok && in.Parent != "" && in.WorkspaceKey == "" {
+		p := n.routeParams(table, route, in)
+		out := n.forwardCall(ctx, parent, p)
+		n.timed(p, in.Received, out)
+		return out
 	}
+	space, err := n.authorize(ctx, route, in.WorkspaceKey)
+	if err != nil {
+		n.noteRefused(in, table.Version, err)
+		return call.Failed(err)
+	}
+	p := n.routeParams(table, route, in)
+	out := n.forwardFor(ctx, route, space, p)
 	n.timed(p, in.Received, out)
 	return out
 }
 
+// forwardFor takes a request that enters here for a workspace, nil for none.
+func (n *Node) forwardFor(ctx context.Context, route *routes.Route, space *workspace.Workspace, p dispatch.Params) call.Outcome {
+	if space == nil {
+		return n.forwardRoot(ctx, p)
+	}
+	use := quotaUse{node: n, workspace: space}
+	p.Importance = route.ImportanceFor(space)
+	p.Workspace = space.Name
+	p.Enter = use.take
+	out := n.forwardRoot(ctx, p)
+	use.settle(out)
+	return out
+}
+
 func (n *Node) routeParams(table *routes.Table, route *routes.Route, in entry.Incoming) dispatch.Params {
 	op := n.routing.pick(table, route).Operation
 	return dispatch.Params{
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -114,8 +114,10 @@
 		return false
 	}
 	n.log.Info().Uint64("generation", generation).Ints("parts", parts).Msg("owns quotas")
-	for _, id := range n.peers.Connected() {
-		n.posts.answer(id, wire.KindQuotaClaim, claim) // others ask when they need to know
+	for _, rec := range n.members.view() {
+		if rec.ID != n.id && !rec.State.Gone() {
+			n.posts.post(rec.ID, wire.KindQuotaClaim, claim)
+		}
 	}
 	n.quotas.stir()
 	return true
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -113,6 +113,20 @@
 	is.True(!f.cutOff(20))
 }
 
+// A node that knows no owner asks where owners should be: the first of each data centre.
+func TestLikelyOwnersAreTheFirstOfEachDataCentre(t *testing.T) {
+	is := is.New(t)
+	likely := likelyOwners([]placed{
+		{id: owner, dataCentre: "a", place: 3}, {id: other, dataCentre: "a", place: 9},
+		{id: wire.NodeID{3}, dataCentre: "b", place: 20}, {id: wire.NodeID{4}, dataCentre: "b", place: 5},
+	})
+	ids := map[wire.NodeID]bool{}
+	for _, p := range likely {
+		ids[p.id] = true
+	}
+	is.Equal(ids, map[wire.NodeID]bool{owner: true, {4}: true})
+}
+
 // At rest nobody is asked: no request needs a key.
 func TestNobodyIsAskedAtRest(t *testing.T) {
 	is := is.New(t)
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/readers"
 	"github.com/cassialoom/cassialoom/routes"
@@ -77,7 +75,7 @@
 // take themselves for readers for a while.
 func (n *Node) Situation() readers.Situation {
 	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true, Unproved: n.quotas.unproved()}
-	own := xxhash.Sum64String(n.cfg.PeerAddr)
+	own := place(n.cfg.PeerAddr)
 	before := make(map[uint64]struct{}) // a machine whose node restarted is one
 	centres := map[string]struct{}{n.cfg.DataCentre: {}}
 	n.members.with(func(m *membership.Members) {
@@ -88,8 +86,8 @@
 				continue
 			}
 			s.Neighbours++
-			if place := xxhash.Sum64String(rec.PeerAddr); place < own && rec.State == membership.Alive {
-				before[place] = struct{}{}
+			if p := place(rec.PeerAddr); p < own && rec.State == membership.Alive {
+				before[p] = struct{}{}
 			}
 		}
 	})
