--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -20,14 +20,12 @@
 // guideEvery is the time between two questions to nodes that may know the owners.
 const guideEvery = 100 * time.Millisecond
 
-// proofSoon is the part of the age allowed at which the next proof is asked for. It is
-// above the age that the proofs of readers have before their next read ends: those that
-// come with tokens are then enough.
-const proofSoon = 0.65
+// proofSoon is the part of the age allowed at which the next proof is asked for.
+const proofSoon = 0.5
 
 // proofLate is that at which the node reads the store itself: nobody that it reaches
 // has a newer proof.
-const proofLate = 0.8
+const proofLate = 0.65
 
 // quotaAsk asks a node for tokens of the workspaces that it owns, and for its proof of
 // the configuration's age.
