node, platform: after a restart of all nodes owners are those of the list of addresses, and are dialled

Each node knows few others for seconds: up to thirty took themselves for owners, and the others did not know whom to ask. Change: a node that finds its own address in the store's list at its start owns quotas in the first three seconds if it is among the first of that list, and dials those; owners tell all that are connected.

--- a/node/fleet_view.go
+++ b/node/fleet_view.go
@@ -1,6 +1,10 @@
 package node
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // fleetView is how many nodes this one has reached lately. Only the loop that renews
 // leases uses it.
@@ -24,22 +28,36 @@
 	settleMost = 3 * time.Second
 )
 
-// listedShare of the addresses at which there were nodes when this one started is enough
-// to know which nodes own quotas; some of those have gone.
-const listedShare = 0.8
-
-// settled reports whether the node knows the fleet well enough to own quotas. listed is
-// the number of addresses at which there may be nodes.
-func (f *fleetView) settled(now time.Time, reached, listed int) bool {
+// settled reports whether the node knows the fleet well enough to own quotas.
+func (f *fleetView) settled(now time.Time, reached int) bool {
 	if reached != f.count {
 		f.count, f.since = reached, now
 	}
-	if listed > 0 && float64(reached) >= listedShare*float64(listed) {
-		return true
-	}
 	return now.Sub(f.since) >= settleFor || now.Sub(f.started) >= settleMost
 }
 
+// firstOf reports whether a node should own quotas by the addresses of the fleet alone.
+// After a restart of all nodes it takes seconds until each knows enough of the others, and
+// no request with a quota is let in without owners. An address at which there is no node
+// any more costs that time: then the order of those that are known decides.
+func firstOf(addrs map[string][]string, dataCentre, own string) bool {
+	return slices.Contains(firstsIn(addrs[dataCentre], len(addrs)), own)
+}
+
+// firstsOf lists those that should own quotas in all data centres.
+func firstsOf(addrs map[string][]string) []string {
+	var firsts []string
+	for _, list := range addrs {
+		firsts = append(firsts, firstsIn(list, len(addrs))...)
+	}
+	return firsts
+}
+
+func firstsIn(list []string, centres int) []string {
+	ordered := slices.SortedFunc(slices.Values(list), func(a, b string) int { return cmp.Compare(place(a), place(b)) })
+	return ordered[:min(len(ordered), readersEach(centres))]
+}
+
 // cutOff reports whether this node reaches less than half of the nodes that it knew a
 // while ago. It may still reach the store: its leases would go on, and the nodes that it
 // does not reach would get no tokens.
--- a/node/loops.go
+++ b/node/loops.go
@@ -73,9 +73,19 @@
 }
 
 // Meet names addresses at which other nodes may be.
-func (n *Node) Meet(addrs []string) {
-	n.listed.Store(int64(len(addrs)) + 1) // and this one
-	n.members.seeds(addrs)
+func (n *Node) Meet(addrs []string) { n.members.seeds(addrs) }
+
+// Listed names the addresses of the fleet, by data centre, that this node found when it
+// started anew at one of them.
+func (n *Node) Listed(addrs map[string][]string) {
+	first := firstOf(addrs, n.cfg.DataCentre, n.cfg.PeerAddr)
+	n.listed.Store(&first)
+	for _, addr := range firstsOf(addrs) {
+		if addr != n.cfg.PeerAddr {
+			// On the new connection an owner says what it owns.
+			n.posts.postTo(letter{addr: addr, kind: wire.KindQuotaAsk, msg: quotaAsk{Claims: true}})
+		}
+	}
 }
 
 func (n *Node) tickMemberLog(now time.Time) {
--- a/node/node.go
+++ b/node/node.go
@@ -145,11 +145,14 @@
 	// levelsHeard wakes the loop that passes levels on.
 	levelsHeard chan struct{}
 
+	// listed says whether this node restarted, and should own quotas by the addresses of
+	// the fleet alone; nil if it did not find its own among them.
+	listed atomic.Pointer[bool]
+
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
 	draining atomic.Bool
 	leaving  atomic.Int64 // when the planned stop began, in Unix nanoseconds
-	listed   atomic.Int64 // addresses at which there may be nodes
 	entered  atomic.Int64 // callers' requests under way
 	replying atomic.Int64 // effects of the callee's decisions being carried out
 	stop     context.CancelFunc
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -240,6 +240,9 @@
 }
 
 func (q *quotas) answered(now time.Time, from wire.NodeID, m quotaAnswer) {
+	for _, c := range m.Claims { // hints, which need no question
+		q.owners.Heard(c)
+	}
 	a, waited := q.asks[from]
 	if !waited || a.number != m.Number {
 		return // given up: what it lends ends by itself
@@ -250,9 +253,6 @@
 		q.proof.Learn(freshness.Proof{Version: m.Version, At: a.sent.Add(-time.Duration(m.AgeMillis) * time.Millisecond)})
 	}
 	q.lost = q.lost || m.Foreign
-	for _, c := range m.Claims {
-		q.owners.Heard(c)
-	}
 	q.tell()
 	q.stir() // requests may wait for an owner that is known now
 }
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/freshness"
@@ -12,11 +13,17 @@
 // WantsLease reports whether this node should be one of the few that own quotas.
 func (n *Node) WantsLease() bool {
 	table := n.routing.table()
-	if table == nil || table.Workspaces == nil || n.draining.Load() || n.joining() {
+	if table == nil || table.Workspaces == nil || n.draining.Load() {
 		return false
 	}
 	reached := n.reached()
-	return n.quotas.fleet.settled(time.Now(), reached, int(n.listed.Load())) && !n.quotas.fleet.cutOff(reached) && n.Reader()
+	if n.quotas.fleet.cutOff(reached) {
+		return false
+	}
+	if first := n.listed.Load(); first != nil && time.Since(n.started) < settleMost {
+		return *first
+	}
+	return !n.joining() && n.quotas.fleet.settled(time.Now(), reached) && n.Reader()
 }
 
 // reached is the number of nodes that are not suspected to be gone, this one included.
@@ -61,13 +68,23 @@
 		return false
 	}
 	n.log.Info().Uint64("generation", generation).Ints("parts", parts).Msg("owns quotas")
+	n.tellClaim(claim)
+	n.quotas.stir()
+	return true
+}
+
+// tellClaim tells all nodes what this one owns: those that it knows, and those that are
+// connected, which it may not know yet.
+func (n *Node) tellClaim(claim quota.Claim) {
+	connected := n.peers.Connected()
+	for _, id := range connected {
+		n.posts.answer(id, wire.KindQuotaClaim, claim)
+	}
 	for _, rec := range n.members.view() {
-		if rec.ID != n.id && !rec.State.Gone() {
+		if rec.ID != n.id && !rec.State.Gone() && !slices.Contains(connected, rec.ID) {
 			n.posts.post(rec.ID, wire.KindQuotaClaim, claim)
 		}
 	}
-	n.quotas.stir()
-	return true
 }
 
 // ownClaim is what this node owns, false if that is nothing.
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -65,6 +65,9 @@
 // the store, or gone and not yet missed.
 const readersOfFleet = 5
 
+// readersEach is the number of readers in each of so many data centres.
+func readersEach(centres int) int { return (readersOfFleet + centres - 1) / max(1, centres) }
+
 // Reader reports whether this node is one of the readers of its data centre.
 func (n *Node) Reader() bool { return n.Situation().Reader }
 
@@ -91,7 +94,7 @@
 			}
 		}
 	})
-	s.Reader = len(before) < (readersOfFleet+len(centres)-1)/len(centres)
+	s.Reader = len(before) < readersEach(len(centres))
 	return s
 }
 
