node: a node that restarts cut off from all others owns no quotas

Cause: by the list of addresses alone a node that restarts behind a cut, and reaches the store, would own a sixth of the workspaces, and nobody could ask it. Nodes whose settings name no quotas dialled the first of the list for nothing. Ruled out: waiting for most of the fleet (three seconds and more at 272 nodes). Change: it has to reach one other node, if there were others; nobody is dialled without quotas.

--- a/node/loops.go
+++ b/node/loops.go
@@ -79,7 +79,11 @@
 // started anew at one of them.
 func (n *Node) Listed(addrs map[string][]string) {
 	first := firstOf(addrs, n.cfg.DataCentre, n.cfg.PeerAddr)
+	n.listedOthers.Store(len(firstsOf(addrs)) > 1)
 	n.listed.Store(&first)
+	if n.cfg.Quota.Window == 0 {
+		return // nobody here has a quota
+	}
 	for _, addr := range firstsOf(addrs) {
 		if addr != n.cfg.PeerAddr {
 			// On the new connection an owner says what it owns.
--- a/node/node.go
+++ b/node/node.go
@@ -148,6 +148,8 @@
 	// listed says whether this node restarted, and should own quotas by the addresses of
 	// the fleet alone; nil if it did not find its own among them.
 	listed atomic.Pointer[bool]
+	// listedOthers says that there are other addresses among them.
+	listedOthers atomic.Bool
 
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -20,8 +20,13 @@
 	if n.quotas.fleet.cutOff(reached) {
 		return false
 	}
-	if first := n.listed.Load(); first != nil && time.Since(n.started) < settleMost {
-		return *first
+	if first := n.listed.Load(); first != nil {
+		switch {
+		case reached < 2 && n.listedOthers.Load():
+			return false // cut off since its start: nobody could ask it
+		case time.Since(n.started) < settleMost:
+			return *first
+		}
 	}
 	return !n.joining() && n.quotas.fleet.settled(time.Now(), reached) && n.Reader()
 }
