quota, node: an owner that lends nothing is not asked again at once

Cause: found in reading the change. An answer without a grant (the owner's lease has ended, or it does not know the workspace) wakes the loop, since requests wait; the loop asks again. Where the owner by the last claim is this node itself there is no round trip between: its processor does nothing else until the requests give up, and the next ones come. Ruled out: answers that say that the quota is used (they close the workspace for 100 ms). Change: a workspace that an answer does not name is asked for again after 40 ms.

--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -71,6 +71,30 @@
 	is.Equal(answer, quota.Taken)
 }
 
+// An owner's lease has ended, and no other is known: its answers lend nothing. A request
+// waits for a token meanwhile, and each answer wakes the loop. Asked again at once, an owner
+// that is this node itself would be asked without end until the request gives up, and its
+// processor would do nothing else.
+func TestOwnerThatLendsNothingIsNotAskedAgainAtOnce(t *testing.T) {
+	is := is.New(t)
+	q, clock := testQuotas(0)
+	q.owners.Heard(quota.Claim{Owner: owner, Generation: 1, Parts: []int{0}})
+	q.take(hot, false)
+	q.waiting(hot, 1)
+	asked := 0
+	for end := clock.now.Add(q.cfg.WaitMost); clock.now.Before(end); clock.move(time.Millisecond) {
+		asks, _ := q.due()
+		for _, a := range asks {
+			asked++
+			q.answered(clock.now, owner, quotaAnswer{Number: a.msg.Number, Foreign: true})
+		}
+		_, answer, _ := q.take(hot, true)
+		is.Equal(answer, quota.Wait) // nobody has said that the quota is used
+	}
+	is.True(asked >= 2) // it may own the workspace again
+	is.True(asked <= 4)
+}
+
 // A machine sleeps for longer than the bound, with a proof that was young before. When it
 // wakes it serves no key until it has a new one.
 func TestProofEndsWhileTheMachineSleeps(t *testing.T) {
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -42,8 +42,9 @@
 	asking bool
 	// asked is when the owner was last asked.
 	asked time.Time
-	// closed is until when the owner is not asked again.
-	closed time.Time
+	// closed is until when the owner is not asked again since the quota is used, again the
+	// same since it has said nothing.
+	closed, again time.Time
 }
 
 // lot is a number of tokens that end at one moment.
@@ -128,7 +129,7 @@
 			delete(h.spaces, name)
 			continue
 		}
-		if s.asking || now.Before(s.closed) || !due(name) {
+		if s.asking || now.Before(s.closed) || now.Before(s.again) || !due(name) {
 			continue
 		}
 		w := s.want(now, name, h.cfg)
@@ -171,9 +172,17 @@
 	}
 }
 
-// Granted takes the answer to a question that was sent at a moment.
+// Granted takes the answer to a question that was sent at a moment. A workspace that it
+// does not name is not asked for again at once: requests wait, and each answer would bring
+// the next question.
 func (h *Holder) Granted(now, sent time.Time, wants []Want, grants []Grant) {
 	h.setAsking(wants, false)
+	for _, w := range wants {
+		named := slices.ContainsFunc(grants, func(g Grant) bool { return g.Workspace == w.Workspace })
+		if s, ok := h.spaces[w.Workspace]; ok && !named {
+			s.again = now.Add(h.cfg.AskAgain)
+		}
+	}
 	for _, g := range grants {
 		s, ok := h.spaces[g.Workspace]
 		if !ok {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -62,6 +62,9 @@
 	// requests need, so that a workspace far above its quota costs each node a few
 	// messages a second and not one for each request.
 	CloseFor time.Duration
+	// AskAgain is the time before a node asks again for a workspace of which its owner
+	// said nothing: it owns it no more, or does not know it yet.
+	AskAgain time.Duration
 	// LeaseLife is the life of an owner's lease at the store, RenewEvery the time between
 	// renewals.
 	LeaseLife, RenewEvery time.Duration
@@ -86,6 +89,7 @@
 		AheadEvery:      200 * time.Millisecond,
 		Reserve:         0.25,
 		CloseFor:        100 * time.Millisecond,
+		AskAgain:        40 * time.Millisecond,
 		LeaseLife:       3 * time.Second,
 		RenewEvery:      700 * time.Millisecond,
 		AskTimeout:      250 * time.Millisecond,
