node: a request that needs no key waits for no proof

Cause: found in reading the change. Requests to routes that ask for no key waited up to 120 ms for a proof of the configuration's age, and asked other nodes for one, though without a key nothing could have been taken away. Ruled out: leaving proofs out for open routes altogether (a key on them still names its workspace). Change: no key on an open route is let through before the proof. Test failed before (held).

--- a/node/authorize.go
+++ b/node/authorize.go
@@ -16,7 +16,7 @@
 // authorize returns the workspace whose key a request bears, nil if it needs none and has
 // none. A key is judged by a configuration that cannot lack its withdrawal.
 func (n *Node) authorize(ctx context.Context, route *routes.Route, key string) (*workspace.Workspace, *verdict.Error) {
-	if n.routing.table().Workspaces == nil {
+	if n.routing.table().Workspaces == nil || route.Open && key == "" {
 		return nil, nil
 	}
 	// Also for a key that is not known: it may be newer than the configuration.
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -8,7 +8,10 @@
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/quota"
+	"github.com/cassialoom/cassialoom/routes"
+	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
+	"github.com/cassialoom/cassialoom/workspace"
 )
 
 // heldClock is a clock that stands until it is moved.
@@ -173,6 +176,25 @@
 	is.Equal(ids, map[wire.NodeID]bool{owner: true, {4}: true})
 }
 
+// A route that asks for no key is served at once, whatever is known of the configuration's
+// age: without a key there is nothing that could have been taken away.
+func TestOpenRouteWaitsForNoProof(t *testing.T) {
+	is := is.New(t)
+	q, _ := testQuotas(4 * time.Second)
+	spaces, err := workspace.New([]workspace.Entry{{Workspace: workspace.Workspace{Name: "north"}, Keys: []string{"k"}}})
+	is.NoErr(err)
+	n := &Node{cfg: DefaultConfig(), quotas: q, routing: newRouting(nil)}
+	n.cfg.FreshWithin = 4 * time.Second
+	n.cfg.Quota.WaitMost = time.Hour
+	n.routing.take(time.Now(), &routes.Table{Version: 3, Workspaces: spaces}, nil)
+	space, refusal := n.authorize(t.Context(), &routes.Route{Open: true}, "")
+	is.True(refusal == nil)
+	is.True(space == nil)
+	n.cfg.Quota.WaitMost = 0
+	_, refusal = n.authorize(t.Context(), &routes.Route{}, "k")
+	is.Equal(refusal.Reason, verdict.StaleConfiguration)
+}
+
 // At rest nobody is asked: no request needs a key.
 func TestNobodyIsAskedAtRest(t *testing.T) {
 	is := is.New(t)
