node: one piece each for telling members, claims, the age of proofs and the list

Cause: found in reading the change. offerRoutes and tellClaim went through the members by the same loop (and the second compared all pairs); a claim was built in two places; three places took a part of the age allowed and minded that there may be none; two fields held what the list of addresses says, computed three times; tendQuotas had its wait twice; anyUrgent was slices.ContainsFunc. Ruled out: one loop for tendQuotas, watchServer and tellLevels: they share a timer and a select, and differ in when they rest. Change: postAll, quotas.claim, quotas.proved, listing. No behaviour; the tests are as they were but for the name that is asked (firstsOf in place of firstOf).

--- a/node/fleet_view.go
+++ b/node/fleet_view.go
@@ -36,15 +36,18 @@
 	return now.Sub(f.since) >= settleFor || now.Sub(f.started) >= settleMost
 }
 
-// firstOf reports whether a node should own quotas by the addresses of the fleet alone.
+// listing is what a node that restarted makes of the addresses of the fleet.
+type listing struct {
+	// first says that the node should own quotas by them alone.
+	first bool
+	// others says that there are other nodes that should.
+	others bool
+}
+
+// firstsOf lists the nodes that should own quotas by the addresses of the fleet alone.
 // After a restart of all nodes it takes seconds until each knows enough of the others, and
 // no request with a quota is let in without owners. An address at which there is no node
 // any more costs that time: then the order of those that are known decides.
-func firstOf(addrs map[string][]string, dataCentre, own string) bool {
-	return slices.Contains(firstsIn(addrs[dataCentre], len(addrs)), own)
-}
-
-// firstsOf lists those that should own quotas in all data centres.
 func firstsOf(addrs map[string][]string) []string {
 	var firsts []string
 	for _, list := range addrs {
--- a/node/loops.go
+++ b/node/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/config"
@@ -78,13 +79,12 @@
 // Listed names the addresses of the fleet, by data centre, that this node found when it
 // started anew at one of them.
 func (n *Node) Listed(addrs map[string][]string) {
-	first := firstOf(addrs, n.cfg.DataCentre, n.cfg.PeerAddr)
-	n.listedOthers.Store(len(firstsOf(addrs)) > 1)
-	n.listed.Store(&first)
+	firsts := firstsOf(addrs)
+	n.listed.Store(&listing{first: slices.Contains(firsts, n.cfg.PeerAddr), others: len(firsts) > 1})
 	if n.cfg.Quota.Window == 0 {
 		return // nobody here has a quota
 	}
-	for _, addr := range firstsOf(addrs) {
+	for _, addr := range firsts {
 		if addr != n.cfg.PeerAddr {
 			// On the new connection an owner says what it owns.
 			n.posts.postTo(letter{addr: addr, kind: wire.KindQuotaAsk, msg: quotaAsk{Claims: true}})
--- a/node/node.go
+++ b/node/node.go
@@ -145,11 +145,9 @@
 	// levelsHeard wakes the loop that passes levels on.
 	levelsHeard chan struct{}
 
-	// listed says whether this node restarted, and should own quotas by the addresses of
-	// the fleet alone; nil if it did not find its own among them.
-	listed atomic.Pointer[bool]
-	// listedOthers says that there are other addresses among them.
-	listedOthers atomic.Bool
+	// listed is what the addresses of the fleet say to a node that restarted; nil if it
+	// did not find its own among them.
+	listed atomic.Pointer[listing]
 
 	started  time.Time
 	inForce  atomic.Uint64 // version of the configuration
--- a/node/post.go
+++ b/node/post.go
@@ -55,6 +55,15 @@
 	p.postTo(letter{to: to, addr: rec.PeerAddr, kind: kind, msg: msg})
 }
 
+// postAll sends a message to all other members.
+func (n *Node) postAll(kind wire.Kind, msg any) {
+	for _, rec := range n.members.view() {
+		if rec.ID != n.id && !rec.State.Gone() {
+			n.posts.post(rec.ID, kind, msg)
+		}
+	}
+}
+
 // answer sends a message to a peer that has just been heard from, member or
 // not yet. Without a connection there is nobody to answer any more.
 func (p *postman) answer(to wire.NodeID, kind wire.Kind, msg any) {
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/freshness"
@@ -57,21 +58,17 @@
 	timer := time.NewTimer(quotaTick)
 	defer timer.Stop()
 	for {
+		tick := timer.C
+		if n.quotas.resting() {
+			tick = nil
+		}
 		select {
 		case <-n.ctx.Done():
 			return
 		case <-n.quotas.wake:
-		case <-timer.C:
+		case <-tick:
 		}
 		n.askOwners()
-		if n.quotas.resting() {
-			select {
-			case <-n.ctx.Done():
-				return
-			case <-n.quotas.wake:
-				n.askOwners()
-			}
-		}
 		timer.Reset(quotaTick)
 	}
 }
@@ -116,7 +113,7 @@
 	if now.Sub(q.guidedAt) < guideEvery {
 		return asks, false
 	}
-	return asks, q.lost || len(q.asks) == 0 && q.proofDue(now)
+	return asks, q.lost || len(q.asks) == 0 && !q.proved(now, proofSoon)
 }
 
 // askGuide returns the question to a node that may know the owners.
@@ -133,14 +130,6 @@
 	return []outgoingAsk{q.ask(now, guide, nil, claims)}
 }
 
-// proofDue reports whether a newer proof should be asked for.
-func (q *quotas) proofDue(now time.Time) bool {
-	if q.freshWithin == 0 {
-		return false
-	}
-	return !q.proof.Fresh(now, time.Duration(proofSoon*float64(q.freshWithin)))
-}
-
 // timeOut gives up questions without an answer.
 func (q *quotas) timeOut(now time.Time) {
 	for id, a := range q.asks {
@@ -164,7 +153,7 @@
 	}
 	var out []outgoingAsk
 	for owner, wants := range byOwner {
-		if !anyUrgent(wants) {
+		if !slices.ContainsFunc(wants, quota.Want.Urgent) {
 			continue
 		}
 		q.holder.Asked(now, wants)
@@ -184,15 +173,6 @@
 	return !asked
 }
 
-func anyUrgent(wants []quota.Want) bool {
-	for _, w := range wants {
-		if w.Urgent() {
-			return true
-		}
-	}
-	return false
-}
-
 func (q *quotas) ask(now time.Time, to wire.NodeID, wants []quota.Want, claims bool) outgoingAsk {
 	q.number++
 	q.asks[to] = ask{number: q.number, sent: now, wants: wants}
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/freshness"
@@ -20,12 +19,12 @@
 	if n.quotas.fleet.cutOff(reached) {
 		return false
 	}
-	if first := n.listed.Load(); first != nil {
+	if listed := n.listed.Load(); listed != nil {
 		switch {
-		case reached < 2 && n.listedOthers.Load():
+		case reached < 2 && listed.others:
 			return false // cut off since its start: nobody could ask it
 		case time.Since(n.started) < settleMost:
-			return *first
+			return listed.first
 		}
 	}
 	return !n.joining() && n.quotas.fleet.settled(time.Now(), reached) && n.Reader()
@@ -62,11 +61,12 @@
 // LeaseRenewed takes the store's answer to a renewal that was sent at a moment, and
 // reports whether what this node owns changed.
 func (n *Node) LeaseRenewed(sent time.Time, life time.Duration, generation uint64, parts []int) (changed bool) {
-	claim := quota.Claim{Owner: n.id, Generation: generation, Parts: parts}
+	var claim quota.Claim
 	n.quotas.with(func(now time.Time) {
 		q := n.quotas
 		changed = q.tenure.Renewed(sent, life, generation, parts)
 		q.bank.Keep(func(name string) bool { _, owned := q.tenure.Owns(now, q.cfg.Part(name)); return owned })
+		claim = q.claim(now, n.id)
 		q.owners.Heard(claim)
 	})
 	if !changed {
@@ -81,26 +81,25 @@
 // tellClaim tells all nodes what this one owns: those that it knows, and those that are
 // connected, which it may not know yet.
 func (n *Node) tellClaim(claim quota.Claim) {
-	connected := n.peers.Connected()
-	for _, id := range connected {
-		n.posts.answer(id, wire.KindQuotaClaim, claim)
-	}
-	for _, rec := range n.members.view() {
-		if rec.ID != n.id && !rec.State.Gone() && !slices.Contains(connected, rec.ID) {
-			n.posts.post(rec.ID, wire.KindQuotaClaim, claim)
+	n.postAll(wire.KindQuotaClaim, claim)
+	for _, id := range n.peers.Connected() {
+		if _, known := n.members.lookup(id); !known {
+			n.posts.answer(id, wire.KindQuotaClaim, claim)
 		}
 	}
 }
 
 // ownClaim is what this node owns, false if that is nothing.
 func (n *Node) ownClaim() (c quota.Claim, owns bool) {
-	n.quotas.with(func(now time.Time) {
-		t := &n.quotas.tenure
-		c = quota.Claim{Owner: n.id, Generation: t.Generation(), Parts: t.Parts(now)}
-	})
+	n.quotas.with(func(now time.Time) { c = n.quotas.claim(now, n.id) })
 	return c, len(c.Parts) > 0
 }
 
+// claim is what a node owns by the lease held here. The caller holds the lock.
+func (q *quotas) claim(now time.Time, id wire.NodeID) quota.Claim {
+	return quota.Claim{Owner: id, Generation: q.tenure.Generation(), Parts: q.tenure.Parts(now)}
+}
+
 // LeaseEnded gives up what this node owns.
 func (n *Node) LeaseEnded() {
 	n.quotas.with(func(time.Time) { n.quotas.tenure.Ended() })
@@ -123,5 +122,5 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	return q.freshWithin > 0 && q.inUse(now) && !q.proof.Fresh(now, time.Duration(proofLate*float64(q.freshWithin)))
+	return q.inUse(now) && !q.proved(now, proofLate)
 }
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -117,13 +117,19 @@
 	now := q.clock()
 	rested := !q.inUse(now)
 	q.needed = now
-	ok = q.freshWithin == 0 || q.proof.Fresh(now, q.freshWithin)
+	ok = q.proved(now, 1)
 	if rested || !ok {
 		q.stir()
 	}
 	return ok, q.changed
 }
 
+// proved reports whether the proof of the configuration is younger than a part of the age
+// allowed; any is where no age is. The caller holds the lock.
+func (q *quotas) proved(now time.Time, part float64) bool {
+	return q.freshWithin == 0 || q.proof.Fresh(now, time.Duration(part*float64(q.freshWithin)))
+}
+
 // take takes a token, or says that there is none.
 func (q *quotas) take(workspace string, waited bool) (t quota.Token, answer quota.Answer, changed <-chan struct{}) {
 	q.mu.Lock()
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -138,9 +139,9 @@
 		}
 	}
 	owners := 0
-	for centre, list := range addrs {
+	for _, list := range addrs {
 		for _, addr := range list {
-			if firstOf(addrs, centre, addr) {
+			if slices.Contains(firstsOf(addrs), addr) {
 				owners++
 			}
 		}
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -100,11 +100,7 @@
 
 // offerRoutes tells all other nodes of a version; those that lack it ask.
 func (n *Node) offerRoutes(version uint64) {
-	for _, rec := range n.members.view() {
-		if rec.ID != n.id && !rec.State.Gone() {
-			n.posts.post(rec.ID, wire.KindRoutes, routesMessage{Version: version})
-		}
-	}
+	n.postAll(wire.KindRoutes, routesMessage{Version: version})
 }
 
 // Routes returns the routes in force, nil before any are known.
