--- a/node/late.go
+++ b/node/late.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/internal/pause"
 )
 
 // lateAfter is the delay from which a call was held up. Callers seldom go away
@@ -24,7 +23,7 @@
 	}
 	n.counts.LateCalls.Add(1)
 	n.background(func() {
-		if pause.For(n.ctx, n.cfg.LateCallWait) {
+		if n.sleep(n.cfg.LateCallWait) {
 			n.arrive(req)
 		}
 	})
--- a/node/stop.go
+++ b/node/stop.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/serve"
 )
@@ -50,14 +51,7 @@
 }
 
 // sleep waits; false if the node stopped meanwhile.
-func (n *Node) sleep(d time.Duration) bool {
-	select {
-	case <-n.ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
+func (n *Node) sleep(d time.Duration) bool { return pause.For(n.ctx, d) }
 
 // Draining reports whether the planned stop has begun.
 func (n *Node) Draining() bool { return n.draining.Load() }
