--- a/node/routing.go
+++ b/node/routing.go
@@ -21,6 +21,9 @@
 	splitter *routes.Splitter
 	// askedAt is when a peer was last asked for a newer version.
 	askedAt time.Time
+	// heardAt is when a peer first named a version newer than the one in force, zero if
+	// none has.
+	heardAt time.Time
 	// book holds what requests that entered here have reached, by route and
 	// service, and calls the same of the backend server's own calls.
 	book, calls *reach.Book
@@ -69,6 +72,27 @@
 	return true
 }
 
+// heard notes that a peer has named a newer version than the one in force.
+func (r *routing) heard(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.heardAt.IsZero() {
+		r.heardAt = now
+	}
+}
+
+// behind is the time since a peer first named a newer version than the one in force,
+// zero if none has. It starts anew with the version that is in force now.
+func (r *routing) behind(now time.Time) (d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.heardAt.IsZero() {
+		d = now.Sub(r.heardAt)
+	}
+	r.heardAt = time.Time{}
+	return d
+}
+
 // pick returns the share of the route whose turn it is.
 func (r *routing) pick(t *routes.Table, route *routes.Route) *routes.Share {
 	r.mu.Lock()
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -43,14 +43,15 @@
 		return false
 	}
 	before := n.routing.version()
-	if !n.routing.take(time.Now(), table, text) {
+	now := time.Now()
+	if !n.routing.take(now, table, text) {
 		return true // older than what is in force
 	}
 	n.inForce.Store(table.Version)
 	n.quotas.inForce(table.Version)
 	n.counts.ConfigChanges.Add(1)
 	n.log.Info().Uint64("version", table.Version).Uint64("before", before).Int("routes", table.Len()).
-		Str("source", source).Msg("routes in force")
+		Str("source", source).Dur("behind_ms", n.routing.behind(now)).Msg("routes in force")
 	if source == SourceStore && n.Reader() {
 		n.offerRoutes(table.Version)
 	}
@@ -109,7 +110,12 @@
 // sawRoutes asks a peer whose routes are newer for them.
 func (n *Node) sawRoutes(from wire.NodeID, version uint64) {
 	own := n.routing.version()
-	if version <= own || !n.routing.mayAsk(time.Now()) {
+	if version <= own {
+		return
+	}
+	now := time.Now()
+	n.routing.heard(now)
+	if !n.routing.mayAsk(now) {
 		return
 	}
 	n.posts.answer(from, wire.KindRoutes, routesMessage{Version: own, Want: true})
