--- a/readers/readers_test.go
+++ b/readers/readers_test.go
@@ -1,6 +1,7 @@
 package readers
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -242,3 +243,43 @@
 		is.True(reads >= 2 && reads <= most+1)
 	}
 }
+
+// applyWithin is the time in which a confirmed version must be in force, at the shortest.
+const applyWithin = 2 * time.Second
+
+// restart starts nodes of the fleet anew; those of its readers are readers again as soon
+// as the others know them.
+func (f *fleet) restart(nodes ...int) {
+	for _, i := range nodes {
+		f.nodes[i] = NewRoutes(DefaultRoutesConfig(), uint64(100+i))
+		f.waiting[i], f.known[i] = false, 0
+	}
+}
+
+// applied lets a version be published and returns how long it takes until all nodes have it.
+func (f *fleet) applied(now time.Time) time.Duration {
+	f.published++
+	for begin := now; ; now = f.play(now, step) {
+		behind := slices.ContainsFunc(f.known, func(v int) bool { return v < f.published })
+		if !behind || now.Sub(begin) > time.Minute {
+			return now.Sub(begin)
+		}
+	}
+}
+
+// Guards against a fleet that is behind while its readers, restarted together, read nothing
+// though all others leave the reading to them.
+func TestRestartedReadersReadOn(t *testing.T) {
+	for name, restarted := range map[string][]int{"the readers": {0, 1}, "all nodes": {0, 1, 2, 3, 4, 5, 6, 7}} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(8)
+			now := f.play(start, 30*time.Second)
+			f.restart(restarted...)
+			now = f.play(now, 500*time.Millisecond) // they have read the newest version
+			took := f.applied(now)
+			t.Log(took)
+			is.True(took < applyWithin)
+		})
+	}
+}
