--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -34,7 +34,7 @@
 }
 
 // Publish takes routes as the operator wrote them, wherever they were read. A
-// text that cannot be taken leaves the routes in force as they are; false then.
+// text that cannot be read, or is older, leaves the routes in force as they are; false then.
 func (n *Node) Publish(text []byte, source string) bool {
 	table, err := n.routing.decode(text)
 	if err != nil {
@@ -45,7 +45,7 @@
 	before := n.routing.version()
 	now := time.Now()
 	if !n.routing.take(now, table, text) {
-		return true // older than what is in force
+		return table.Version == n.routing.version()
 	}
 	n.inForce.Store(table.Version)
 	n.quotas.inForce(table.Version)
--- a/readers/routes.go
+++ b/readers/routes.go
@@ -154,8 +154,8 @@
 	}
 }
 
-// Gone reports that the records to be read next have expired.
-func (r *Routes) Gone() { r.known = false }
+// Gone reports that the position to read from is gone; the routes are read anew at once.
+func (r *Routes) Gone() { r.known, r.checkAt = false, time.Time{} }
 
 // Failed reports that the last read brought nothing.
 func (r *Routes) Failed(now time.Time) { r.retryAt = now.Add(r.retries.step()) }
