node, readers: each node keeps a proof that its routes are the newest, on all sites

What callers saw: 404 for a route that had been added and confirmed more than 2 s before, at nodes that reach the store. Cause: a node that is no reader takes silence for 'nothing new', and a node that starts reads nothing for three seconds, though all others count it among the readers. Restarted together, nobody reads. The same leaves a node behind that is cut off from its peers, or whose readers are all refused by the store. Change: what sites with keys had, a proof with the moment of the read that gave it, is kept on all sites: by asking peers at 0.65 of the age allowed (0.8 of the time to apply a version), by reading the store at 0.8 of it. Two readers of the fleet, the provers, read 3.6 times in that age. At rest, too. A store that is away is asked once by each other node, then seldom, by the size of its data centre.

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -84,22 +85,38 @@
 	// revokeShare of the time in which a key that was taken away must not be served any
 	// more is the age of a configuration that is relied on.
 	revokeShare = 0.9
-	// proofReads of the configuration are made by each reader in that age: a proof is up
-	// to two of them old when its reader gets the next one, and takes another moment to
+	// applyShare of the time in which a version must be in force is the age up to which a
+	// node keeps the proof that its routes are the newest.
+	applyShare = 0.8
+	// proofReads of the configuration are made by each prover in the age of a proof: it is
+	// up to two of them old when its reader gets the next one, and takes another moment to
 	// reach the other nodes.
 	proofReads = 3.6
+	// readShare of that age is how long a read of another reader waits: one that gets no
+	// answer is given up before the version that it should bring is late.
+	readShare = 0.75
 )
 
-// routeReads is how often the routes are read: where keys depend on the age of the
-// configuration, often enough that its proof is young when it reaches the other nodes.
+// routeReads is how often the routes are read: often enough that their proof is young when
+// it reaches the other nodes.
 func routeReads(cfg node.Config) readers.RoutesConfig {
 	reads := readers.DefaultRoutesConfig()
-	if cfg.FreshWithin > 0 {
-		reads.Wait = min(reads.Wait, time.Duration(float64(cfg.FreshWithin)/proofReads))
+	if within := float64(cfg.ProvenWithin); within > 0 {
+		reads.Wait = min(reads.Wait, time.Duration(within*readShare))
+		reads.ProverWait = min(reads.ProverWait, time.Duration(within/proofReads))
 	}
 	return reads
 }
 
+// provenWithin is the age of a proof that both bounds allow, zero for any.
+func provenWithin(b platform.Bounds, freshWithin time.Duration) time.Duration {
+	d := time.Duration(float64(b.Apply) * applyShare)
+	if freshWithin > 0 {
+		d = min(cmp.Or(d, freshWithin), freshWithin)
+	}
+	return d
+}
+
 func platformConfig(s platform.Settings, own settings.Platform, log zerolog.Logger) node.Config {
 	cfg := node.DefaultConfig()
 	cfg.Explain.Sink = logs.NewDecisions(logs.DefaultConfig(), log)
@@ -125,6 +142,7 @@
 	cfg.Quota.Overage = s.Bounds.QuotaOverage
 	cfg.Quota.Slack = s.Bounds.QuotaSlack
 	cfg.FreshWithin = time.Duration(float64(s.Bounds.Revoke) * revokeShare)
+	cfg.ProvenWithin = provenWithin(s.Bounds, cfg.FreshWithin)
 	body := min(int64(float64(s.Memory)*bodyShare), settings.MaxPayload)
 	cfg.Entry.MaxBody = max(cfg.Entry.MaxBody, body)
 	cfg.Backend.MaxAnswer = max(cfg.Backend.MaxAnswer, body)
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,9 @@
 	// FreshWithin is the age of the configuration beyond which requests that need a key
 	// are refused, since the key may have been taken away; zero for any age.
 	FreshWithin time.Duration
+	// ProvenWithin is the age up to which a node keeps a proof that its published routes
+	// are the newest: by asking its peers, or else the store. Zero for any age.
+	ProvenWithin time.Duration
 	// Clock judges leases and ages.
 	Clock bootclock.Clock
 	// DecodeRoutes reads published routes. If it is set the node serves
@@ -109,6 +112,7 @@
 		Entry:          entry.DefaultConfig(),
 		Explain:        explain.DefaultConfig(),
 		Quota:          quota.DefaultConfig(),
+		ProvenWithin:   1600 * time.Millisecond,
 		Clock:          bootclock.Now,
 	}
 }
@@ -180,6 +184,9 @@
 	cfg.Dispatch.DataCentre = cfg.DataCentre
 	cfg.Dispatch.Seed = seed
 
+	if cfg.DecodeRoutes == nil {
+		cfg.ProvenWithin = 0 // a graph text is spread by other means
+	}
 	n := &Node{
 		cfg:      cfg,
 		id:       id,
@@ -192,7 +199,7 @@
 		graph:    newGraphs(config.NewSpread(cfg.Spread, id, cfg.DataCentre, seed)),
 		requests: retry.NewRequests(cfg.Dispatch.Budget),
 		routing:  newRouting(cfg.DecodeRoutes),
-		quotas:   newQuotas(cfg.Quota, cfg.FreshWithin, cfg.Clock),
+		quotas:   newQuotas(cfg.Quota, cfg.FreshWithin, cfg.ProvenWithin, cfg.Clock),
 		started:  now,
 
 		levelsHeard: make(chan struct{}, 1),
--- a/node/owner_guide.go
+++ b/node/owner_guide.go
@@ -7,7 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/wire"
 )
 
@@ -15,24 +14,13 @@
 // quotas by this node's view may be gone, or out of reach from here.
 const strangerShare = 0.25
 
-// guide picks a node that may know the owners, false if there is no other node.
-func (n *Node) guide() (wire.NodeID, bool) {
-	var others []placed
-	n.members.with(func(m *membership.Members) {
-		for rec := range m.All() {
-			if rec.ID != n.id && rec.State == membership.Alive {
-				others = append(others, placed{id: rec.ID, dataCentre: rec.DataCentre, place: place(rec.PeerAddr)})
-			}
-		}
-	})
-	if len(others) == 0 {
-		return wire.NodeID{}, false
-	}
+// guide picks one of the other nodes that may know the owners.
+func guide(others []placed) wire.NodeID {
 	if rand.Float64() < strangerShare {
-		return others[rand.IntN(len(others))].id, true
+		return others[rand.IntN(len(others))].id
 	}
 	likely := likelyOwners(others)
-	return likely[rand.IntN(len(likely))].id, true
+	return likely[rand.IntN(len(likely))].id
 }
 
 // placed is a node with its place in the order by which readers and owners are chosen.
--- /dev/null
+++ b/node/proofs.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cassialoom/cassialoom/freshness"
+	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// A node that hears of no newer version knows nothing by that: those who read the store
+// for it may be gone, starting, or out of its reach. So each node keeps a proof that its
+// routes are the newest, asks its peers for a younger one before it is too old, and reads
+// the store itself when they have none.
+
+// proofTick is how often a node without requests looks at the age of its proof.
+const proofTick = 200 * time.Millisecond
+
+const (
+	// proofSoon is the part of the age allowed at which the next proof is asked for.
+	proofSoon = 0.65
+	// proofLate is that at which the node reads the store itself. The rest is for a
+	// first read that fails.
+	proofLate = 0.8
+)
+
+// Proved says that at a moment, by LeaseClock, nothing newer was published than what is
+// in force here.
+func (n *Node) Proved(at time.Time) {
+	version := n.routing.version()
+	n.quotas.with(func(time.Time) {
+		n.quotas.proof.Learn(freshness.Proof{Version: version, At: at})
+		n.quotas.tell()
+	})
+}
+
+// unproved reports that nobody whom this node reaches has proved the configuration for
+// long.
+func (q *quotas) unproved() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return !q.proved(q.clock(), proofLate)
+}
+
+// proved reports whether the proof of the configuration is younger than a part of the age
+// allowed; any is where no age is. The caller holds the lock.
+func (q *quotas) proved(now time.Time, part float64) bool {
+	return q.provenWithin == 0 || q.proof.Fresh(now, time.Duration(part*float64(q.provenWithin)))
+}
+
+// proverShare of the questions for a proof goes to the nodes that should prove the routes,
+// nearShare to any of this data centre, and the rest to any node: the provers may be gone or
+// out of reach, and so may a whole data centre.
+const (
+	proverShare = 0.5
+	nearShare   = 0.25
+)
+
+// guideTo picks a node that may know what is missing, false if there is no other node.
+func (n *Node) guideTo(m missing) (wire.NodeID, bool) {
+	others := n.others()
+	switch {
+	case len(others) == 0:
+		return wire.NodeID{}, false
+	case m == whereabouts:
+		return guide(others), true
+	}
+	if chance := rand.Float64(); chance < proverShare {
+		others = firstOf(others, provers)
+	} else if chance < proverShare+nearShare {
+		others = nearOf(others, n.cfg.DataCentre)
+	}
+	return others[rand.IntN(len(others))].id, true
+}
+
+// firstOf returns the first nodes of a fleet by their places.
+func firstOf(nodes []placed, most int) []placed {
+	slices.SortFunc(nodes, func(a, b placed) int { return cmp.Compare(a.place, b.place) })
+	return nodes[:min(len(nodes), most)]
+}
+
+// nearOf returns the nodes of a data centre, all nodes if there are none.
+func nearOf(nodes []placed, dataCentre string) []placed {
+	near := make([]placed, 0, len(nodes))
+	for _, o := range nodes {
+		if o.dataCentre == dataCentre {
+			near = append(near, o)
+		}
+	}
+	if len(near) == 0 {
+		return nodes
+	}
+	return near
+}
+
+// others lists the other nodes that are alive.
+func (n *Node) others() []placed {
+	var others []placed
+	n.members.with(func(m *membership.Members) {
+		for rec := range m.All() {
+			if rec.ID != n.id && rec.State == membership.Alive {
+				others = append(others, placed{id: rec.ID, dataCentre: rec.DataCentre, place: place(rec.PeerAddr)})
+			}
+		}
+	})
+	return others
+}
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -15,13 +15,6 @@
 // guideEvery is the time between two questions to nodes that may know the owners.
 const guideEvery = 100 * time.Millisecond
 
-// proofSoon is the part of the age allowed at which the next proof is asked for.
-const proofSoon = 0.5
-
-// proofLate is that at which the node reads the store itself: nobody that it reaches
-// has a newer proof.
-const proofLate = 0.65
-
 // quotaAsk asks a node for tokens of the workspaces that it owns, and for its proof of
 // the configuration's age.
 type quotaAsk struct {
@@ -52,37 +45,40 @@
 	msg quotaAsk
 }
 
-// tendQuotas asks owners for tokens, and for proofs, while requests with keys come. At
-// rest it waits for the first one.
+// tendQuotas asks owners for tokens while requests with keys come, and others for proofs
+// all the time.
 func (n *Node) tendQuotas() {
 	timer := time.NewTimer(quotaTick)
 	defer timer.Stop()
 	for {
-		tick := timer.C
-		if n.quotas.resting() {
-			tick = nil
-		}
 		select {
 		case <-n.ctx.Done():
 			return
 		case <-n.quotas.wake:
-		case <-tick:
+		case <-timer.C:
 		}
 		n.askOwners()
-		timer.Reset(quotaTick)
+		if d, again := n.quotas.nextLook(); again {
+			timer.Reset(d)
+		}
 	}
 }
 
-func (q *quotas) resting() bool {
+// nextLook is how long until it may be time for a question; false if only a request that
+// needs a key can bring one about.
+func (q *quotas) nextLook() (d time.Duration, again bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return !q.inUse(q.clock()) && len(q.asks) == 0
+	if q.inUse(q.clock()) || len(q.asks) > 0 {
+		return quotaTick, true
+	}
+	return proofTick, q.provenWithin > 0
 }
 
 func (n *Node) askOwners() {
-	asks, guided := n.quotas.due()
-	if guided {
-		if guide, known := n.guide(); known {
+	asks, missing := n.quotas.due()
+	if missing != nothing {
+		if guide, known := n.guideTo(missing); known {
 			asks = append(asks, n.quotas.askGuide(guide)...)
 		}
 	}
@@ -99,21 +95,38 @@
 	n.posts.post(out.to, wire.KindQuotaAsk, out.msg)
 }
 
-// due returns the questions to be sent to owners now, and whether another node is to be
-// asked as well: for the owners, or for a proof that no owner's answer brings.
-func (q *quotas) due() (asks []outgoingAsk, guided bool) {
+// missing is what the owners' answers do not bring.
+type missing uint8
+
+const (
+	nothing missing = iota
+	// proofs that the configuration is the newest.
+	proofs
+	// whereabouts of the owners.
+	whereabouts
+)
+
+// due returns the questions to be sent to owners now, and what another node is to be asked
+// for.
+func (q *quotas) due() ([]outgoingAsk, missing) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	if !q.inUse(now) {
-		return nil, false
-	}
 	q.timeOut(now)
-	asks = q.askTokens(now)
-	if now.Sub(q.guidedAt) < guideEvery {
-		return asks, false
+	var asks []outgoingAsk
+	inUse := q.inUse(now)
+	if inUse {
+		asks = q.askTokens(now)
+	}
+	switch {
+	case now.Sub(q.guidedAt) < guideEvery:
+		return asks, nothing
+	case inUse && q.lost:
+		return asks, whereabouts
+	case len(q.asks) == 0 && !q.proved(now, proofSoon):
+		return asks, proofs
 	}
-	return asks, q.lost || len(q.asks) == 0 && !q.proved(now, proofSoon)
+	return asks, nothing
 }
 
 // askGuide returns the question to a node that may know the owners.
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/cassialoom/cassialoom/freshness"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/quota"
 	"github.com/cassialoom/cassialoom/wire"
@@ -105,22 +104,3 @@
 	n.quotas.with(func(time.Time) { n.quotas.tenure.Ended() })
 	n.log.Info().Msg("owns no quotas any more")
 }
-
-// Proved says that at a moment, by LeaseClock, nothing newer was published than what is
-// in force here.
-func (n *Node) Proved(at time.Time) {
-	version := n.routing.version()
-	n.quotas.with(func(time.Time) {
-		n.quotas.proof.Learn(freshness.Proof{Version: version, At: at})
-		n.quotas.tell()
-	})
-}
-
-// unproved reports that nobody whom this node reaches has proved the configuration for
-// long, while requests need it.
-func (q *quotas) unproved() bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	now := q.clock()
-	return q.inUse(now) && !q.proved(now, proofLate)
-}
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -17,9 +17,10 @@
 // two nodes serves both tokens and proofs.
 type quotas struct {
 	cfg quota.Config
-	// freshWithin is the age of the configuration beyond which keys are not served.
-	freshWithin time.Duration
-	clock       bootclock.Clock
+	// freshWithin is the age of the configuration beyond which keys are not served,
+	// provenWithin the age up to which its proof is kept; zero for any.
+	freshWithin, provenWithin time.Duration
+	clock                     bootclock.Clock
 
 	mu     sync.Mutex
 	holder *quota.Holder
@@ -52,18 +53,19 @@
 	wants  []quota.Want
 }
 
-func newQuotas(cfg quota.Config, freshWithin time.Duration, clock bootclock.Clock) *quotas {
+func newQuotas(cfg quota.Config, freshWithin, provenWithin time.Duration, clock bootclock.Clock) *quotas {
 	return &quotas{
-		cfg:         cfg,
-		freshWithin: freshWithin,
-		clock:       clock,
-		holder:      quota.NewHolder(cfg),
-		bank:        quota.NewBank(cfg),
-		owners:      quota.NewOwners(),
-		asks:        make(map[wire.NodeID]ask),
-		changed:     make(chan struct{}),
-		wake:        make(chan struct{}, 1),
-		fleet:       fleetView{started: time.Now()},
+		cfg:          cfg,
+		freshWithin:  freshWithin,
+		provenWithin: provenWithin,
+		clock:        clock,
+		holder:       quota.NewHolder(cfg),
+		bank:         quota.NewBank(cfg),
+		owners:       quota.NewOwners(),
+		asks:         make(map[wire.NodeID]ask),
+		changed:      make(chan struct{}),
+		wake:         make(chan struct{}, 1),
+		fleet:        fleetView{started: time.Now()},
 	}
 }
 
@@ -100,8 +102,7 @@
 	q.with(func(now time.Time) { q.holder.Return(now, t) })
 }
 
-// keyNeeded is how long after a request with a key the node keeps its configuration
-// proved and its tokens stocked.
+// keyNeeded is how long after a request with a key the node keeps its tokens stocked.
 const keyNeeded = 3 * time.Second
 
 // inUse reports whether requests with keys came lately. The caller holds the lock.
@@ -110,26 +111,19 @@
 }
 
 // fresh notes that a key is needed and reports whether the configuration is proved.
-// Before its proof is too old the next one is asked for.
 func (q *quotas) fresh() (ok bool, changed <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
 	rested := !q.inUse(now)
 	q.needed = now
-	ok = q.proved(now, 1)
+	ok = q.freshWithin == 0 || q.proof.Fresh(now, q.freshWithin)
 	if rested || !ok {
 		q.stir()
 	}
 	return ok, q.changed
 }
 
-// proved reports whether the proof of the configuration is younger than a part of the age
-// allowed; any is where no age is. The caller holds the lock.
-func (q *quotas) proved(now time.Time, part float64) bool {
-	return q.freshWithin == 0 || q.proof.Fresh(now, time.Duration(part*float64(q.freshWithin)))
-}
-
 // take takes a token, or says that there is none.
 func (q *quotas) take(workspace string, waited bool) (t quota.Token, answer quota.Answer, changed <-chan struct{}) {
 	q.mu.Lock()
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -72,6 +72,10 @@
 // Reader reports whether this node is one of the readers of its data centre.
 func (n *Node) Reader() bool { return n.Situation().Reader }
 
+// provers is the number of readers, of all data centres together, that prove the routes for
+// the fleet. When both are gone others read until their places are taken.
+const provers = 2
+
 // Situation is what decides how often this node calls the store. The readers of a
 // data centre are the first of those that are known, by a hash of the address: after a
 // restart of all nodes the same machines read and own quotas again, and need not wait for
@@ -80,22 +84,29 @@
 func (n *Node) Situation() readers.Situation {
 	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true, Unproved: n.quotas.unproved()}
 	own := place(n.cfg.PeerAddr)
-	before := make(map[uint64]struct{}) // a machine whose node restarted is one
+	// A machine whose node restarted is one.
+	before, anywhere := make(map[uint64]struct{}), make(map[uint64]struct{})
 	centres := map[string]struct{}{n.cfg.DataCentre: {}}
 	n.members.with(func(m *membership.Members) {
 		for rec := range m.All() {
 			s.Alone = s.Alone && rec.ID == n.id
+			p := place(rec.PeerAddr)
+			first := p < own && rec.State == membership.Alive
+			if first {
+				anywhere[p] = struct{}{}
+			}
 			if rec.DataCentre != n.cfg.DataCentre {
 				centres[rec.DataCentre] = struct{}{}
 				continue
 			}
 			s.Neighbours++
-			if p := place(rec.PeerAddr); p < own && rec.State == membership.Alive {
+			if first {
 				before[p] = struct{}{}
 			}
 		}
 	})
-	s.Reader = len(before) < readersEach(len(centres))
+	s.Prover = len(anywhere) < provers
+	s.Reader = s.Prover || len(before) < readersEach(len(centres))
 	return s
 }
 
--- a/readers/readers.go
+++ b/readers/readers.go
@@ -20,12 +20,15 @@
 type Situation struct {
 	// Reader marks one of the few nodes that read for their data centre.
 	Reader bool
+	// Prover marks one of the few readers of the fleet whose proofs that the routes are the
+	// newest all others rely on.
+	Prover bool
 	// Alone marks a node that knows no other one.
 	Alone bool
 	// Routes says that routes are in force here, whoever brought them.
 	Routes bool
-	// Unproved says that requests need a proof that the routes here are the newest, and
-	// that no node within reach has one that is recent.
+	// Unproved says that the routes here were not known to be the newest for long: no node
+	// within reach has a recent proof.
 	Unproved bool
 	// Neighbours is the number of nodes in the data centre, this one included.
 	Neighbours int
--- a/readers/routes.go
+++ b/readers/routes.go
@@ -29,8 +29,9 @@
 	// Wait is how long a read of a reader waits at the store. A store that was
 	// silent meanwhile may never answer it: the next read, on another
 	// connection, is due then, well within the time in which a version must be
-	// in force.
-	Wait time.Duration
+	// in force. ProverWait is the same of a prover: a proof is up to two of these old when
+	// the next one comes.
+	Wait, ProverWait time.Duration
 	// Settle is the time after the first read in which a node does not take
 	// itself for a reader: it knows few of the others, or none, and in a fleet
 	// that starts together all would. It is the time in which all have met.
@@ -40,10 +41,16 @@
 	// So a data centre makes one such call in CheckEach, whatever its size.
 	CheckMin, CheckEach time.Duration
 	// ProveEvery is the pause between the reads of a reader that needs a proof that its
-	// routes are the newest, ProveElse that of another node: readers give it theirs, and
-	// read itself only if it reaches none. When the store is back after a while, requests
-	// with keys are served again that soon.
-	ProveEvery, ProveElse time.Duration
+	// routes are the newest. When the store is back after a while, versions come into force
+	// and requests with keys are served again that soon.
+	ProveEvery time.Duration
+	// ProveElse is the same of another node, after a read that was answered: it reads only
+	// if no peer has a proof for it.
+	ProveElse time.Duration
+	// ProveRetry and ProveRetryEach set its pause after a read that was not: ProveRetryEach
+	// for every node of its data centre, ProveRetry at least. So the calls to a store that
+	// is away do not grow with the fleet; once it is back readers prove the routes for all.
+	ProveRetry, ProveRetryEach time.Duration
 	// RetryMin and RetryMax bound the pause after a failure. The first is short
 	// against the time in which a version must be in force, the second keeps
 	// readers from pressing a store that is down.
@@ -54,13 +61,17 @@
 func DefaultRoutesConfig() RoutesConfig {
 	return RoutesConfig{
 		Wait:       2500 * time.Millisecond,
+		ProverWait: 2500 * time.Millisecond,
 		Settle:     3 * time.Second,
 		CheckMin:   25 * time.Second,
 		CheckEach:  2 * time.Second,
 		ProveEvery: 400 * time.Millisecond,
-		ProveElse:  2 * time.Second,
-		RetryMin:   100 * time.Millisecond,
-		RetryMax:   time.Second,
+		ProveElse:  time.Second,
+		ProveRetry: 2 * time.Second,
+
+		ProveRetryEach: 100 * time.Millisecond,
+		RetryMin:       100 * time.Millisecond,
+		RetryMax:       time.Second,
 	}
 }
 
@@ -75,8 +86,10 @@
 	settleTill time.Time
 	retryAt    time.Time
 	checkAt    time.Time
-	// proveAt is when the routes may next be read for a proof alone.
-	proveAt time.Time
+	// proveAt is when the routes may next be read for a proof alone; answered and failed
+	// are the pauses until then after the read under way.
+	proveAt          time.Time
+	answered, failed time.Duration
 }
 
 // NewRoutes returns the plan of a node that has read nothing.
@@ -90,42 +103,50 @@
 
 // Next returns what to do now.
 func (r *Routes) Next(now time.Time, s Situation) Step {
-	if r.known && s.Unproved {
+	r.answered, r.failed = 0, 0
+	if s.Routes && s.Unproved {
 		return r.prove(now, s)
 	}
 	if left := r.retryAt.Sub(now); left > 0 {
-		return Step{Pause, min(left, look)}
+		return Step{Pause, min(left, routesLook)}
 	}
 	switch {
 	case !s.Routes && !r.known:
 		return Step{Action: Newest}
 	case !s.Routes && s.Reader:
-		return Step{Follow, r.cfg.Wait}
+		return Step{Follow, r.cfg.wait(s)}
 	case !s.Routes: // the operator has written none yet
 		return Step{Follow, r.cfg.CheckMin}
 	}
 	if left := r.settleTill.Sub(now); left > 0 {
-		return Step{Pause, min(left, look)}
+		return Step{Pause, min(left, routesLook)}
 	}
 	if r.known && r.checkAt.IsZero() {
 		r.checkAt = r.nextCheck(now, s) // the neighbours are known by now
 	}
 	if !s.Reader && now.Before(r.checkAt) {
-		return Step{Action: Pause, For: look}
+		return Step{Action: Pause, For: routesLook}
 	}
 	return r.read(now, s)
 }
 
+// routesLook is the pause of a node that has nothing to ask: by then its proof may have
+// grown too old.
+const routesLook = 200 * time.Millisecond
+
 // prove is the step of a node that needs a proof that its routes are the newest.
 func (r *Routes) prove(now time.Time, s Situation) Step {
-	every := r.cfg.ProveEvery
+	if left := r.proveAt.Sub(now); left > 0 {
+		return Step{Pause, min(left, routesLook)}
+	}
+	r.answered, r.failed = r.cfg.ProveEvery, r.cfg.ProveEvery
 	if !s.Reader {
-		every = r.cfg.ProveElse
+		r.answered = r.cfg.ProveElse
+		r.failed = max(r.cfg.ProveRetry, time.Duration(s.Neighbours)*r.cfg.ProveRetryEach)
 	}
-	if left := r.proveAt.Sub(now); left > 0 {
-		return Step{Pause, min(left, look)}
+	if !r.known {
+		return Step{Action: Newest}
 	}
-	r.proveAt = now.Add(jitter(r.rng, every))
 	return Step{Action: Follow}
 }
 
@@ -140,14 +161,23 @@
 	case !r.known:
 		return Step{Action: Newest}
 	case s.Reader:
-		return Step{Follow, r.cfg.Wait}
+		return Step{Follow, r.cfg.wait(s)}
 	}
 	return Step{Action: Follow}
 }
 
+// wait is how long a read of a reader waits.
+func (c RoutesConfig) wait(s Situation) time.Duration {
+	if s.Prover {
+		return c.ProverWait
+	}
+	return c.Wait
+}
+
 // Answered reports that the store answered the last read.
 func (r *Routes) Answered(now time.Time) {
 	r.retries.reset()
+	r.proveAt = now.Add(jitter(r.rng, r.answered))
 	if !r.known {
 		r.known = true
 		r.settleTill = now.Add(r.cfg.Settle)
@@ -155,7 +185,10 @@
 }
 
 // Gone reports that the position to read from is gone; the routes are read anew at once.
-func (r *Routes) Gone() { r.known, r.checkAt = false, time.Time{} }
+func (r *Routes) Gone() { r.known, r.checkAt, r.proveAt = false, time.Time{}, time.Time{} }
 
 // Failed reports that the last read brought nothing.
-func (r *Routes) Failed(now time.Time) { r.retryAt = now.Add(r.retries.step()) }
+func (r *Routes) Failed(now time.Time) {
+	r.retryAt = now.Add(r.retries.step())
+	r.proveAt = now.Add(jitter(r.rng, r.failed))
+}
