platform, readers: a node whose entry in the list of nodes is lost writes it again

A node that was once seen in the list took itself for listed for good; after the store came back from an older copy nodes that start later do not find it. Evidence: TestALostEntryIsWrittenAgain: not within 5 s on the code before, passes now.

--- a/readers/list.go
+++ b/readers/list.go
@@ -95,7 +95,7 @@
 // listed.
 func (l *List) Read(now time.Time, entries int, listed bool) time.Duration {
 	l.retries.reset()
-	l.listed = l.listed || listed
+	l.listed = listed // an entry may be lost
 	l.last = now
 	l.spread = l.rng.Float64()/2 + 0.75
 	return time.Duration(l.rng.Float64() * float64(l.cfg.WriteSpread) * float64(entries) / 100)
@@ -104,6 +104,9 @@
 // Listed reports whether the node is known to be in the list.
 func (l *List) Listed() bool { return l.listed }
 
+// Lost reports that entries may have been lost: the list is to be read anew.
+func (l *List) Lost() { l.listed = false }
+
 // Entered reports that the store took the node's entry.
 func (l *List) Entered() { l.listed = true }
 
