--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -61,7 +61,7 @@
 			pause.For(ctx, leaveFor)
 		}
 		if v := b.target.Violation(); v != "" {
-			w.broken = append(w.broken, Broken{Promise: "a leaving backend server gets no work for long", What: v})
+			w.noteBroken(Broken{Promise: "a leaving backend server gets no work for long", What: v})
 		}
 		b.target.Crash()
 		return w.startTarget(b)
@@ -95,6 +95,7 @@
 	{"links from the peers silent", linkFault(fromPeers, linkSilent)},
 	{"links from the peers one way", linkFault(fromPeers, linkOneWay)},
 	{"links from the peers slow", linkFault(fromPeers, linkSlow)},
+	{"store comes back from an older copy", func(ctx context.Context, w *world, _ *box, d time.Duration) error { return w.restore(ctx, d) }},
 }
 
 func toStore(b *box) *proxy   { return b.toStore }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -63,7 +63,13 @@
 	w.startClients(clients, &all)
 	res.Faults, err = w.breakThings(ctx)
 	if err == nil && !w.serves(ctx, recoverIn) {
-		w.broken = append(w.broken, Broken{Promise: "the system recovers by itself", What: "not served " + recoverIn.String() + " after the last fault"})
+		w.noteBroken(Broken{Promise: "the system recovers by itself", What: "not served " + recoverIn.String() + " after the last fault"})
+	}
+	if err == nil {
+		err = w.keepsUp(ctx)
+	}
+	if err == nil {
+		err = w.startsAmongVersions(ctx)
 	}
 	stop()
 	all.Wait()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
@@ -78,7 +79,9 @@
 	journal *standin.Journal
 	record  record
 	boxes   []*box
-	version uint64
+
+	mu   sync.Mutex
+	last published
 	// broken are violations that were seen while it ran.
 	broken []Broken
 }
@@ -124,20 +127,6 @@
 	return err
 }
 
-func (w *world) publish() error {
-	w.version++
-	text, err := standin.RoutesText(w.version, []standin.Route{
-		{Name: "top", Host: host, Prefix: "/top/", Service: topService, Idempotent: true, Priority: 1},
-		{Name: "top-once", Host: host, Prefix: "/once/", Service: topService},
-		{Name: "end", Host: host, Prefix: "/end/", Service: endService, Idempotent: true, Priority: 2},
-	})
-	if err != nil {
-		return err
-	}
-	w.store.Put(text)
-	return nil
-}
-
 func (w *world) addBox(i int) error {
 	b := &box{Machine: standin.Machine{
 		Name: fmt.Sprintf("m%d", i), IP: fmt.Sprintf("127.%d.0.%d", w.cfg.Net, i+1), Service: []string{topService, endService}[i%2],
@@ -211,7 +200,7 @@
 	select {
 	case <-b.node.Done():
 	case <-time.After(stopLimit):
-		w.broken = append(w.broken, Broken{Promise: "a planned stop ends within its grace time", What: b.Name})
+		w.noteBroken(Broken{Promise: "a planned stop ends within its grace time", What: b.Name})
 		if err := b.node.Kill(); err != nil {
 			return err
 		}
