node: provers are asked for proofs three times in four, and again soon

Hypothesis: nodes at rest read the store themselves although a prover has a young proof, since half of their questions go to nodes whose proof is as old and the next look comes 200 ms later. Change: three questions in four go to the provers; while a proof is old the node looks every 50 ms. The part for the own data centre goes.

--- a/node/proofs.go
+++ b/node/proofs.go
@@ -52,12 +52,8 @@
 }
 
 // proverShare of the questions for a proof goes to the nodes that should prove the routes,
-// nearShare to any of this data centre, and the rest to any node: the provers may be gone or
-// out of reach, and so may a whole data centre.
-const (
-	proverShare = 0.5
-	nearShare   = 0.25
-)
+// the rest to any node: the provers may be gone or out of reach.
+const proverShare = 0.75
 
 // guideTo picks a node that may know what is missing, false if there is no other node.
 func (n *Node) guideTo(m missing) (wire.NodeID, bool) {
@@ -68,10 +64,8 @@
 	case m == whereabouts:
 		return guide(others), true
 	}
-	if chance := rand.Float64(); chance < proverShare {
+	if rand.Float64() < proverShare {
 		others = firstOf(others, provers)
-	} else if chance < proverShare+nearShare {
-		others = nearOf(others, n.cfg.DataCentre)
 	}
 	return others[rand.IntN(len(others))].id, true
 }
@@ -82,20 +76,6 @@
 	return nodes[:min(len(nodes), most)]
 }
 
-// nearOf returns the nodes of a data centre, all nodes if there are none.
-func nearOf(nodes []placed, dataCentre string) []placed {
-	near := make([]placed, 0, len(nodes))
-	for _, o := range nodes {
-		if o.dataCentre == dataCentre {
-			near = append(near, o)
-		}
-	}
-	if len(near) == 0 {
-		return nodes
-	}
-	return near
-}
-
 // others lists the other nodes that are alive.
 func (n *Node) others() []placed {
 	var others []placed
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -69,7 +69,8 @@
 func (q *quotas) nextLook() (d time.Duration, again bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.inUse(q.clock()) || len(q.asks) > 0 {
+	now := q.clock()
+	if q.inUse(now) || len(q.asks) > 0 || !q.proved(now, proofSoon) {
 		return quotaTick, true
 	}
 	return proofTick, q.provenWithin > 0
