--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -13,25 +14,44 @@
 // applyWithin is the time in which a confirmed version must be in force.
 const applyWithin = 2 * time.Second
 
+// sharedClock is a clock that stands until it is moved, the same for all nodes of a test.
+type sharedClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *sharedClock) read() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *sharedClock) move(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
 // Guards against a node that stays behind for good when the nodes that read the store for
 // it are gone or out of its reach: without news it must read the store itself.
 func TestANodeWithoutProofReadsTheStoreItself(t *testing.T) {
 	is := is.New(t)
-	c := startRouted(t, nil)
+	clock := &sharedClock{now: time.Unix(1000, 0)}
+	c := startRouted(t, func(cfg *node.Config) { cfg.Clock = clock.read })
 	reads, rests := c.Add("a", testnode.Echo), c.Add("a", testnode.Echo)
 	for _, i := range []*testnode.Instance{reads, rests} {
 		i.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), node.SourceStore)
 	}
 	c.AwaitWhole()
-	// The first reads on, the other hears of it though it has no requests.
-	for end := time.Now().Add(applyWithin); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
-		reads.Node.Proved(reads.Node.LeaseClock())
+	for range 3 { // the first reads on; the other hears of it though it has no requests
+		clock.move(applyWithin)
+		reads.Node.Proved(clock.read())
+		testnode.Await(t, "the other has the proof", func() bool { return !rests.Node.Situation().Unproved })
 	}
-	is.True(!rests.Node.Situation().Unproved)
-	silent := time.Now()
-	for !rests.Node.Situation().Unproved && time.Since(silent) < 2*applyWithin {
-		time.Sleep(10 * time.Millisecond)
+	silent := clock.read()
+	for !rests.Node.Situation().Unproved && clock.read().Sub(silent) < 2*applyWithin {
+		clock.move(10 * time.Millisecond)
 	}
-	t.Logf("reads the store itself after %v", time.Since(silent).Round(time.Millisecond))
-	is.True(time.Since(silent) < applyWithin)
+	t.Logf("reads the store itself after %v", clock.read().Sub(silent))
+	is.True(clock.read().Sub(silent) < applyWithin)
 }
--- a/node/proofs.go
+++ b/node/proofs.go
@@ -16,9 +16,6 @@
 // routes are the newest, asks its peers for a younger one before it is too old, and reads
 // the store itself when they have none.
 
-// proofTick is how often a node without requests looks at the age of its proof.
-const proofTick = 200 * time.Millisecond
-
 const (
 	// proofSoon is the part of the age allowed at which the next proof is asked for.
 	proofSoon = 0.65
@@ -48,7 +45,17 @@
 // proved reports whether the proof of the configuration is younger than a part of the age
 // allowed; any is where no age is. The caller holds the lock.
 func (q *quotas) proved(now time.Time, part float64) bool {
-	return q.provenWithin == 0 || q.proof.Fresh(now, time.Duration(part*float64(q.provenWithin)))
+	return q.provenWithin == 0 || q.provedFor(now, part) >= 0
+}
+
+// provedFor is how long the proof stays younger than a part of the age allowed; negative
+// if it is older or there is none. The caller holds the lock.
+func (q *quotas) provedFor(now time.Time, part float64) time.Duration {
+	age, known := q.proof.Age(now)
+	if !known {
+		return -1
+	}
+	return time.Duration(part*float64(q.provenWithin)) - age
 }
 
 // proverShare of the questions for a proof goes to the nodes that should prove the routes,
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -70,10 +70,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	if q.inUse(now) || len(q.asks) > 0 || !q.proved(now, proofSoon) {
+	if q.inUse(now) || len(q.asks) > 0 {
 		return quotaTick, true
 	}
-	return proofTick, q.provenWithin > 0
+	return max(quotaTick, q.provedFor(now, proofSoon)), q.provenWithin > 0
 }
 
 func (n *Node) askOwners() {
