node: provers are readers, and few places are kept to find them

Cause: found in reading the change. A prover that is no reader of its data centre would become an owner of quotas three seconds after a restart and move parts once more; and each look kept the places of all nodes before this one, of which a few matter.

--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -73,7 +73,8 @@
 func (n *Node) Reader() bool { return n.Situation().Reader }
 
 // provers is the number of readers, of all data centres together, that prove the routes for
-// the fleet. When both are gone others read until their places are taken.
+// the fleet; one of them may be no reader where each data centre has one. When they are gone
+// others read until their places are taken.
 const provers = 2
 
 // Situation is what decides how often this node calls the store. The readers of a
@@ -92,7 +93,7 @@
 			s.Alone = s.Alone && rec.ID == n.id
 			p := place(rec.PeerAddr)
 			first := p < own && rec.State == membership.Alive
-			if first {
+			if first && len(anywhere) < provers {
 				anywhere[p] = struct{}{}
 			}
 			if rec.DataCentre != n.cfg.DataCentre {
@@ -100,13 +101,13 @@
 				continue
 			}
 			s.Neighbours++
-			if first {
+			if first && len(before) < readersOfFleet {
 				before[p] = struct{}{}
 			}
 		}
 	})
-	s.Prover = len(anywhere) < provers
-	s.Reader = s.Prover || len(before) < readersEach(len(centres))
+	s.Reader = len(before) < readersEach(len(centres))
+	s.Prover = s.Reader && len(anywhere) < provers
 	return s
 }
 
