node: proofs are asked for less often while no node has one

Cause: found in reading the change. While the store is away every node asked another one each 100 ms, three times in four one of the two provers: with 300 nodes 1,100 questions a second for each of these. Change: after three questions in vain the pauses double up to 800 ms, unless requests with keys wait. A platform that names no time for a version to be in force gets the default age of proofs, not none. caughtUp and needKey say what they do. Measured: TestProofsAreAskedForLessOftenInVain: at most 18 questions in 10 s, 100 before.

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"cmp"
 	"math"
 	"time"
 
@@ -108,13 +107,17 @@
 	return reads
 }
 
-// provenWithin is the age of a proof that both bounds allow, zero for any.
-func provenWithin(b platform.Bounds, freshWithin time.Duration) time.Duration {
-	d := time.Duration(float64(b.Apply) * applyShare)
-	if freshWithin > 0 {
-		d = min(cmp.Or(d, freshWithin), freshWithin)
+// provenWithin is the age of a proof that all bounds allow: the one for any version, that of
+// the time in which one must be in force, and that after which keys are refused. The last
+// two are zero where the platform does not ask for them.
+func provenWithin(most, apply, fresh time.Duration) time.Duration {
+	if apply > 0 {
+		most = time.Duration(float64(apply) * applyShare)
 	}
-	return d
+	if fresh > 0 {
+		most = min(most, fresh)
+	}
+	return most
 }
 
 func platformConfig(s platform.Settings, own settings.Platform, log zerolog.Logger) node.Config {
@@ -142,7 +145,7 @@
 	cfg.Quota.Overage = s.Bounds.QuotaOverage
 	cfg.Quota.Slack = s.Bounds.QuotaSlack
 	cfg.FreshWithin = time.Duration(float64(s.Bounds.Revoke) * revokeShare)
-	cfg.ProvenWithin = provenWithin(s.Bounds, cfg.FreshWithin)
+	cfg.ProvenWithin = provenWithin(cfg.ProvenWithin, s.Bounds.Apply, cfg.FreshWithin)
 	body := min(int64(float64(s.Memory)*bodyShare), settings.MaxPayload)
 	cfg.Entry.MaxBody = max(cfg.Entry.MaxBody, body)
 	cfg.Backend.MaxAnswer = max(cfg.Backend.MaxAnswer, body)
--- a/node/proofs.go
+++ b/node/proofs.go
@@ -58,6 +58,27 @@
 	return time.Duration(part*float64(q.provenWithin)) - age
 }
 
+// vainAtOnce questions for a proof may fail before the pauses between them double, up to
+// proofPauseMost: while the store is away no node has one, and all of a fleet ask.
+const (
+	vainAtOnce     = 3
+	proofPauseMost = 800 * time.Millisecond
+)
+
+// proofPause is the time between two questions for a proof. The caller holds the lock.
+func (q *quotas) proofPause(now time.Time) time.Duration {
+	waiting := q.inUse(now) && !q.fresh(now)
+	if waiting || q.vain <= vainAtOnce {
+		return guideEvery
+	}
+	return min(guideEvery<<(q.vain-vainAtOnce), proofPauseMost)
+}
+
+// fresh reports whether keys may be judged by the configuration. The caller holds the lock.
+func (q *quotas) fresh(now time.Time) bool {
+	return q.freshWithin == 0 || q.proof.Fresh(now, q.freshWithin)
+}
+
 // proverShare of the questions for a proof goes to the nodes that should prove the routes,
 // the rest to any node: the provers may be gone or out of reach.
 const proverShare = 0.75
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -70,10 +70,14 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
-	if q.inUse(now) || len(q.asks) > 0 {
+	switch {
+	case q.inUse(now), len(q.asks) > 0:
 		return quotaTick, true
+	case q.provenWithin == 0:
+		return 0, false
 	}
-	return max(quotaTick, q.provedFor(now, proofSoon)), q.provenWithin > 0
+	next := max(q.provedFor(now, proofSoon), q.guidedAt.Add(q.proofPause(now)).Sub(now))
+	return max(quotaTick, next), true
 }
 
 func (n *Node) askOwners() {
@@ -119,14 +123,17 @@
 	if inUse {
 		asks = q.askTokens(now)
 	}
+	rested := now.Sub(q.guidedAt)
 	switch {
-	case now.Sub(q.guidedAt) < guideEvery:
-		return asks, nothing
-	case inUse && q.lost:
-		return asks, whereabouts
-	case len(q.asks) == 0 && !q.proved(now, proofSoon):
+	case q.proved(now, proofSoon):
+		q.vain = 0
+	case len(q.asks) == 0 && rested >= q.proofPause(now):
+		q.vain++
 		return asks, proofs
 	}
+	if inUse && q.lost && rested >= guideEvery {
+		return asks, whereabouts
+	}
 	return asks, nothing
 }
 
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -33,6 +33,8 @@
 	number uint64
 	// guidedAt is when a node that is no owner was last asked.
 	guidedAt time.Time
+	// vain counts the questions for a proof in a row that brought no young one.
+	vain int
 	// lost says that an owner did not answer, or owns no more: who does is asked.
 	lost bool
 	// needed is when a request last needed a key.
@@ -110,14 +112,14 @@
 	return !q.needed.IsZero() && now.Sub(q.needed) < keyNeeded
 }
 
-// fresh notes that a key is needed and reports whether the configuration is proved.
-func (q *quotas) fresh() (ok bool, changed <-chan struct{}) {
+// needKey notes that a key is needed and reports whether it may be judged now.
+func (q *quotas) needKey() (ok bool, changed <-chan struct{}) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	now := q.clock()
 	rested := !q.inUse(now)
 	q.needed = now
-	ok = q.freshWithin == 0 || q.proof.Fresh(now, q.freshWithin)
+	ok = q.fresh(now)
 	if rested || !ok {
 		q.stir()
 	}
@@ -147,7 +149,7 @@
 func (n *Node) awaitFresh(ctx context.Context) *verdict.Error {
 	until := time.Now().Add(n.cfg.Quota.WaitMost)
 	for {
-		ok, changed := n.quotas.fresh()
+		ok, changed := n.quotas.needKey()
 		if ok {
 			return nil
 		}
--- a/node/quotas_test.go
+++ b/node/quotas_test.go
@@ -30,7 +30,7 @@
 	cfg.Parts = 1
 	q := newQuotas(cfg, bound, bound, clock.read)
 	q.inForce(3)
-	q.fresh() // a request with a key has come
+	q.needKey() // a request with a key has come
 	return q, clock
 }
 
@@ -107,10 +107,10 @@
 	q, clock := testQuotas(4 * time.Second)
 	asks := q.askGuide(other)
 	q.answered(clock.now, other, quotaAnswer{Number: asks[0].msg.Number, Proved: true, Version: 3})
-	ok, _ := q.fresh()
+	ok, _ := q.needKey()
 	is.True(ok)
 	clock.move(5 * time.Second)
-	ok, _ = q.fresh()
+	ok, _ = q.needKey()
 	is.True(!ok)
 }
 
@@ -222,3 +222,29 @@
 	_, again := q.nextLook()
 	is.True(!again)
 }
+
+// Guards against a fleet whose nodes ask each other without pause for proofs that none has,
+// since the store is away.
+func TestProofsAreAskedForLessOftenInVain(t *testing.T) {
+	is := is.New(t)
+	q, clock := testQuotas(4 * time.Second)
+	clock.move(keyNeeded)
+	play := func(d time.Duration, answer func(number uint64) quotaAnswer) (asked int) {
+		for end := clock.now.Add(d); clock.now.Before(end); clock.move(10 * time.Millisecond) {
+			if _, wanted := q.due(); wanted != proofs {
+				continue
+			}
+			for _, a := range q.askGuide(other) {
+				asked++
+				q.answered(clock.now, other, answer(a.msg.Number))
+			}
+		}
+		return asked
+	}
+	vain := play(10*time.Second, func(number uint64) quotaAnswer { return quotaAnswer{Number: number} })
+	is.True(vain >= int(10*time.Second/proofPauseMost)) // it goes on asking
+	is.True(vain <= int(10*time.Second/proofPauseMost)+vainAtOnce+3)
+	young := play(proofPauseMost, func(number uint64) quotaAnswer { return quotaAnswer{Number: number, Proved: true, Version: 3} })
+	is.Equal(young, 1)
+	is.Equal(q.vain, 0)
+}
--- a/node/routing.go
+++ b/node/routing.go
@@ -81,16 +81,16 @@
 	}
 }
 
-// behind is the time since a peer first named a newer version than the one in force,
-// zero if none has. It starts anew with the version that is in force now.
-func (r *routing) behind(now time.Time) (d time.Duration) {
+// caughtUp notes that a newer version is in force and returns the time since a peer first
+// named one, zero if none did.
+func (r *routing) caughtUp(now time.Time) (behind time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.heardAt.IsZero() {
-		d = now.Sub(r.heardAt)
+		behind = now.Sub(r.heardAt)
 	}
 	r.heardAt = time.Time{}
-	return d
+	return behind
 }
 
 // pick returns the share of the route whose turn it is.
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -51,7 +51,7 @@
 	n.quotas.inForce(table.Version)
 	n.counts.ConfigChanges.Add(1)
 	n.log.Info().Uint64("version", table.Version).Uint64("before", before).Int("routes", table.Len()).
-		Str("source", source).Dur("behind_ms", n.routing.behind(now)).Msg("routes in force")
+		Str("source", source).Dur("behind_ms", n.routing.caughtUp(now)).Msg("routes in force")
 	if source == SourceStore && n.Reader() {
 		n.offerRoutes(table.Version)
 	}
