freshness, node, platform: a node that starts hears from its peers how old the store's era is

Cause: found while the soak got keys. A process that started in era 1 took it for the first one; if that was the first restore, it read a configuration in which a key that had been taken away was there again, and proved it at once. Holding back at each start instead would cost two and three seconds of requests with keys and quotas wherever eras begin with 1. Change: freshness.Eras in place of platform's own history, which decided: since when an era has been known, by the first answer or by a peer's word for it with the first offer on a connection. In era 0 nothing was lost; in any other a node without a peer's word waits. A part that waits for forgotten leases is used as soon as the era turns out to be old.

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -67,6 +67,24 @@
 		faults:  []string{"crash the backend server"},
 		promise: "recovers",
 	},
+	{
+		name:    "silence is taken for news that there is none",
+		edits:   []edit{{"node/proofs.go", "return !q.proved(q.clock(), proofLate)", "return false"}},
+		faults:  []string{"kill the node"},
+		promise: "in force in time",
+	},
+	{
+		name:    "a key that is not known any more is served",
+		edits:   []edit{{"node/authorize.go", "if !known && !route.Open {", "if !known && false {"}},
+		faults:  []string{"publish routes"},
+		promise: "taken away",
+	},
+	{
+		name:    "each node lets in what it likes of a quota",
+		edits:   []edit{{"node/authorize.go", "if !u.workspace.Quota.Limited() ||", "if true ||"}},
+		faults:  []string{"kill the node"},
+		promise: "within its quota",
+	},
 }
 
 func TestBrokenBuildsAreFound(t *testing.T) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	Machine    string
 	Path       string
 	Idempotent bool
+	With       credential
 	Sent       time.Time
 	standin.Answer
 }
@@ -78,7 +80,7 @@
 
 func notRunIsTrue(t told, runs []string) (promise, what string) {
 	promise = "what is said not to have run has not, and never does"
-	refused := t.Status == 503 || t.Status == 429 || t.Status == 408 || t.Status == 421
+	refused := slices.Contains([]int{401, 404, 408, 421, 429, 503}, t.Status)
 	if !t.Idempotent && refused && len(runs) > 0 {
 		return promise, fmt.Sprintf("status %d, but it ran at %v", t.Status, runs)
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -46,7 +47,8 @@
 		if closeErr := w.close(); err == nil && closeErr != nil {
 			w.broken = append(w.broken, Broken{Promise: "a planned stop ends within its grace time", What: closeErr.Error()})
 		}
-		res.Broken = append(w.broken, judge(w.record.all, w.journal)...)
+		res.Broken = slices.Concat(w.broken, judge(w.record.all, w.journal),
+			judgeKeys(w.record.all, w.journal, w.taken), judgeQuota(w.record.all, w.journal))
 		if err == nil && len(res.Broken) == 0 {
 			err = w.rig.RemoveLogs()
 		}
@@ -132,7 +134,7 @@
 		good := 0
 		for i := range tries {
 			c.box = w.boxes[i%len(w.boxes)]
-			if c.ask(ctx).Status == http.StatusOK {
+			if c.ask(ctx, credential{key: calmKey}).Status == http.StatusOK {
 				good++
 			}
 		}
@@ -164,7 +166,7 @@
 			all.Go(func() {
 				defer c.http.CloseIdleConnections()
 				for ctx.Err() == nil {
-					c.w.record.add(c.ask(ctx))
+					c.w.record.add(c.ask(ctx, w.credential(c.rng)))
 					pause.For(ctx, time.Duration(c.rng.ExpFloat64()*float64(clientPause)))
 				}
 			})
@@ -177,13 +179,13 @@
 
 // ask sends one request and returns what came of it. A POST is never sent twice
 // by the client library.
-func (c *client) ask(ctx context.Context) told {
+func (c *client) ask(ctx context.Context, with credential) told {
 	c.sent++
 	prefix := paths[c.rng.IntN(len(paths))]
 	t := told{ID: strconv.FormatUint(c.rng.Uint64(), 36), Machine: c.box.Name, Path: prefix + strconv.Itoa(c.sent),
-		Idempotent: prefix != "/once/", Sent: time.Now()}
+		Idempotent: prefix != "/once/", With: with, Sent: time.Now()}
 	t.Answer = standin.Ask(ctx, c.http, c.box.Machine, standin.Request{
-		Method: http.MethodPost, Host: host, Path: t.Path, ID: t.ID, Timeout: clientTimeout,
+		Method: http.MethodPost, Host: host, Path: t.Path, ID: t.ID, Key: with.key, Timeout: clientTimeout,
 	})
 	return t
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,7 @@
 		"misdirected, ran":   {told{ID: "ran", Answer: standin.Answer{Status: 421}}, "not to have run"},
 		"too many, but ran":  {told{ID: "ran", Answer: standin.Answer{Status: 429}}, "not to have run"},
 		"timed out, but ran": {told{ID: "ran", Answer: standin.Answer{Status: 408}}, "not to have run"},
+		"no key, but ran":    {told{ID: "ran", Answer: standin.Answer{Status: 401}}, "not to have run"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -64,6 +65,36 @@
 	}
 }
 
+// Guards against judges of keys and quotas that object to nothing.
+func TestJudgesOfWorkspacesFindEveryLie(t *testing.T) {
+	is := is.New(t)
+	j := standin.NewJournal()
+	sent := time.Now()
+	taken := map[uint64]time.Time{3: sent.Add(-standin.RevokeWithin - time.Millisecond), 4: sent.Add(-standin.RevokeWithin + time.Millisecond)}
+	var all []told
+	for id, version := range map[string]uint64{"late": 3, "soon": 4, "held": 5, "refused": 3} {
+		all = append(all, told{ID: id, With: credential{key: versionKey(version), version: version}, Sent: sent})
+		if id != "refused" {
+			j.Note(id, "i-1")
+		}
+	}
+	found := judgeKeys(all, j, taken)
+	is.Equal(len(found), 1)
+	is.Equal(found[0].ID, "late")
+
+	all = nil
+	limit := (hotRate*5+hotBurst)*11/10 + standin.QuotaSlack
+	for i := range limit {
+		id := fmt.Sprint("h", i)
+		all = append(all, told{ID: id, With: credential{key: hotKey}}, told{ID: id + "c", With: credential{key: calmKey}})
+		j.Note(id, "i-1")
+		j.Note(id+"c", "i-1")
+	}
+	is.Equal(len(judgeQuota(all, j)), 0)
+	j.Note("more", "i-1")
+	is.Equal(len(judgeQuota(append(all, told{ID: "more", With: credential{key: hotKey}}), j)), 1)
+}
+
 func TestTimelineFollowsItsSeed(t *testing.T) {
 	is := is.New(t)
 	a, b, other := timeline(7, time.Minute, 6, faults), timeline(7, time.Minute, 6, faults), timeline(8, time.Minute, 6, faults)
--- a/internal/soak/versions.go
+++ b/internal/soak/versions.go
@@ -41,7 +41,11 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.last.version++
-	return w.put()
+	if err := w.put(); err != nil {
+		return err
+	}
+	w.taken[w.last.version-1] = w.last.confirmed
+	return nil
 }
 
 // put writes the last version; the caller holds the lock.
@@ -51,7 +55,7 @@
 		{Name: "top-once", Host: host, Prefix: "/once/", Service: topService},
 		{Name: "end", Host: host, Prefix: "/end/", Service: endService, Idempotent: true, Priority: 2},
 		{Name: "version", Host: host, Prefix: versionPath(w.last.version), Service: endService, Idempotent: true, Priority: 2},
-	})
+	}, workspaces(w.last.version)...)
 	if err != nil {
 		return err
 	}
@@ -141,7 +145,7 @@
 func (w *world) inForce(ctx context.Context, c *http.Client, b *box, least uint64) uint64 {
 	for version := least; version <= w.newest().version; version++ {
 		a := standin.Ask(ctx, c, b.Machine, standin.Request{Method: http.MethodPost, Host: host,
-			Path: versionPath(version) + "x", ID: fmt.Sprintf("version-%d-%s", version, b.Name), Timeout: clientTimeout})
+			Path: versionPath(version) + "x", ID: fmt.Sprintf("version-%d-%s", version, b.Name), Key: calmKey, Timeout: clientTimeout})
 		if a.Status != http.StatusNotFound {
 			return version
 		}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -82,6 +82,8 @@
 
 	mu   sync.Mutex
 	last published
+	// taken is when the key of each version was first taken away, by the next one.
+	taken map[uint64]time.Time
 	// broken are violations that were seen while it ran.
 	broken []Broken
 }
@@ -95,7 +97,7 @@
 	if err != nil {
 		return nil, errors.Join(err, r.RemoveLogs())
 	}
-	w := &world{cfg: cfg, rig: r, store: store, journal: standin.NewJournal()}
+	w := &world{cfg: cfg, rig: r, store: store, journal: standin.NewJournal(), taken: make(map[uint64]time.Time)}
 	if err := w.publish(); err != nil {
 		return w, err
 	}
--- a/node/behind_test.go
+++ b/node/behind_test.go
@@ -55,3 +55,19 @@
 	t.Logf("reads the store itself after %v", clock.read().Sub(silent))
 	is.True(clock.read().Sub(silent) < applyWithin)
 }
+
+// Guards against a node that takes the store's era for a young one, and proves and lends
+// nothing for seconds after its start, though its peers know better.
+func TestANodeThatStartsHearsHowOldTheEraIs(t *testing.T) {
+	is := is.New(t)
+	clock := &sharedClock{now: time.Unix(1000, 0)}
+	c := startRouted(t, func(cfg *node.Config) { cfg.Clock = clock.read })
+	first := c.Add("a", testnode.Echo)
+	first.Node.Publish(routesText{Version: 1, Services: []string{"a"}}.encode(t), node.SourceStore)
+	began := first.Node.EraSeen(3)
+	is.Equal(began, clock.read())
+	clock.move(time.Minute)
+	late := c.Add("a", testnode.Echo)
+	testnode.Await(t, "it has heard", func() bool { return late.Node.EraSeen(3).Equal(began) })
+	is.Equal(late.Node.EraSeen(4), clock.read())
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -23,7 +23,7 @@
 	if v := n.routing.version(); v > 0 {
 		// A node that starts while the platform is away hears of the routes
 		// here. If the offer is lost, replies name the version, too.
-		_, _ = c.Send(wire.KindRoutes, routesMessage{Version: v})
+		_, _ = c.Send(wire.KindRoutes, routesMessage{Version: v, Era: n.era()})
 	}
 	if claim, owns := n.ownClaim(); owns {
 		// A node that has just started knows no owner.
--- a/node/proofs.go
+++ b/node/proofs.go
@@ -34,6 +34,43 @@
 	})
 }
 
+// EraSeen takes the era that an answer of the store named and returns since when this node
+// or a peer has known it; zero if the store never came back from an older copy.
+func (n *Node) EraSeen(era uint64) (since time.Time) {
+	n.quotas.with(func(now time.Time) { since = n.quotas.eras.Seen(now, era) })
+	return since
+}
+
+// eraTold is what a node tells others of the store's era.
+type eraTold struct {
+	_   struct{} `cbor:",toarray"`
+	Era uint64
+	// AgeMillis is how long the sender has known it, rounded down: on its way the message
+	// grows older.
+	AgeMillis uint64
+}
+
+// eraAgeMost bounds what a peer may say: beyond it an era is old all the same.
+const eraAgeMost = time.Hour
+
+// era is what this node tells others, nil in the first era.
+func (n *Node) era() (told *eraTold) {
+	n.quotas.with(func(now time.Time) {
+		if era, since := n.quotas.eras.Present(); era > 0 {
+			told = &eraTold{Era: era, AgeMillis: uint64(now.Sub(since).Milliseconds())}
+		}
+	})
+	return told
+}
+
+func (n *Node) heardEra(told *eraTold) {
+	if told == nil {
+		return
+	}
+	age := time.Duration(min(told.AgeMillis, uint64(eraAgeMost.Milliseconds()))) * time.Millisecond
+	n.quotas.with(func(now time.Time) { n.quotas.eras.Told(now.Add(-age), told.Era) })
+}
+
 // unproved reports that nobody whom this node reaches has proved the configuration for
 // long.
 func (q *quotas) unproved() bool {
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -28,6 +28,7 @@
 	tenure quota.Tenure
 	owners *quota.Owners
 	proof  freshness.Keeper
+	eras   freshness.Eras
 	// asks are the questions under way, one to each node.
 	asks   map[wire.NodeID]ask
 	number uint64
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -20,6 +20,8 @@
 	Text    []byte `cbor:"2,keyasint,omitempty"`
 	// Want asks for the sender's routes, if they are newer than Version.
 	Want bool `cbor:"3,keyasint,omitempty"`
+	// Era is the store's as the sender knows it, with the first offer on a connection.
+	Era *eraTold `cbor:"4,keyasint,omitempty"`
 }
 
 // mayAsk reports whether it is time to ask a peer for newer routes.
@@ -147,6 +149,7 @@
 	if !n.routing.enabled() {
 		return
 	}
+	n.heardEra(m.Era)
 	switch {
 	case m.Want:
 		n.giveRoutes(from, m.Version)
--- a/quota/tenure.go
+++ b/quota/tenure.go
@@ -38,7 +38,7 @@
 	lapsed := !l.Sent.Before(t.till) // another node may have owned them meanwhile
 	for _, p := range l.Parts {
 		began, held := t.since[p]
-		if lapsed || !held {
+		if lapsed || !held || l.Sent.Before(began) {
 			began = later(l.Sent, l.FreeAt)
 		}
 		since[p] = began
