readers, node: a read that a silent store held up is not followed by another pause; isolated nodes retry soon

Cause: found by the state machine once its store could be silent: a read sent just before the store was back is held up for two seconds, and the pause of two more began at its end; where the readers had been restarted meanwhile the others were 3.15 s behind (bound 2 s). In a large data centre the pause was longer still, also for a node cut off from its peers. Change: the pause counts from the sending of the read; a node without an answer from peers for 1.6 s takes the short one, the others five seconds at most; with each question in vain one more node beside the provers is asked.

--- a/node/proofs.go
+++ b/node/proofs.go
@@ -71,12 +71,17 @@
 	n.quotas.with(func(now time.Time) { n.quotas.eras.Told(now.Add(-age), told.Era) })
 }
 
-// unproved reports that nobody whom this node reaches has proved the configuration for
-// long.
-func (q *quotas) unproved() bool {
+// isolatedAfter is how long a node that asks is without an answer before it takes itself
+// for cut off from its peers: two of the longest pauses between questions.
+const isolatedAfter = 2 * proofPauseMost
+
+// proofs tells what decides whether the node reads the store itself: whether nobody whom it
+// reaches has proved the configuration for long, and whether it reaches anybody.
+func (q *quotas) proofs() (unproved, isolated bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return !q.proved(q.clock(), proofLate)
+	now := q.clock()
+	return !q.proved(now, proofLate), now.Sub(q.answeredAt) > isolatedAfter
 }
 
 // proved reports whether the proof of the configuration is younger than a part of the age
@@ -111,13 +116,22 @@
 	return min(guideEvery<<(q.vain-vainAtOnce), proofPauseMost)
 }
 
+// askedInVain is the number of questions in a row that brought no young proof, but for the
+// one to be sent now.
+func (q *quotas) askedInVain() int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return max(0, q.vain-1)
+}
+
 // fresh reports whether keys may be judged by the configuration. The caller holds the lock.
 func (q *quotas) fresh(now time.Time) bool {
 	return q.freshWithin == 0 || q.proof.Fresh(now, q.freshWithin)
 }
 
 // proverShare of the questions for a proof goes to the nodes that should prove the routes,
-// the rest to any node: the provers may be gone or out of reach.
+// and with each one in vain to one more of those that come next: the provers may be gone.
+// The rest goes to any node.
 const proverShare = 0.75
 
 // guideTo picks a node that may know what is missing, false if there is no other node.
@@ -130,7 +144,7 @@
 		return guide(others), true
 	}
 	if rand.Float64() < proverShare {
-		others = firstOf(others, proversOf(len(others)+1))
+		others = firstOf(others, proversOf(len(others)+1)+n.quotas.askedInVain())
 	}
 	return others[rand.IntN(len(others))].id, true
 }
--- a/node/quota_asks.go
+++ b/node/quota_asks.go
@@ -249,6 +249,7 @@
 		return // given up: what it lends ends by itself
 	}
 	delete(q.asks, from)
+	q.answeredAt = now
 	q.holder.Granted(now, a.sent, a.wants, m.Grants)
 	if m.Proved {
 		q.proof.Learn(freshness.Proof{Version: m.Version, At: a.sent.Add(-time.Duration(m.AgeMillis) * time.Millisecond)})
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -34,6 +34,8 @@
 	number uint64
 	// guidedAt is when a node that is no owner was last asked.
 	guidedAt time.Time
+	// answeredAt is when a peer last answered.
+	answeredAt time.Time
 	// vain counts the questions for a proof in a row that brought no young one.
 	vain int
 	// lost says that an owner did not answer, or owns no more: who does is asked.
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -93,7 +93,8 @@
 // the leases of others to end. It is harmless if two views differ and more or fewer nodes
 // take themselves for readers for a while.
 func (n *Node) Situation() readers.Situation {
-	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true, Unproved: n.quotas.unproved()}
+	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true}
+	s.Unproved, s.Isolated = n.quotas.proofs()
 	own := place(n.cfg.PeerAddr)
 	// A machine whose node restarted is one.
 	before, anywhere := make(map[uint64]struct{}), make(map[uint64]struct{})
--- a/readers/readers.go
+++ b/readers/readers.go
@@ -30,6 +30,8 @@
 	// Unproved says that the routes here were not known to be the newest for long: no node
 	// within reach has a recent proof.
 	Unproved bool
+	// Isolated says that no peer has answered a question for a while.
+	Isolated bool
 	// Neighbours is the number of nodes in the data centre, this one included.
 	Neighbours int
 }
--- a/readers/routes.go
+++ b/readers/routes.go
@@ -47,10 +47,11 @@
 	// ProveElse is the same of another node, after a read that was answered: it reads only
 	// if no peer has a proof for it.
 	ProveElse time.Duration
-	// ProveRetry and ProveRetryEach set its pause after a read that was not: ProveRetryEach
-	// for every node of its data centre, ProveRetry at least. So the calls to a store that
-	// is away do not grow with the fleet; once it is back readers prove the routes for all.
-	ProveRetry, ProveRetryEach time.Duration
+	// ProveRetry is the pause from one read that failed to the next. Where peers answer, it
+	// is ProveRetryEach for every node of the data centre, up to ProveRetryMost: so the calls
+	// to a store that is away hardly grow with the fleet, and once it is back the provers
+	// prove the routes for all.
+	ProveRetry, ProveRetryEach, ProveRetryMost time.Duration
 	// RetryMin and RetryMax bound the pause after a failure. The first is short
 	// against the time in which a version must be in force, the second keeps
 	// readers from pressing a store that is down.
@@ -70,6 +71,7 @@
 		ProveRetry: 2 * time.Second,
 
 		ProveRetryEach: 100 * time.Millisecond,
+		ProveRetryMost: 5 * time.Second,
 		RetryMin:       100 * time.Millisecond,
 		RetryMax:       time.Second,
 	}
@@ -86,9 +88,10 @@
 	settleTill time.Time
 	retryAt    time.Time
 	checkAt    time.Time
-	// proveAt is when the routes may next be read for a proof alone; answered and failed
-	// are the pauses until then after the read under way.
-	proveAt          time.Time
+	// proveAt is when the routes may next be read for a proof alone: answered after the end
+	// of the read under way, or failed after its beginning, since a store that is silent has
+	// held it up for long already.
+	proveAt, begun   time.Time
 	answered, failed time.Duration
 }
 
@@ -141,15 +144,23 @@
 	}
 	r.answered, r.failed = r.cfg.ProveEvery, r.cfg.ProveEvery
 	if !s.follows() {
-		r.answered = r.cfg.ProveElse
-		r.failed = max(r.cfg.ProveRetry, time.Duration(s.Neighbours)*r.cfg.ProveRetryEach)
+		r.answered, r.failed = r.cfg.ProveElse, r.cfg.retryAfter(s)
 	}
+	r.begun = now
 	if !r.known {
 		return Step{Action: Newest}
 	}
 	return Step{Action: Follow}
 }
 
+// retryAfter is the pause of a node that is no reader after a read that failed.
+func (c RoutesConfig) retryAfter(s Situation) time.Duration {
+	if s.Isolated {
+		return c.ProveRetry
+	}
+	return max(c.ProveRetry, min(time.Duration(s.Neighbours)*c.ProveRetryEach, c.ProveRetryMost))
+}
+
 func (r *Routes) nextCheck(now time.Time, s Situation) time.Time {
 	return now.Add(jitter(r.rng, max(r.cfg.CheckMin, time.Duration(s.Neighbours)*r.cfg.CheckEach)))
 }
@@ -190,5 +201,5 @@
 // Failed reports that the last read brought nothing.
 func (r *Routes) Failed(now time.Time) {
 	r.retryAt = now.Add(r.retries.step())
-	r.proveAt = now.Add(jitter(r.rng, r.failed))
+	r.proveAt = r.begun.Add(jitter(r.rng, r.failed))
 }
