internal/rig: the error about a process that does not stop says what the kernel has it wait for

Ruled out: the end of the log (400,000 in a row, none hung). Change: state, threads, pending signals and wait channel from /proc in the error.

--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -85,7 +85,7 @@
 	case <-p.done:
 		return nil
 	case <-timer.C:
-		err := fmt.Errorf("%s did not stop within %v", p.Name, limit)
+		err := fmt.Errorf("%s did not stop within %v: %s", p.Name, limit, p.state())
 		return errors.Join(err, p.dump(), p.Kill())
 	}
 }
--- a/internal/rig/process_test.go
+++ b/internal/rig/process_test.go
@@ -4,6 +4,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -58,7 +59,9 @@
 	is.NoErr(err)
 	_, err = os.ReadFile(fifo) // returns once the signal is ignored
 	is.NoErr(err)
-	is.True(p.Stop(time.Millisecond) != nil)
+	err = p.Stop(time.Millisecond)
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "State ")) // running or asleep
 	is.True(!p.Running())
 	is.NoErr(r.Close(limit))
 }
