node: a prover in each data centre, asked by the nodes there

Change: one prover in each data centre, two of the fleet at least; nine questions in ten stay in the data centre, one in ten goes anywhere, in case a whole one is cut off from the store.

--- a/node/proofs.go
+++ b/node/proofs.go
@@ -129,10 +129,14 @@
 	return q.freshWithin == 0 || q.proof.Fresh(now, q.freshWithin)
 }
 
-// proverShare of the questions for a proof goes to the nodes that should prove the routes,
-// and with each one in vain to one more of those that come next: the provers may be gone.
-// The rest goes to any node.
-const proverShare = 0.75
+// proverShare of the questions for a proof goes to the provers of this data centre, and with
+// each one in vain to one more of those that come next: the provers may be gone. nearShare
+// goes to any node there, and the rest to any node: a whole data centre may be cut off from
+// the store.
+const (
+	proverShare = 0.75
+	nearShare   = 0.15
+)
 
 // guideTo picks a node that may know what is missing, false if there is no other node.
 func (n *Node) guideTo(m missing) (wire.NodeID, bool) {
@@ -143,13 +147,31 @@
 	case m == whereabouts:
 		return guide(others), true
 	}
-	if rand.Float64() < proverShare {
-		others = firstOf(others, proversOf(len(others)+1)+n.quotas.askedInVain())
+	near, centres := nearOf(others, n.cfg.DataCentre)
+	chance := rand.Float64()
+	switch {
+	case len(near) == 0, chance >= proverShare+nearShare:
+	case chance < proverShare:
+		others = firstOf(near, proversEach(centres, len(near)+1)+n.quotas.askedInVain())
+	default:
+		others = near
 	}
 	return others[rand.IntN(len(others))].id, true
 }
 
-// firstOf returns the first nodes of a fleet by their places.
+// nearOf returns the nodes of a data centre, and the number of data centres with that one.
+func nearOf(nodes []placed, dataCentre string) (near []placed, centres int) {
+	names := map[string]struct{}{dataCentre: {}}
+	for _, o := range nodes {
+		names[o.dataCentre] = struct{}{}
+		if o.dataCentre == dataCentre {
+			near = append(near, o)
+		}
+	}
+	return near, len(names)
+}
+
+// firstOf returns the first nodes by their places.
 func firstOf(nodes []placed, most int) []placed {
 	slices.SortFunc(nodes, func(a, b placed) int { return cmp.Compare(a.place, b.place) })
 	return nodes[:min(len(nodes), most)]
--- a/node/spread_routes.go
+++ b/node/spread_routes.go
@@ -74,18 +74,21 @@
 // Reader reports whether this node is one of the readers of its data centre.
 func (n *Node) Reader() bool { return n.Situation().Reader }
 
-// proversLeast is the least number of provers, of all data centres together: when one is
-// gone the other goes on. There is one for nodesOfProver nodes, whose questions it answers
-// beside its own work, up to proversMost. When all are gone others read until their places
-// are taken.
+// proversOfFleet is the least number of provers, of all data centres together; each data
+// centre has one, so that proofs need not come from another. There is one for
+// nodesOfProver nodes, whose questions it answers beside its own work, up to proversMost.
+// When all of a data centre are gone its nodes read until their places are taken.
 const (
-	proversLeast  = 2
-	proversMost   = 16
-	nodesOfProver = 256
+	proversOfFleet = 2
+	proversMost    = 16
+	nodesOfProver  = 256
 )
 
-// proversOf is the number of provers of a fleet of so many nodes.
-func proversOf(nodes int) int { return min(max(proversLeast, nodes/nodesOfProver), proversMost) }
+// proversEach is the number of provers in a data centre of so many nodes, one of so many.
+func proversEach(centres, nodes int) int {
+	least := (proversOfFleet + centres - 1) / max(1, centres)
+	return min(max(least, nodes/nodesOfProver), proversMost)
+}
 
 // Situation is what decides how often this node calls the store. The readers of a
 // data centre are the first of those that are known, by a hash of the address: after a
@@ -96,31 +99,24 @@
 	s := readers.Situation{Routes: n.routing.table() != nil, Alone: true}
 	s.Unproved, s.Isolated = n.quotas.proofs()
 	own := place(n.cfg.PeerAddr)
-	// A machine whose node restarted is one.
-	before, anywhere := make(map[uint64]struct{}), make(map[uint64]struct{})
+	before := make(map[uint64]struct{}) // a machine whose node restarted is one
 	centres := map[string]struct{}{n.cfg.DataCentre: {}}
-	nodes := 0
 	n.members.with(func(m *membership.Members) {
 		for rec := range m.All() {
-			nodes++
 			s.Alone = s.Alone && rec.ID == n.id
-			p := place(rec.PeerAddr)
-			first := p < own && rec.State == membership.Alive
-			if first && len(anywhere) < proversMost {
-				anywhere[p] = struct{}{}
-			}
 			if rec.DataCentre != n.cfg.DataCentre {
 				centres[rec.DataCentre] = struct{}{}
 				continue
 			}
 			s.Neighbours++
-			if first && len(before) < readersOfFleet {
+			p := place(rec.PeerAddr)
+			if p < own && rec.State == membership.Alive && len(before) < proversMost {
 				before[p] = struct{}{}
 			}
 		}
 	})
 	s.Reader = len(before) < readersEach(len(centres))
-	s.Prover = len(anywhere) < proversOf(nodes)
+	s.Prover = len(before) < proversEach(len(centres), s.Neighbours)
 	return s
 }
 
--- a/readers/readers.go
+++ b/readers/readers.go
@@ -20,8 +20,9 @@
 type Situation struct {
 	// Reader marks one of the few nodes that read for their data centre.
 	Reader bool
-	// Prover marks one of the few nodes of the fleet whose proofs that the routes are the
-	// newest all others rely on. Most are readers; one that is not reads the routes as they do.
+	// Prover marks one of the few nodes whose proofs that the routes are the newest the
+	// others of their data centre rely on. Most are readers; one that is not reads the routes
+	// as they do.
 	Prover bool
 	// Alone marks a node that knows no other one.
 	Alone bool
