backend, limit, node: what a backend server says about its rate limit and its leaving is read, logged and counted

The record of the incident can't distinguish its hypotheses: no line and no metric names a limit, or how many requests a second a backend server is handed. Added, with no effect on any decision: both fields of an answer are parsed (one outcome for each malformed value), the limit in the state dump, a gauge and a line at each change, the rate of starts over the last four seconds, a counter and a bounded line for what can't be parsed. Until now the two fields were forwarded to the caller like any other; they still are.

A limit is raised or ended only by an answer to a request that started after the latest statement of it, since answers overtake each other; a lower one counts at once.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -61,6 +61,11 @@
 	Header     []call.Field
 	Body       []byte
 	Latency    time.Duration
+	// Notice is what the backend server said about itself in its answer, and NoticeError
+	// names the fields of it that are malformed. Answered says that it sent one.
+	Notice      Notice
+	NoticeError error
+	Answered    bool
 	// ReachedBackend says that a request which did not run had reached the backend
 	// server.
 	ReachedBackend bool
--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -48,6 +48,9 @@
 	// AnswerKind classifies an answer by its head. retryAfter is zero if the answer
 	// proposes no time.
 	AnswerKind(r Run, resp *http.Response) (c AnswerKind, retryAfter time.Duration)
+	// Notice returns what the backend server says about itself in the head of an answer.
+	// An error names malformed fields; the notice holds what the others say.
+	Notice(h http.Header) (Notice, error)
 	// AllowsCloseDelimited reports whether an answer may be delimited by the end of its
 	// connection alone.
 	AllowsCloseDelimited() bool
@@ -91,6 +94,10 @@
 	return Answered, 0
 }
 
+func (nativeDialect) Notice(h http.Header) (Notice, error) {
+	return ParseNotice(h.Values(headers.RateLimit), h.Values(headers.Leaving))
+}
+
 func (nativeDialect) AllowsCloseDelimited() bool { return false }
 
 func (nativeDialect) Fields(h http.Header, maxBytes int) ([]call.Field, error) {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -139,7 +139,12 @@
 			}
 			continue
 		}
-		return x.toResult(ctx, resp, kind, after)
+		res, reusable = x.toResult(ctx, resp, kind, after)
+		if kind == Answered || kind == Declined {
+			res.Answered = true
+			res.Notice, res.NoticeError = x.client.dialect.Notice(resp.Header)
+		}
+		return res, reusable
 	}
 	return x.withoutAnswer(ctx, errStray), false
 }
--- a/entry/headers/headers.go
+++ b/entry/headers/headers.go
@@ -20,6 +20,8 @@
 	RetryAfterMs   = "Cassialoom-Retry-After-Ms"
 	KeyHeldMs      = "Cassialoom-Key-Held-Ms"
 	Call           = "Cassialoom-Call"
+	RateLimit      = "Cassialoom-Rate-Limit"
+	Leaving        = "Cassialoom-Leaving"
 	IdempotencyKey = "Idempotency-Key"
 	RetryAfter     = "Retry-After"
 )
--- a/node/node.go
+++ b/node/node.go
@@ -147,7 +147,8 @@
 	instance instance // the backend server's last reported state
 	starts   starts
 
-	levelLog levelLog // used by one loop alone
+	levelLog  levelLog // used by one loop alone
+	noticeLog noticeLog
 
 	// levelsReceived wakes the loop that gossips admission levels.
 	levelsReceived chan struct{}
--- a/node/ops.go
+++ b/node/ops.go
@@ -6,6 +6,7 @@
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/limit"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/serve"
@@ -150,6 +151,8 @@
 		{Name: "running", Value: float64(s.Running)},
 		{Name: "waiting", Value: float64(s.Queue.Waiting)},
 		{Name: "concurrency_limit", Value: float64(s.Concurrency)},
+		{Name: "backend_rate_limit", Value: rateLimitGauge(s.RateLimit)},
+		{Name: "backend_starts_per_second", Value: s.RateLimit.StartsPerSecond},
 		{Name: "admission_level", Value: float64(s.Gate.Level)},
 		{Name: "backend_ready", Value: boolGauge(n.backendInstance().ready)},
 	}
@@ -165,6 +168,14 @@
 	return g
 }
 
+// rateLimitGauge returns the rate limit of the backend server, -1 if it names none.
+func rateLimitGauge(s limit.RateState) float64 {
+	if !s.Named {
+		return -1
+	}
+	return s.PerSecond
+}
+
 // boolGauge returns 1 for true and 0 for false.
 func boolGauge(b bool) float64 {
 	if b {
--- a/node/run.go
+++ b/node/run.go
@@ -6,6 +6,7 @@
 	"github.com/cassialoom/cassialoom/backend"
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/limit"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/transport"
@@ -20,6 +21,9 @@
 	n.replying.Add(1)
 	defer n.replying.Add(-1)
 	e, started := n.server.do(func(s *serve.Server) serve.Effects { return f(now, s) })
+	if e.RateLimitChanged {
+		n.logRateLimit(now)
+	}
 	for _, notice := range e.Notices {
 		n.broadcastNotice(notice)
 	}
@@ -74,6 +78,7 @@
 	})
 	callMayHaveRun := n.server.removeRun(r)
 	result := n.result(r, res, callMayHaveRun)
+	n.checkNotice(inst, res)
 	if res.Broken {
 		n.counts.BackendConnsBroken.Add(1)
 	}
@@ -99,9 +104,14 @@
 		Latency:        res.Latency,
 		Crashed:        res.Crashed,
 		ReachedBackend: res.ReachedBackend,
+		Answered:       res.Answered,
+		Limit:          limit.Statement{Named: res.Notice.Limit == backend.Limited, PerSecond: res.Notice.PerSecond},
 		SlotTimeUsed:   callUse,
 		CallsFailed:    callsFailed,
-		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
+
+		LimitUnreadable: res.Notice.Limit == backend.UnreadableLimit,
+
+		UnusedGrant: n.dispatch.CloseLedger(r.ledger),
 	}
 	// If a call made for the task may have run, the request as a whole may have
 	// run, even if the backend server declined the task itself.
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -26,6 +26,9 @@
 	// BackendConnsBroken counts connections to the backend server that broke during
 	// a request, BackendCrashes the ends of its process.
 	BackendConnsBroken, BackendCrashes expvar.Int
+	// MalformedNotices counts answers of the backend server in which its rate limit or
+	// its leaving can't be parsed.
+	MalformedNotices expvar.Int
 	// KeysMinted counts idempotency keys minted by this node.
 	KeysMinted expvar.Int
 	// LateReplies counts replies dropped because no attempt waited for them.
@@ -128,6 +131,7 @@
 		{name: "runs", value: &c.Runs},
 		{name: "backend_broken", value: &c.BackendConnsBroken},
 		{name: "backend_crashes", value: &c.BackendCrashes},
+		{name: "backend_malformed_notices", value: &c.MalformedNotices},
 		{name: "keys_minted", value: &c.KeysMinted},
 		{name: "quota_asks", value: &c.QuotaRequests},
 		{name: "late_replies", value: &c.LateReplies},
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -35,17 +35,19 @@
 	FaultsPercent uint8 `json:"backend_faults_percent"`
 	Running       int   `json:"running"`
 	// Concurrency is the number of tasks that may run at once.
-	Concurrency int                 `json:"concurrency"`
-	Parked      int                 `json:"waiting_for_binding"`
-	Isolated    bool                `json:"running_alone"`
-	Counts      Counts              `json:"counts"`
-	Limit       limit.State         `json:"limit"`
-	Queue       queue.State         `json:"queue"`
-	Gate        admission.GateState `json:"admission"`
-	Poison      poison.Dump         `json:"poison"`
-	Senders     once.SendersState   `json:"senders"`
-	Keys        once.KeysState      `json:"keys"`
-	Bindings    once.BinderState    `json:"bindings"`
+	Concurrency int         `json:"concurrency"`
+	Parked      int         `json:"waiting_for_binding"`
+	Isolated    bool        `json:"running_alone"`
+	Counts      Counts      `json:"counts"`
+	Limit       limit.State `json:"limit"`
+	// RateLimit is the limit that the backend server names.
+	RateLimit limit.RateState     `json:"rate_limit"`
+	Queue     queue.State         `json:"queue"`
+	Gate      admission.GateState `json:"admission"`
+	Poison    poison.Dump         `json:"poison"`
+	Senders   once.SendersState   `json:"senders"`
+	Keys      once.KeysState      `json:"keys"`
+	Bindings  once.BinderState    `json:"bindings"`
 }
 
 // Dump returns a snapshot of the state at now.
@@ -63,6 +65,7 @@
 		Isolated:    s.isolated != nil,
 		Counts:      s.counts,
 		Limit:       s.limit.Dump(),
+		RateLimit:   s.rate.Dump(now),
 		Queue:       s.queue.Dump(now),
 		Gate:        s.gate.Dump(),
 		Poison:      s.guard.Dump(now),
--- a/serve/run.go
+++ b/serve/run.go
@@ -140,6 +140,8 @@
 	t.started = now
 	s.running[t.ID] = t
 	t.inFlight = s.limit.Begin(now)
+	t.incarnation = s.incarnation
+	s.rate.Started(now)
 	e.Start = append(e.Start, t)
 }
 
@@ -179,6 +181,7 @@
 		s.reportFinished(now, t, r, &e)
 		s.faults.record(r.Latency-t.callTime, r)
 	}
+	s.learnRateLimit(now, t, r, &e)
 	delete(s.running, id)
 	if s.isolated == t {
 		s.isolated = nil
@@ -223,12 +226,25 @@
 func (s *Server) BackendRestarted(now time.Time) Effects {
 	var e Effects
 	s.faults = faults{}
+	s.incarnation++
+	s.rate.Reset()
 	if len(s.running) > 0 {
 		s.crash(now, &e)
 	}
 	return e
 }
 
+// learnRateLimit applies what the answer to a task says about the rate limit of the backend
+// server. An answer of an earlier incarnation says nothing about the present one.
+func (s *Server) learnRateLimit(now time.Time, t *Task, r Result, e *Effects) {
+	if !r.Answered || r.LimitUnreadable || t.incarnation != s.incarnation {
+		return
+	}
+	statement := r.Limit
+	statement.RequestStarted = t.started
+	e.RateLimitChanged = s.rate.Learn(now, statement)
+}
+
 // crash marks all requests that ran at the backend server as suspects. Each of
 // them reports the same crash. Only the first report counts: the later ones
 // miss the requests that have been answered since.
--- a/serve/server.go
+++ b/serve/server.go
@@ -25,6 +25,7 @@
 	keys    *once.Keys[answer, recipient]
 	binder  *once.Binder
 	limit   *limit.Limiter
+	rate    limit.Rate
 	queue   *queue.Queue[*Task]
 	gate    *admission.Gate
 	guard   *poison.Guard
@@ -41,11 +42,13 @@
 	peers          []wire.NodeID       // ready nodes of the service, including this one
 	pendingReplies map[wire.NodeID]int // pending replies by sending node
 	nextID         uint64
-	slots          int  // usable slots that the backend server stated; zero if unknown
-	ready          bool // the backend server accepts requests
-	crashed        bool // it crashed and has not announced itself since
-	draining       bool
-	counts         Counts
+	// incarnation counts the backend incarnations that this node has had.
+	incarnation uint64
+	slots       int  // usable slots that the backend server stated; zero if unknown
+	ready       bool // the backend server accepts requests
+	crashed     bool // it crashed and has not announced itself since
+	draining    bool
+	counts      Counts
 }
 
 // New returns the Server of an incarnation that started at start. It refuses
--- a/serve/task.go
+++ b/serve/task.go
@@ -5,6 +5,7 @@
 
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/limit"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -53,6 +54,8 @@
 	openCalls  int
 	callsSince time.Time
 	callTime   time.Duration
+	// incarnation is Server.incarnation when the task was handed over.
+	incarnation uint64
 }
 
 // Waited returns the time from the arrival of the task to its start.
@@ -78,6 +81,11 @@
 	// ReachedBackend reports, for a request that did not run, that it had reached
 	// the backend server.
 	ReachedBackend bool
+	// Answered reports that the backend server sent an answer. Limit is then what the
+	// answer says about its rate limit; LimitUnreadable reports that it can't be parsed.
+	Answered        bool
+	Limit           limit.Statement
+	LimitUnreadable bool
 	// CallsFailed reports that an outgoing call of the task failed, which may
 	// have caused a failure answered by the backend server.
 	CallsFailed bool
@@ -105,6 +113,9 @@
 	Stop []uint64
 	// Start lists the tasks to hand to the backend server now.
 	Start []*Task
+	// RateLimitChanged reports that the backend server names another rate limit than
+	// before, or none.
+	RateLimitChanged bool
 	// Replies are sent to the node in their To field.
 	Replies []call.Reply
 }
