serve: the starts at a backend server are paced by the rate limit that it names

Cause: the node beside it bounds how many requests run at once, and nothing counts how many start in a second. 168 slots and a run time of 0.3 s permit 500 starts a second.

Ruled out: extra attempts (the record has no declined request at the two servers, and arrivals equal to the requests sent), nodes that apply the limit each on its own (the rate does not change at all at 8.0 s).

Change: a token bucket (limit.Rate) that every start goes through: queued, keyed, isolated, hedged, retried. Few tasks wait for a token (300 ms), the most important ones; the others are refused at once as not run, with when to come back, and move to another node for free. The node reports the concurrency that the limit amounts to, so that the balancers of the callers send it less.

--- a/queue/queue.go
+++ b/queue/queue.go
@@ -50,6 +50,8 @@
 	busySince time.Time
 	rate      rate
 	lastWait  time.Duration
+	// maxItems is a bound in addition to that of the service rate; zero is none.
+	maxItems int
 }
 
 // New returns an empty queue.
@@ -174,8 +176,21 @@
 	return n
 }
 
+// SetMaxItems bounds the number of items in addition to the bound that follows from the
+// service rate; zero removes the bound. It applies from the next Push on.
+func (q *Queue[T]) SetMaxItems(n int) { q.maxItems = n }
+
 // Bound returns the present bound on the number of waiting items.
 func (q *Queue[T]) Bound() int {
+	if q.maxItems > 0 {
+		return min(q.maxItems, q.rateBound())
+	}
+	return q.rateBound()
+}
+
+// rateBound returns the number of items that the measured service rate serves in
+// Config.MaxWait.
+func (q *Queue[T]) rateBound() int {
 	n, ok := q.rate.within(q.cfg.MaxWait)
 	if !ok {
 		return q.cfg.MinItems
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -12,10 +12,12 @@
 
 // Counts counts events since the node started.
 type Counts struct {
-	Arrived       uint64 `json:"arrived"`
-	Misdirected   uint64 `json:"misdirected"`
-	Started       uint64 `json:"started"`
-	Shed          uint64 `json:"shed"`
+	Arrived     uint64 `json:"arrived"`
+	Misdirected uint64 `json:"misdirected"`
+	Started     uint64 `json:"started"`
+	Shed        uint64 `json:"shed"`
+	// RateLimited counts attempts refused because of the backend server's rate limit.
+	RateLimited   uint64 `json:"rate_limited"`
 	Expired       uint64 `json:"expired"`
 	Canceled      uint64 `json:"canceled"`
 	Duplicates    uint64 `json:"duplicates"`
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -100,7 +100,7 @@
 		Seq:        to.seq,
 		ConnNumber: to.connNumber,
 		InFlight:   uint32(len(s.running) + s.queue.Len()),
-		Limit:      uint32(min(s.concurrency(), maxConcurrency)),
+		Limit:      uint32(min(s.effectiveConcurrency(), maxConcurrency)),
 		Faults:     s.faults.percent(),
 	}
 }
--- a/serve/run.go
+++ b/serve/run.go
@@ -14,7 +14,7 @@
 
 // startQueued starts waiting tasks while there are free slots.
 func (s *Server) startQueued(now time.Time, e *Effects) {
-	for s.hasFreeSlot() {
+	for s.mayStart(now) {
 		item, ok := s.queue.Pop(now)
 		if !ok {
 			break
@@ -24,9 +24,9 @@
 	s.startIsolated(now, e)
 }
 
-// hasFreeSlot reports whether a waiting task may start now.
-func (s *Server) hasFreeSlot() bool {
-	return s.ready && s.isolated == nil && len(s.running) < s.concurrency()
+// mayStart reports whether a waiting task may start now.
+func (s *Server) mayStart(now time.Time) bool {
+	return s.ready && s.isolated == nil && len(s.running) < s.concurrency() && s.rate.Ready(now)
 }
 
 // startDequeued starts a task that left the queue, unless it has become a suspect while
@@ -49,7 +49,7 @@
 		Event:    event,
 		Queued:   s.queue.Len(),
 		InFlight: len(s.running),
-		Limit:    s.concurrency(),
+		Limit:    s.effectiveConcurrency(),
 	})
 }
 
@@ -88,7 +88,7 @@
 // startIsolated starts the isolated task once nothing else runs. Nothing else starts
 // until it ends, so that a crash loses no other request.
 func (s *Server) startIsolated(now time.Time, e *Effects) {
-	if s.isolated == nil || len(s.running) > 0 || !s.ready {
+	if s.isolated == nil || len(s.running) > 0 || !s.ready || !s.rate.Ready(now) {
 		return
 	}
 	t := s.isolated
@@ -182,6 +182,7 @@
 		s.faults.record(r.Latency-t.callTime, r)
 	}
 	s.learnRateLimit(now, t, r, &e)
+	s.recordRunTime(r)
 	delete(s.running, id)
 	if s.isolated == t {
 		s.isolated = nil
@@ -226,25 +227,13 @@
 func (s *Server) BackendRestarted(now time.Time) Effects {
 	var e Effects
 	s.faults = faults{}
-	s.incarnation++
-	s.rate.Reset()
+	s.forgetRateLimit()
 	if len(s.running) > 0 {
 		s.crash(now, &e)
 	}
 	return e
 }
 
-// learnRateLimit applies what the answer to a task says about the rate limit of the backend
-// server. An answer of an earlier incarnation says nothing about the present one.
-func (s *Server) learnRateLimit(now time.Time, t *Task, r Result, e *Effects) {
-	if !r.Answered || r.LimitUnreadable || t.incarnation != s.incarnation {
-		return
-	}
-	statement := r.Limit
-	statement.RequestStarted = t.started
-	e.RateLimitChanged = s.rate.Learn(now, statement)
-}
-
 // crash marks all requests that ran at the backend server as suspects. Each of
 // them reports the same crash. Only the first report counts: the later ones
 // miss the requests that have been answered since.
--- a/serve/server.go
+++ b/serve/server.go
@@ -42,6 +42,9 @@
 	peers          []wire.NodeID       // ready nodes of the service, including this one
 	pendingReplies map[wire.NodeID]int // pending replies by sending node
 	nextID         uint64
+	// meanRunTime is a moving average of the time that the backend server takes, including
+	// the calls that it makes; zero before the first answer.
+	meanRunTime time.Duration
 	// incarnation counts the backend incarnations that this node has had.
 	incarnation uint64
 	slots       int  // usable slots that the backend server stated; zero if unknown
@@ -203,7 +206,7 @@
 	if s.cfg.Policy == PolicyFull {
 		item.Priority = t.priority
 		item.WorkSpent = t.Request.RootRequestID != ""
-		item.ExpectedRunTime = s.expectedRunTime(t)
+		item.ExpectedRunTime = s.expectedRunTime(now, t)
 	}
 	if s.queue.WouldExpire(now, &item) {
 		s.counts.Expired++
@@ -213,6 +216,7 @@
 	}
 	s.tasks[t.ID] = t
 	s.byCall[t.waiter] = t.ID
+	s.queue.SetMaxItems(s.rateQueueBound())
 	for _, dropped := range s.queue.Push(now, item) {
 		s.shed(now, dropped.Value, e)
 	}
@@ -223,8 +227,8 @@
 // class. It is zero for a task of a request under way that can start at once:
 // the estimate may be wrong, and refusing the task would waste the work done for
 // the request.
-func (s *Server) expectedRunTime(t *Task) time.Duration {
-	if s.cfg.PublishLevelOnly && s.queue.Len() == 0 && s.hasFreeSlot() {
+func (s *Server) expectedRunTime(now time.Time, t *Task) time.Duration {
+	if s.cfg.PublishLevelOnly && s.queue.Len() == 0 && s.mayStart(now) {
 		return 0
 	}
 	return s.limit.ExpectedRunTime(t.class)
@@ -254,11 +258,17 @@
 	case !s.gate.Admit(now, t.priority, t.Request.AdmittedLevel(s.cfg.Service)) && !s.cfg.PublishLevelOnly:
 		s.counts.Shed++
 		return s.shedError(now)
+	case s.rateExhausted(now):
+		s.observe(now, admission.Shed)
+		return s.rateRefusal(now)
 	}
 	return nil
 }
 
 func (s *Server) shedError(now time.Time) *verdict.Error {
+	if _, limited := s.rate.Limit(); limited {
+		return s.rateRefusal(now)
+	}
 	return verdict.Refuse(verdict.Shed, "%s sheds below priority %d", s.cfg.Service, s.gate.Level(now)).WithRetryAfter(s.gate.RetryAfter(now, s.random))
 }
 
