node: a backend server that says in an answer that it is leaving gets no more requests

A backend server may leave without a draining heartbeat, or before it; its answers say so from then on (DRAIN). The node took the field for one of the caller's and went on handing requests over until the heartbeat or the last call came.

An answer with it is now taken like the last call of that incarnation: nothing starts there once it has been received, later heartbeats of the same incarnation do not bring it back, and the other nodes are told. An answer of an earlier incarnation changes nothing for the present one.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -91,9 +91,11 @@
 
 // BackendStopped records that a backend incarnation leaves. Once it returns, that incarnation
 // gets no more requests.
-func (n *Node) BackendStopped(start Start) {
+func (n *Node) BackendStopped(start Start) { n.stopBackend(start, "left") }
+
+func (n *Node) stopBackend(start Start, why string) {
 	n.stateMu.Lock()
 	ended := n.starts.markLeft(n.instance, start)
 	n.stateMu.Unlock()
-	n.backendLeft(ended)
+	n.backendLeft(ended, why)
 }
--- a/node/instance.go
+++ b/node/instance.go
@@ -72,17 +72,17 @@
 }
 
 // Leave implements local.Backends. It is ignored if another boot has announced itself since.
-func (n *Node) Leave(boot string) { n.backendLeft(Start{ID: boot}) }
+func (n *Node) Leave(boot string) { n.backendLeft(Start{ID: boot}, "left") }
 
 // backendLeft stops new requests to a backend incarnation that leaves, if it is in use.
-func (n *Node) backendLeft(start Start) {
+func (n *Node) backendLeft(start Start, why string) {
 	before, after := n.setInstance(func(i *instance) {
 		if i.is(start) {
 			i.ready = false
 		}
 	})
 	if before.ready && !after.ready {
-		n.setReady(false, "left")
+		n.setReady(false, why)
 	}
 }
 
--- a/node/notice.go
+++ b/node/notice.go
@@ -28,8 +28,13 @@
 	return true
 }
 
-// checkNotice counts and logs what can't be parsed of a notice of the backend server.
-func (n *Node) checkNotice(inst instance, res backend.Result) {
+// receiveNotice applies what the backend server says in an answer about its leaving, and
+// counts and logs what can't be parsed. Once it returns, a backend server that is leaving
+// gets no more requests.
+func (n *Node) receiveNotice(inst instance, res backend.Result) {
+	if res.Notice.Leaving {
+		n.stopBackend(inst.start, "leaving, by its answers")
+	}
 	if res.NoticeError == nil {
 		return
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -78,7 +78,7 @@
 	})
 	callMayHaveRun := n.server.removeRun(r)
 	result := n.result(r, res, callMayHaveRun)
-	n.checkNotice(inst, res)
+	n.receiveNotice(inst, res)
 	if res.Broken {
 		n.counts.BackendConnsBroken.Add(1)
 	}
