serve, admission, dispatch: a limited backend server is used up to its limit, and a service that is limited as a whole refuses at the entry

Causes, one after the other: - a limited server was compared with idle ones by its requests in flight, and by latencies that include the wait for the limit, which made it a straggler. Under a limit a node reports only what waits, and the balancer takes the run time. - the level of its node never rose: the concurrency of a limited server is not in use when its rate is, and its bounded queue stays below the usual target.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -28,6 +28,9 @@
 	InFlight int
 	// Limit is the concurrency limit of the backend server.
 	Limit int
+	// QueueBound is the number of calls that may wait while the backend server takes a
+	// limited number of calls a second; zero without such a limit.
+	QueueBound int
 }
 
 // Gate sets the admission level of one node. Hashes are uniform within an importance,
@@ -63,7 +66,9 @@
 	calls, limitReached float64
 	queued              float64
 	limit, inFlight     float64
-	minQueued           int
+	// bound sums the bounds of the queue. bounded counts the calls with one.
+	bound, bounded float64
+	minQueued      int
 }
 
 func (q *queueCounts) add(s Sample) {
@@ -74,7 +79,11 @@
 	q.queued += float64(s.Queued)
 	q.limit += float64(s.Limit)
 	q.inFlight += float64(s.InFlight)
-	if s.InFlight+1 >= s.Limit {
+	if s.QueueBound > 0 {
+		q.bound += float64(s.QueueBound)
+		q.bounded++
+	}
+	if s.InFlight+1 >= s.Limit || s.QueueBound > 0 && s.Queued > 0 {
 		q.limitReached++
 	}
 }
@@ -185,7 +194,7 @@
 		return
 	}
 	queued := q.queued / max(q.calls, 1)
-	targetQueue := g.cfg.Queue * math.Sqrt(q.limit/max(q.calls, 1))
+	targetQueue := g.targetQueue(q)
 	targetRate := g.capacity + (targetQueue-queued)/g.cfg.SettleIntervals
 	targetRate = max(targetRate, g.capacity/2)
 	if queued > targetQueue && q.minQueued > 0 {
@@ -195,6 +204,17 @@
 	g.lower(targetRate)
 }
 
+// targetQueue returns the queue length that the level aims at. It is half of the bound if
+// there is one: the full queue of a rate-limited backend server would otherwise stay below
+// the target, and its overload would never reach the entry nodes.
+func (g *Gate) targetQueue(q *queueCounts) float64 {
+	target := g.cfg.Queue * math.Sqrt(q.limit/max(q.calls, 1))
+	if q.bounded == 0 {
+		return target
+	}
+	return min(target, q.bound/q.bounded/2)
+}
+
 // updateCapacity updates the estimate of the service rate at full load.
 func (g *Gate) updateCapacity(served float64, full bool) {
 	const gain = 0.3
--- a/admission/levels.go
+++ b/admission/levels.go
@@ -18,6 +18,8 @@
 	reporter   string
 	level      uint16
 	receivedAt time.Time
+	// rateLimited is set if the backend server of the node names a rate limit.
+	rateLimited bool
 }
 
 // serviceLevels holds the reported levels of one service.
@@ -108,9 +110,7 @@
 		return true
 	}
 	maps.DeleteFunc(l.services, func(_ string, s *serviceLevels) bool {
-		return !slices.ContainsFunc(s.reports, func(n nodeReport) bool {
-			return now.Sub(n.receivedAt) < l.cfg.TTL+l.cfg.Decay
-		})
+		return !slices.ContainsFunc(s.reports, func(n nodeReport) bool { return l.counts(now, n) })
 	})
 	return len(l.services) < l.cfg.Services
 }
@@ -120,17 +120,27 @@
 // services that any of its nodes has named before. Without these zeros, a single
 // overloaded node would determine the level of its service.
 func (l *Levels) RecordReply(now time.Time, reporter string, node wire.NodeID, levels []call.Level) {
-	report := nodeReport{node: node, reporter: reporter, receivedAt: now}
+	l.recordReply(now, reporter, node, levels, false)
+}
+
+// RecordRateLimitedReply is RecordReply for a node whose backend server names a rate limit.
+func (l *Levels) RecordRateLimitedReply(now time.Time, reporter string, node wire.NodeID, levels []call.Level) {
+	l.recordReply(now, reporter, node, levels, true)
+}
+
+func (l *Levels) recordReply(now time.Time, reporter string, node wire.NodeID, levels []call.Level, rateLimited bool) {
+	report := nodeReport{node: node, reporter: reporter, receivedAt: now, rateLimited: rateLimited}
 	if reporter != "" && !contains(levels, reporter) {
 		l.record(now, reporter, report)
 	}
 	for name, s := range l.services {
 		if name != reporter && s.reportedBy(reporter) && !contains(levels, name) {
-			l.record(now, name, report)
+			l.record(now, name, nodeReport{node: node, reporter: reporter, receivedAt: now})
 		}
 	}
 	for _, lv := range levels {
 		report.level = lv.Priority
+		report.rateLimited = rateLimited && lv.Service == reporter
 		l.record(now, lv.Service, report)
 	}
 }
@@ -152,7 +162,7 @@
 		if s.reports[i].node != report.node {
 			continue
 		}
-		if s.reports[i].level != report.level {
+		if s.reports[i].level != report.level || s.reports[i].rateLimited != report.rateLimited {
 			s.validUntil = time.Time{}
 		}
 		s.reports[i] = report
@@ -186,7 +196,14 @@
 	return uint16(float64(n.level) * remaining)
 }
 
-// level combines the levels of a service's nodes. The result is cached until a report
+// counts reports whether a report is recent enough to count.
+func (l *Levels) counts(now time.Time, n nodeReport) bool {
+	return now.Sub(n.receivedAt) < l.cfg.TTL+l.cfg.Decay
+}
+
+// level combines the levels of a service's nodes. Those with a rate-limited backend server
+// count only if all are: they are always near their limit, and their calls move to the
+// others. The result is cached until a report
 // changes it or a report begins to decay, as each call asks for the levels of all
 // services that it reaches.
 func (l *Levels) level(now time.Time, s *serviceLevels) uint16 {
@@ -195,11 +212,12 @@
 	}
 	s.validUntil = now.Add(l.cfg.TTL)
 	l.scratch = l.scratch[:0]
+	unlimited := slices.ContainsFunc(s.reports, func(n nodeReport) bool { return !n.rateLimited && l.counts(now, n) })
 	for _, n := range s.reports {
-		decayStart := n.receivedAt.Add(l.cfg.TTL)
-		if now.Sub(decayStart) >= l.cfg.Decay {
+		if !l.counts(now, n) || unlimited && n.rateLimited {
 			continue
 		}
+		decayStart := n.receivedAt.Add(l.cfg.TTL)
 		if decayStart.Before(s.validUntil) {
 			s.validUntil = decayStart
 		}
--- a/admission/levels_test.go
+++ b/admission/levels_test.go
@@ -115,3 +115,19 @@
 	l.RecordLevel(later, "history-svc", node(1), 10)
 	is.Equal(l.Level(later, "history-svc"), uint16(10))
 }
+
+// Guards against requests that are refused because some backend servers of a service name a
+// rate limit, while others have room. If all are limited, their level counts.
+func TestRateLimitedNodesCountOnlyIfAllAre(t *testing.T) {
+	is := is.New(t)
+	l := NewLevels(DefaultLevelsConfig(), NewLevelGossip(DefaultLevelGossipConfig()), 1)
+	now := time.Unix(1000, 0)
+	closed := []call.Level{{Service: "s", Priority: 30000}}
+	l.RecordRateLimitedReply(now, "s", wire.NodeID{1}, closed)
+	l.RecordRateLimitedReply(now, "s", wire.NodeID{2}, closed)
+	is.Equal(l.Level(now, "s"), uint16(30000))
+	l.RecordReply(now, "s", wire.NodeID{3}, nil)
+	is.Equal(l.Level(now, "s"), uint16(0))
+	l.RecordRateLimitedReply(now, "s", wire.NodeID{3}, closed)
+	is.Equal(l.Level(now, "s"), uint16(30000))
+}
--- a/dispatch/levels.go
+++ b/dispatch/levels.go
@@ -14,7 +14,11 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.levels(p).RecordReply(time.Now(), p.Operation.Service, r.From, r.Levels)
+	record := d.levels(p).RecordReply
+	if r.Notice.Limited {
+		record = d.levels(p).RecordRateLimitedReply
+	}
+	record(time.Now(), p.Operation.Service, r.From, r.Levels)
 }
 
 // levels returns the levels that apply to the call.
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -170,6 +170,10 @@
 	if !to.picked {
 		return
 	}
+	if r.Notice.Limited && r.RanFor > 0 {
+		// The wait for the rate limit must not make the backend server a straggler.
+		latency = r.RanFor
+	}
 	d.balancerDone(p, to, balancer.Result{
 		Latency:  latency,
 		Outcome:  balancerOutcome(r),
--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -7,6 +7,9 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cassialoom/cassialoom/internal/ratebound"
+	"github.com/cassialoom/cassialoom/limit"
 )
 
 // defaultSpread is the coefficient of variation of the work of a class that states
@@ -30,10 +33,17 @@
 	// silentShare is the share of requests that get no answer; errorShare is the share
 	// that are answered with a failure.
 	silentShare, errorShare float64
+	// rateLimit is the limit that it names, negative for none. record holds what it named
+	// and got.
+	rateLimit float64
+	record    ratebound.Record
 }
 
+// noRateLimit is the rateLimit of a backend server that names none.
+const noRateLimit = -1
+
 func newBackend(s *Service, speed float64, seed uint64) *backend {
-	return &backend{service: s, speed: speed, slowFactor: 1, rng: rand.New(rand.NewPCG(seed, 7))}
+	return &backend{service: s, speed: speed, slowFactor: 1, rateLimit: noRateLimit, rng: rand.New(rand.NewPCG(seed, 7))}
 }
 
 // update changes the condition of the backend server.
@@ -99,6 +109,29 @@
 	b.waiting = b.waiting[1:]
 }
 
+// everyNode stands for all nodes in the record of a backend server: the check counts the
+// requests of nodes that don't know the limit, too.
+const everyNode = "all"
+
+// recordArrival records a request that reaches the backend server.
+func (b *backend) recordArrival() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record.Arrived(time.Now(), everyNode)
+}
+
+// nameLimit returns what an answer says about the rate limit.
+func (b *backend) nameLimit() limit.Statement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.record.Name(time.Now(), b.rateLimit)
+	if b.rateLimit < 0 {
+		return limit.Statement{}
+	}
+	b.record.Told(everyNode, time.Now())
+	return limit.Statement{Named: true, PerSecond: b.rateLimit}
+}
+
 // work draws the time that a request of class c takes at the current load.
 func (b *backend) work(c *Class) time.Duration {
 	b.mu.Lock()
--- a/internal/replay/day.go
+++ b/internal/replay/day.go
@@ -21,6 +21,10 @@
 	FaultyServers int
 	SilentShare   float64
 	ErrorShare    float64
+	// The backend servers of LimitedService name the RateLimits, in requests a second, in
+	// their answers; those without an entry name none.
+	LimitedService string
+	RateLimits     []float64
 }
 
 // Scenario is the input of one run.
--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -293,3 +293,24 @@
 	}
 	return sum
 }
+
+// arrivalsPerRequest returns the mean number of calls that reach a service for an incoming
+// request.
+func (d *Deployment) arrivalsPerRequest(service string) float64 {
+	sum := 0.0
+	for _, c := range d.Classes {
+		sum += c.Share * float64(c.arrivalsAt(service))
+	}
+	return sum
+}
+
+// arrivalsAt returns the number of calls that reach a service for a request of the class.
+func (c *Class) arrivalsAt(service string) (n int) {
+	if c.Service == service {
+		n++
+	}
+	for _, callee := range c.Calls {
+		n += callee.arrivalsAt(service)
+	}
+	return n
+}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -241,15 +241,30 @@
 	if ownLevel > 0 {
 		r.Levels = append(r.Levels, call.Level{Service: n.service.Name, Priority: ownLevel})
 	}
+	if perSecond, limited := n.rateLimit(); limited {
+		r.Notice = call.Notice{Incarnation: n.id.Short(), Limited: true, PerSecond: perSecond}
+	}
 	to := n.simulation.nodes[r.To]
 	time.AfterFunc(link{from: n, to: to}.delay(), func() { to.dispatch.Reply(n.id, r) })
 }
 
+// rateLimit returns the limit that the node's backend server has named, and false for none.
+func (n *node) rateLimit() (perSecond float64, limited bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.callee.RateLimit()
+}
+
 // run runs a task at the backend server.
 func (n *node) run(r *run) {
 	defer r.stop()
 	started := time.Now()
+	n.backend.recordArrival()
 	result := n.work(r)
+	if result.Verdict != verdict.MayHaveRun {
+		result.Limit = n.backend.nameLimit()
+		result.Answered = !n.simulation.policy.IgnoreRateLimits
+	}
 	result.Latency = time.Since(started)
 	n.mu.Lock()
 	delete(n.running, r.task.ID)
@@ -268,7 +283,10 @@
 	ok := pause.For(r.ctx, n.backend.work(r.class)) && n.callAll(r)
 	n.backend.releaseSlot()
 	n.simulation.report.addSlotTime(n.service, r.task.Request.RootID(), time.Since(acquired))
-	if !ok {
+	switch {
+	case context.Cause(r.ctx) == context.Canceled:
+		return serve.Result{Verdict: verdict.MayHaveRun, Reason: verdict.Canceled}
+	case !ok:
 		return serve.Result{Verdict: verdict.Ran, Status: statusFailed}
 	}
 	switch n.backend.drawResult() {
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -18,6 +18,8 @@
 	// HideSlots withholds the slots of the backend servers from their nodes, which then
 	// derive a limit from latencies.
 	HideSlots bool
+	// IgnoreRateLimits withholds the rate limits of the backend servers from their nodes.
+	IgnoreRateLimits bool
 }
 
 // bounds limits the extra attempts in all deployments.
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -46,6 +46,11 @@
 	// MaxRelativeLoad is the highest relative load of a backend server of the bottleneck
 	// service: its share of the attempts divided by its share of the total speed.
 	MaxRelativeLoad float64
+	// LimitUse is, for each backend server that named a rate limit in the second phase, the
+	// rate of its arrivals after limitSettleTime as a share of the limit. LimitsBroken
+	// lists the limits that were not kept.
+	LimitUse     []float64
+	LimitsBroken []error
 
 	scenario          *Scenario
 	start             time.Time
@@ -212,6 +217,9 @@
 // were sent in the phase before.
 const settleTime = time.Second
 
+// limitSettleTime is the time after a limit was named that LimitUse does not count.
+const limitSettleTime = 2 * time.Second
+
 // currentPhase returns the current phase, and whether settleTime has passed in it. After
 // the end it returns the last phase and false.
 func (r *Report) currentPhase() (p *PhaseReport, settled bool) {
@@ -303,5 +311,8 @@
 		row += fmt.Sprintf("  %s %.2f", c.Name, p.ServedOf(c.Name))
 	}
 	row += fmt.Sprintf("  all %.3f  credit %.3f  broken %4.1f%%", p.ServedAll(), p.Credit(), 100*r.FailedShare())
+	if len(r.LimitUse) > 0 {
+		row += fmt.Sprintf("  limits used %.2f, broken %d", r.LimitUse, len(r.LimitsBroken))
+	}
 	return row + fmt.Sprintf("  wasted %4.1f%%, recovery %.2fs", 100*r.WastedShare(), r.Recovery.Seconds())
 }
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -63,9 +63,29 @@
 	close(stop)
 	sim.report.computeRecovery()
 	sim.report.MaxRelativeLoad = sim.maxRelativeLoad()
+	sim.reportRateLimits()
 	return sim.report
 }
 
+// reportRateLimits sets the figures of the second phase about its rate limits.
+func (sim *simulation) reportRateLimits() {
+	p := sim.scenario.Phases[1]
+	from := sim.report.start.Add(sim.scenario.Phases[0].Duration + limitSettleTime)
+	to := sim.report.start.Add(sim.scenario.Phases[0].Duration + p.Duration)
+	index := 0
+	for _, n := range sim.nodeList {
+		if n.service.Name != p.LimitedService || index >= len(p.RateLimits) {
+			continue
+		}
+		use := float64(n.backend.record.Arrivals(from, to)) / (p.RateLimits[index] * to.Sub(from).Seconds())
+		sim.report.LimitUse = append(sim.report.LimitUse, use)
+		if err := n.backend.record.Check(); err != nil {
+			sim.report.LimitsBroken = append(sim.report.LimitsBroken, err)
+		}
+		index++
+	}
+}
+
 // maxRelativeLoad returns the value of Report.MaxRelativeLoad.
 func (sim *simulation) maxRelativeLoad() float64 {
 	var sent, speeds, highest float64
@@ -190,6 +210,7 @@
 // applyConditions sets the backend servers of the bottleneck service to the conditions of
 // the phase.
 func (sim *simulation) applyConditions(p *Phase) {
+	sim.applyRateLimits(p)
 	index := 0
 	for _, n := range sim.nodeList {
 		if n.service.Name != sim.deployment.Bottleneck {
@@ -215,6 +236,21 @@
 	}
 }
 
+// applyRateLimits sets the rate limits that the backend servers name in the phase.
+func (sim *simulation) applyRateLimits(p *Phase) {
+	index := 0
+	for _, n := range sim.nodeList {
+		perSecond := float64(noRateLimit)
+		if n.service.Name == p.LimitedService && index < len(p.RateLimits) {
+			perSecond = p.RateLimits[index]
+		}
+		n.backend.update(func(b *backend) { b.rateLimit = perSecond })
+		if n.service.Name == p.LimitedService {
+			index++
+		}
+	}
+}
+
 // pickClass draws the class of the next request.
 func (sim *simulation) pickClass() *Class {
 	x := sim.rng.Float64()
--- a/serve/rate.go
+++ b/serve/rate.go
@@ -79,6 +79,16 @@
 	return max(1, int(min(math.Ceil(n), float64(s.concurrency()))))
 }
 
+// reportedInFlight returns the number of tasks in flight to report to the callers' nodes. Under
+// a rate limit only those that wait count: the backend server is to be used up to its limit,
+// even if the others of its service are less busy.
+func (s *Server) reportedInFlight() int {
+	if _, limited := s.rate.Limit(); limited {
+		return s.queue.Len()
+	}
+	return len(s.running) + s.queue.Len()
+}
+
 // rateQueueBound returns the bound that the rate limit sets on the queue, zero for none.
 func (s *Server) rateQueueBound() int {
 	n, limited := s.rate.Within(maxRateWait)
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -99,7 +99,7 @@
 		To:         to.from,
 		Seq:        to.seq,
 		ConnNumber: to.connNumber,
-		InFlight:   uint32(len(s.running) + s.queue.Len()),
+		InFlight:   uint32(s.reportedInFlight()),
 		Limit:      uint32(min(s.effectiveConcurrency(), maxConcurrency)),
 		Faults:     s.faults.percent(),
 	}
--- a/serve/run.go
+++ b/serve/run.go
@@ -50,6 +50,8 @@
 		Queued:   s.queue.Len(),
 		InFlight: len(s.running),
 		Limit:    s.effectiveConcurrency(),
+
+		QueueBound: s.rateQueueBound(),
 	})
 }
 
