soak, standin: backend servers name limits, leave by their answers alone and send malformed notices

The soak checks the limit in sliding windows and that a machine that was told sends nothing more after the drain time; a kill, planned stop, pause or cut of the machine excuses it, and a fault of the link to a backend server all machines towards that one. A limit and a leaving last on while other faults strike the same machine.

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -50,6 +50,21 @@
 		faults:  []string{"replace the backend server"},
 		promise: "gets no work for long",
 	},
+	{
+		name: "the rate limit of a backend server is ignored",
+		edits: []edit{
+			{"limit/rate.go", "return !r.named || r.tokens >= 1", "return true"},
+			{"serve/rate.go", "return s.rate.Wait(now, 1) > maxRateWait", "return false"},
+		},
+		faults:  []string{"backend server names a rate limit"},
+		promise: "than it says it takes",
+	},
+	{
+		name:    "a leaving in answers alone is ignored",
+		edits:   []edit{{"node/notice.go", "if res.Notice.Leaving {", "if false {"}},
+		faults:  []string{"backend server leaves by its answers"},
+		promise: "says it is leaving",
+	},
 	{
 		name: "a planned stop never ends",
 		edits: []edit{
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -97,6 +97,32 @@
 	{"links from the peers one way", linkFault(fromPeers, linkOneWay)},
 	{"links from the peers slow", linkFault(fromPeers, linkSlow)},
 	{"store comes back from an older copy", func(ctx context.Context, e *env, _ *host, d time.Duration) error { return e.restore(ctx, d) }},
+	{"backend server names a rate limit", func(_ context.Context, _ *env, h *host, d time.Duration) error {
+		h.target.SetRateLimit(rateLimit(d)) // it lasts on, so that other faults meet it
+		return nil
+	}},
+	{"backend server ends its rate limit", func(_ context.Context, _ *env, h *host, _ time.Duration) error {
+		h.target.SetRateLimit(standin.NoRateLimit)
+		return nil
+	}},
+	{"backend server leaves by its answers", func(_ context.Context, _ *env, h *host, _ time.Duration) error {
+		h.target.LeaveByAnswers() // it runs on until another fault replaces it
+		return nil
+	}},
+	{"backend server sends malformed notices", func(ctx context.Context, _ *env, h *host, d time.Duration) error {
+		h.target.SetMalformedNotices(true)
+		pause.For(ctx, d)
+		h.target.SetMalformedNotices(false)
+		return nil
+	}},
+}
+
+// maxRateLimit is the largest rate limit of a backend server, in requests a second.
+const maxRateLimit = 40
+
+// rateLimit derives the limit that a backend server names from the drawn duration.
+func rateLimit(d time.Duration) float64 {
+	return float64(d.Milliseconds()%(10*maxRateLimit)) / 10
 }
 
 func toStore(h *host) *proxy   { return h.toStore }
--- /dev/null
+++ b/internal/soak/notices.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cassialoom/cassialoom/internal/ratebound"
+	"github.com/cassialoom/cassialoom/platform/standin"
+)
+
+// drainTime is the time after which a machine that has passed on the answer of a leaving
+// backend server must send it no more requests, with a margin for their way.
+const drainTime = 2300 * time.Millisecond
+
+// excuse is a fault that excuses a machine from what its node was told before its end.
+type excuse struct {
+	machine    string
+	start, end time.Time
+	// backendLink marks a fault of the link to the backend server of the machine, which
+	// delays requests of all machines.
+	backendLink bool
+}
+
+// excuse records the begin of a fault. The returned function records its end.
+func (e *env) excuse(fault, machine string) (end func()) {
+	x := excuse{machine: machine, start: time.Now()}
+	switch {
+	case strings.HasPrefix(fault, "link to the backend server"):
+		x.backendLink = true
+	case fault != "kill the node" && fault != "stop the node as planned" && fault != "pause the node" && !strings.HasPrefix(fault, "links from the peers"):
+		return func() {}
+	}
+	return func() {
+		x.end = time.Now()
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.excuses = append(e.excuses, x)
+	}
+}
+
+// endNotices ends the rate limits of all backend servers and replaces those that are leaving.
+func (e *env) endNotices() error {
+	for _, h := range e.hosts {
+		h.target.SetRateLimit(standin.NoRateLimit)
+		if !h.target.LeavingByAnswers() {
+			continue
+		}
+		h.target.Crash()
+		if err := e.startTarget(h); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// checkNotices checks that backend servers got no more requests than they said they take, and
+// none for long after they said that they are leaving.
+func checkNotices(j *standin.RunLog, excuses []excuse) []Broken {
+	var out []Broken
+	for start, t := range j.Targets() {
+		if err := limitRecord(j, t, excuses).Check(); err != nil {
+			out = append(out, Broken{Promise: "a backend server gets no more requests than it says it takes", What: start + ": " + err.Error()})
+		}
+		if what, id := lateArrival(j, t, excuses); what != "" {
+			out = append(out, Broken{Promise: "a backend server that says it is leaving gets no work for long", What: start + ": " + what, ID: id})
+		}
+	}
+	return out
+}
+
+// limitRecord returns the record of a backend incarnation for the check of its rate limit.
+func limitRecord(j *standin.RunLog, t *standin.TargetNotices, excuses []excuse) *ratebound.Record {
+	r := &ratebound.Record{}
+	for _, l := range t.Limits {
+		r.Name(l.At, l.PerSecond)
+	}
+	for _, a := range t.Arrivals {
+		if o, known := j.Origin(a.ID); known {
+			r.Arrived(a.At, o.Machine)
+		}
+	}
+	type event struct {
+		at   time.Time
+		told bool
+		name string
+	}
+	var events []event
+	for _, told := range t.Told {
+		if told.Limited && !excused(excuses, t.Machine, told.Machine, told.At, told.At) {
+			events = append(events, event{told.At, true, told.Machine})
+		}
+	}
+	for _, x := range excuses {
+		for _, told := range t.Told {
+			if x.concerns(t.Machine, told.Machine) {
+				events = append(events, event{x.start, false, told.Machine})
+			}
+		}
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return a.at.Compare(b.at) })
+	for _, ev := range events {
+		if ev.told {
+			r.Told(ev.name, ev.at)
+		} else {
+			r.Excuse(ev.name, ev.at)
+		}
+	}
+	return r
+}
+
+// concerns reports whether the fault excuses a machine towards the backend server of another.
+func (x *excuse) concerns(backendMachine, machine string) bool {
+	return x.machine == machine && !x.backendLink || x.machine == backendMachine && x.backendLink
+}
+
+// excused reports whether a fault excuses a machine at some time of the span.
+func excused(excuses []excuse, backendMachine, machine string, from, to time.Time) bool {
+	return slices.ContainsFunc(excuses, func(x excuse) bool {
+		return x.concerns(backendMachine, machine) && !x.end.Before(from) && !x.start.After(to)
+	})
+}
+
+// lateArrival describes a request that a machine sent to a leaving backend server although it
+// had passed on an answer that says so, empty for none.
+func lateArrival(j *standin.RunLog, t *standin.TargetNotices, excuses []excuse) (what, id string) {
+	for _, told := range t.Told {
+		if !told.Leaving {
+			continue
+		}
+		for _, a := range t.Arrivals {
+			o, known := j.Origin(a.ID)
+			late := o.Sent.Sub(told.At)
+			if !known || o.Machine != told.Machine || late <= drainTime || excused(excuses, t.Machine, o.Machine, told.At, a.At) {
+				continue
+			}
+			return fmt.Sprintf("%s sent a request %v after it had passed on an answer that says so", o.Machine, late.Round(time.Millisecond)), a.ID
+		}
+	}
+	return "", ""
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,7 +49,7 @@
 			e.violations = append(e.violations, Broken{Promise: "a planned stop ends within its grace time", What: closeErr.Error()})
 		}
 		res.Broken = slices.Concat(e.violations, checkAnswers(e.record.all, e.journal),
-			checkRevokedKeys(e.record.all, e.journal, e.revoked), checkQuota(e.record.all, e.journal))
+			checkRevokedKeys(e.record.all, e.journal, e.revoked), checkQuota(e.record.all, e.journal), checkNotices(e.journal, e.excuses))
 		if err == nil && len(res.Broken) == 0 {
 			err = e.rig.RemoveLogs()
 		}
@@ -65,6 +65,9 @@
 	var all sync.WaitGroup
 	e.startClients(clients, &all)
 	res.Faults, err = e.injectFaults(ctx)
+	if err == nil {
+		err = e.endNotices()
+	}
 	if err == nil && !e.awaitServing(ctx, recoveryTimeout) {
 		e.addViolation(Broken{Promise: "the system recovers by itself", What: "requests are not served " + recoveryTimeout.String() + " after the last fault"})
 	}
@@ -103,7 +106,9 @@
 			e.cfg.Say("%7.3f s  %s: %s for up to %v", time.Since(begin).Seconds(), h.Name, ev.fault.name, ev.duration.Round(time.Millisecond))
 			err := e.restartIfEnded(h)
 			if err == nil {
+				end := e.excuse(ev.fault.name, h.Name)
 				err = ev.fault.inject(ctx, e, h, ev.duration)
+				end()
 			}
 			if err == nil {
 				err = e.restartIfEnded(h)
@@ -186,8 +191,10 @@
 	prefix := paths[c.rng.IntN(len(paths))]
 	t := exchange{ID: strconv.FormatUint(c.rng.Uint64(), 36), Machine: c.host.Name, Path: prefix + strconv.Itoa(c.sent),
 		Idempotent: prefix != "/once/", Credential: with, Sent: time.Now()}
+	c.e.journal.RecordOrigin(t.ID, c.host.Name)
 	t.Answer = standin.SendRequest(ctx, c.http, c.host.Machine, standin.Request{
 		Method: http.MethodPost, Host: routeHost, Path: t.Path, ID: t.ID, Key: with.key, Timeout: clientTimeout,
 	})
+	c.e.journal.RecordTold(c.host.Name, t.Header)
 	return t
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -201,3 +201,48 @@
 	is.Equal(res.Broken, nil)
 	is.True(res.Requests > 0)
 }
+
+// Guards against checks of limits and leavings that accept everything, or that count requests
+// of machines that did not know or are excused.
+func TestIgnoredNoticesAreFound(t *testing.T) {
+	begin := time.Now()
+	at := func(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
+	for name, c := range map[string]struct {
+		told    standin.Told
+		excuses []excuse
+		found   int
+	}{
+		"limited":               {told: standin.Told{At: at(0), Machine: "m", Limited: true}, found: 1},
+		"other machine":         {told: standin.Told{At: at(0), Machine: "other", Limited: true}},
+		"restarted":             {told: standin.Told{At: at(0), Machine: "m", Limited: true}, excuses: []excuse{{machine: "m", start: at(1), end: at(2)}}},
+		"backend server is cut": {told: standin.Told{At: at(0), Machine: "m", Limited: true}, excuses: []excuse{{machine: "b", start: at(1), end: at(2), backendLink: true}}},
+		"leaving":               {told: standin.Told{At: at(-10), Machine: "m", Leaving: true}, found: 1},
+		"leaving, just now":     {told: standin.Told{At: begin, Machine: "m", Leaving: true}},
+		"leaving, restarted":    {told: standin.Told{At: at(-10), Machine: "m", Leaving: true}, excuses: []excuse{{machine: "m", start: at(-9), end: at(-8)}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			j := standin.NewRunLog()
+			record := &standin.TargetNotices{Machine: "b", Told: []standin.Told{c.told}, Limits: []standin.LimitStatement{{At: at(0), PerSecond: 10}}}
+			for i := range 300 {
+				id := fmt.Sprint("r", i)
+				j.RecordOrigin(id, "m")
+				record.Arrivals = append(record.Arrivals, standin.Arrival{At: at(float64(i) / 30), ID: id})
+			}
+			j.Targets()["i-1"] = record
+			is.Equal(len(checkNotices(j, c.excuses)), c.found)
+		})
+	}
+}
+
+// Guards against limits and leavings that nodes forget in a short run of restarts.
+func TestShortRunOfNotices(t *testing.T) {
+	is := is.New(t)
+	res, err := Run(t.Context(), Config{Seed: 3, Faults: 10 * time.Second, Bin: buildNode(t), Machines: 4, Clients: 6, Net: 80, Say: t.Logf, Only: noticeFaults})
+	is.NoErr(err)
+	is.Equal(res.Broken, nil)
+}
+
+// noticeFaults are the faults of runs about limits and leavings.
+var noticeFaults = []string{"backend server names a rate limit", "backend server leaves by its answers",
+	"backend server sends malformed notices", "kill the node", "pause the node", "crash the backend server"}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -87,6 +87,8 @@
 	lastVersion publishedVersion
 	// revoked maps a version to the time at which the next version revoked its key.
 	revoked map[uint64]time.Time
+	// excuses are the faults that excuse machines from the limits of backend servers.
+	excuses []excuse
 	// violations are those found during the run.
 	violations []Broken
 }
@@ -163,7 +165,7 @@
 
 func (e *env) startTarget(h *host) error {
 	h.incarnations++
-	cfg := standin.TargetConfig{Service: h.Service, Addr: h.Backend(), HeartbeatsAddr: h.Heartbeats(), CallsAddr: h.Callers(),
+	cfg := standin.TargetConfig{Service: h.Service, Machine: h.Name, Addr: h.Backend(), HeartbeatsAddr: h.Heartbeats(), CallsAddr: h.Callers(),
 		Slots: slots, MeanRunTime: serviceTime, HeartbeatInterval: heartbeatInterval, Seed: e.cfg.Seed + uint64(h.incarnations)}
 	if h.toBackend != nil {
 		cfg.ID = "i-" + h.Name // the incarnations on this machine share an ID
