--- a/readers/simulation_test.go
+++ b/readers/simulation_test.go
@@ -94,6 +94,11 @@
 	if w.rng.IntN(150) == 0 {
 		w.injectFault()
 	}
+	w.runNodes()
+}
+
+// runNodes runs all nodes for one tick.
+func (w *world) runNodes() {
 	for i, r := range w.nodes {
 		if w.isUp(r) {
 			w.runNode(i, r)
@@ -245,3 +250,30 @@
 	t.Log(lag)
 	is.True(lag >= applyLimit)
 }
+
+// runCalm runs the simulation for d without further faults and versions, and returns the
+// largest lag.
+func (w *world) runCalm(d time.Duration) (worst time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.now = w.now.Add(tick)
+		w.runNodes()
+		worst = max(worst, w.lag())
+	}
+	return worst
+}
+
+// Guards against a read that was sent in the last moments of a silent outage and is never
+// answered, and that delays the first version after it.
+func TestReadSentAtTheEndOfAnOutageDelaysNoVersion(t *testing.T) {
+	for seed := range uint64(200) {
+		w := newWorld(seed, 2+int(seed%10))
+		w.runCalm(3*time.Second + time.Duration(seed%40)*25*time.Millisecond)
+		w.outage = w.now.Add(time.Duration(w.rng.IntN(3600)) * time.Millisecond)
+		w.lastFault = w.outage
+		w.runCalm(w.outage.Sub(w.now) + recoveryTime + time.Duration(w.rng.IntN(900))*time.Millisecond)
+		w.publish()
+		if lag := w.runCalm(3 * time.Second); lag >= applyLimit {
+			t.Fatalf("seed %d: %v behind", seed, lag)
+		}
+	}
+}
