--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -119,7 +119,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.notices.record(time.Now(), p.Operation.Service, r)
-	if r.Notice.Limited && r.Verdict == verdict.NotRun && r.Reason == verdict.Shed && !r.ReachedBackend {
+	if r.From != d.cfg.Self && r.Notice.Limited && r.Verdict == verdict.NotRun && r.Reason == verdict.Shed && !r.ReachedBackend {
 		d.counts.RateLimited++
 	}
 }
--- a/node/ops.go
+++ b/node/ops.go
@@ -132,6 +132,8 @@
 	n.counts.LateReplies.Set(int64(c.Unmatched))
 	n.counts.Hedges.Set(int64(c.Hedges))
 	n.counts.Deferred.Set(int64(c.Deferred))
+	n.counts.RateLimitedElsewhere.Set(int64(c.RateLimited))
+	n.counts.RateLimited.Set(int64(n.server.dump(time.Now()).Counts.RateLimited))
 	n.counts.StrayAnswers.Set(n.backend.StrayAnswers())
 }
 
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -29,6 +29,10 @@
 	// MalformedNotices counts answers of the backend server in which its rate limit or
 	// its leaving can't be parsed.
 	MalformedNotices expvar.Int
+	// RateLimited counts attempts of other nodes and this one that were refused here because
+	// of the backend server's rate limit. RateLimitedElsewhere counts attempts of this node
+	// that another node refused for that reason.
+	RateLimited, RateLimitedElsewhere expvar.Int
 	// KeysMinted counts idempotency keys minted by this node.
 	KeysMinted expvar.Int
 	// LateReplies counts replies dropped because no attempt waited for them.
@@ -132,6 +136,8 @@
 		{name: "backend_broken", value: &c.BackendConnsBroken},
 		{name: "backend_crashes", value: &c.BackendCrashes},
 		{name: "backend_malformed_notices", value: &c.MalformedNotices},
+		{name: "rate_limited", value: &c.RateLimited},
+		{name: "rate_limited_elsewhere", value: &c.RateLimitedElsewhere},
 		{name: "keys_minted", value: &c.KeysMinted},
 		{name: "quota_asks", value: &c.QuotaRequests},
 		{name: "late_replies", value: &c.LateReplies},
