--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cassialoom/cassialoom/backend"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/serve"
 )
@@ -21,6 +22,9 @@
 	Sequence uint64
 	// WarmupRemaining is the remaining time for which it is slow after its start.
 	WarmupRemaining time.Duration
+	// Notice is what an answer to a health check says about the backend server; heartbeats
+	// have none.
+	Notice backend.Notice
 }
 
 // ReceiveHeartbeat applies a heartbeat of the backend server of this node. Once it returns, an
@@ -86,6 +90,9 @@
 		return
 	}
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetSlots(now, b.Slots) })
+	if b.Notice.Limit == backend.Limited {
+		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.LearnRateLimit(now, b.Notice.PerSecond) })
+	}
 	n.setReady(true, "found at the start")
 }
 
--- a/serve/rate.go
+++ b/serve/rate.go
@@ -37,8 +37,8 @@
 	e.RateLimitChanged = s.rate.Learn(now, statement)
 }
 
-// LearnRateLimit applies a limit that the backend server named in an answer to an earlier
-// process of this node.
+// LearnRateLimit applies a limit that the backend server named to an earlier process of this
+// node or in a health check.
 func (s *Server) LearnRateLimit(now time.Time, perSecond float64) Effects {
 	return Effects{RateLimitChanged: s.rate.LearnFromPeer(now, perSecond)}
 }
