serve, limit, node: a bounded Retry-After for the rate limit, a meter without the wall clock; read-through

A node whose backend server takes a request in four seconds asked callers to wait up to eight, though another server may have room at once: one second at most. The meter of starts counted by the time of day, which steps.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -202,9 +202,8 @@
 }
 
 // level combines the levels of a service's nodes. Those with a rate-limited backend server
-// count only if all are: they are always near their limit, and their calls move to the
-// others. The result is cached until a report
-// changes it or a report begins to decay, as each call asks for the levels of all
+// count only if all are limited: their calls move to the others. The result is cached until
+// a report changes it or a report begins to decay, as each call asks for the levels of all
 // services that it reaches.
 func (l *Levels) level(now time.Time, s *serviceLevels) uint16 {
 	if now.Before(s.validUntil) {
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -162,11 +162,15 @@
 // startMeter counts the starts of the last few seconds.
 type startMeter struct {
 	counts [meterBuckets]int
-	latest int64 // index of the newest bucket since the zero time
+	origin time.Time
+	latest int64 // index of the newest bucket since origin
 }
 
 func (m *startMeter) advance(now time.Time) {
-	index := now.UnixNano() / int64(meterBucket)
+	if m.origin.IsZero() {
+		m.origin = now
+	}
+	index := int64(now.Sub(m.origin) / meterBucket)
 	for m.latest < index {
 		m.latest = max(m.latest+1, index-meterBuckets+1)
 		m.counts[m.latest%meterBuckets] = 0
--- a/node/run.go
+++ b/node/run.go
@@ -109,11 +109,9 @@
 		Limit:          limit.Statement{Named: res.Notice.Limit == backend.Limited, PerSecond: res.Notice.PerSecond},
 		SlotTimeUsed:   callUse,
 		CallsFailed:    callsFailed,
-
-		LimitUnreadable: res.Notice.Limit == backend.UnreadableLimit,
-
-		UnusedGrant: n.dispatch.CloseLedger(r.ledger),
+		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
 	}
+	result.LimitUnreadable = res.Notice.Limit == backend.UnreadableLimit
 	// If a call made for the task may have run, the request as a whole may have
 	// run, even if the backend server declined the task itself.
 	if result.Verdict == verdict.NotRun && callMayHaveRun {
--- a/serve/rate.go
+++ b/serve/rate.go
@@ -20,6 +20,9 @@
 	// targetRateWait is the wait at which the node reports itself full. With a wait of
 	// zero, starts would be missed between two attempts.
 	targetRateWait = 100 * time.Millisecond
+	// maxRateRetryAfter bounds the Retry-After of a refusal for the rate limit, since another
+	// backend server may have room sooner.
+	maxRateRetryAfter = time.Second
 	// runTimeWeight is the weight of a new answer in the mean run time.
 	runTimeWeight = 1.0 / 16
 	// assumedRunTime is used before the first answer.
@@ -106,7 +109,8 @@
 // callers don't return together.
 func (s *Server) rateRefusal(now time.Time) *verdict.Error {
 	s.counts.RateLimited++
-	wait := max(s.rate.Wait(now, s.queue.Len()+1), s.cfg.RefuseRetryAfter)
+	wait := min(s.rate.Wait(now, s.queue.Len()+1), maxRateRetryAfter/2)
+	wait = max(wait, s.cfg.RefuseRetryAfter)
 	spread := time.Duration(s.random.Int64N(int64(wait)))
 	return verdict.Refuse(verdict.Shed, "the rate limit of the backend server is used up").WithRetryAfter(wait + spread)
 }
