node, limit: lines about the rate limit are bounded

A backend server whose answers name another limit each time led to a line for each. One a second at most, with the number of changes since; found in the log of soak.

--- a/dispatch/notices_test.go
+++ b/dispatch/notices_test.go
@@ -105,7 +105,7 @@
 			f.apply(f.callee.SetReady(f.now, false))
 		}
 		if n.Limited {
-			f.apply(f.callee.LearnRateLimit(f.now, n.PerSecond))
+			f.callee.LearnRateLimit(f.now, n.PerSecond)
 		}
 	}
 }
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -20,6 +20,8 @@
 	since, namedAt time.Time
 	// answered is set once an answer of the backend server has arrived.
 	answered bool
+	// changes counts the changes of the limit.
+	changes  int
 	tokens   float64
 	filledAt time.Time
 	starts   startMeter
@@ -43,53 +45,59 @@
 	RequestStarted time.Time
 }
 
-// Learn applies the statement of an answer that arrives now, and reports whether the limit
-// has changed.
+// Learn applies the statement of an answer that arrives now.
 //
 // Answers can overtake each other. Only an answer to a request that started after the
 // latest statement of a limit is known to be newer, so only such an answer raises or ends
 // the limit. A lower limit applies at once.
-func (r *Rate) Learn(now time.Time, s Statement) (changed bool) {
+func (r *Rate) Learn(now time.Time, s Statement) {
 	r.answered = true
 	newer := s.RequestStarted.After(r.namedAt)
 	switch {
 	case s.Named && (!r.named || newer || s.PerSecond < r.perSecond):
-		return r.set(now, s.PerSecond)
+		r.set(now, s.PerSecond)
 	case !s.Named && r.named && newer:
 		r.named = false
-		return true
-	default:
-		return false
+		r.changes++
 	}
 }
 
 // LearnFromPeer applies a limit that the backend server named in an answer to an earlier
-// process of this node, and reports whether the limit has changed. Answers to this process
-// take precedence.
-func (r *Rate) LearnFromPeer(now time.Time, perSecond float64) (changed bool) {
+// process of this node. Answers to this process take precedence.
+func (r *Rate) LearnFromPeer(now time.Time, perSecond float64) {
 	if r.answered || r.named && perSecond >= r.perSecond {
-		return false
+		return
 	}
-	return r.set(now, perSecond)
+	r.set(now, perSecond)
 }
 
-func (r *Rate) set(now time.Time, perSecond float64) (changed bool) {
-	changed = !r.named || perSecond != r.perSecond
+func (r *Rate) set(now time.Time, perSecond float64) {
+	if !r.named || perSecond != r.perSecond {
+		r.changes++
+	}
 	r.fill(now)
 	if !r.named {
 		r.since, r.tokens, r.filledAt = now, 0, now
 	}
 	r.named, r.perSecond, r.namedAt = true, perSecond, now
 	r.tokens = min(r.tokens, r.burst())
-	return changed
 }
 
 // Reset forgets the limit, since another backend incarnation is in use.
-func (r *Rate) Reset() { *r = Rate{} }
+func (r *Rate) Reset() {
+	changes := r.changes
+	if r.named {
+		changes++
+	}
+	*r = Rate{changes: changes}
+}
 
 // Limit returns the limit in requests a second, and false if none is named.
 func (r *Rate) Limit() (perSecond float64, named bool) { return r.perSecond, r.named }
 
+// Changes returns how often the limit has changed.
+func (r *Rate) Changes() int { return r.changes }
+
 // Ready reports whether a request may start now.
 func (r *Rate) Ready(now time.Time) bool {
 	r.fill(now)
--- a/limit/rate_test.go
+++ b/limit/rate_test.go
@@ -39,15 +39,21 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	r := &Rate{}
-	is.True(r.LearnFromPeer(now, 10))
-	is.True(!r.LearnFromPeer(now, 50))
-	is.True(r.LearnFromPeer(now, 5))
+	limit := func() float64 {
+		perSecond, named := r.Limit()
+		is.True(named)
+		return perSecond
+	}
+	r.LearnFromPeer(now, 10)
+	r.LearnFromPeer(now, 50)
+	is.Equal(limit(), 10.0)
+	r.LearnFromPeer(now, 5)
+	is.Equal(limit(), 5.0)
 	now = now.Add(time.Second)
-	is.True(r.Learn(now, Statement{Named: true, PerSecond: 50, RequestStarted: now}))
-	is.True(!r.LearnFromPeer(now, 5))
-	perSecond, named := r.Limit()
-	is.True(named)
-	is.Equal(perSecond, 50.0)
+	r.Learn(now, Statement{Named: true, PerSecond: 50, RequestStarted: now})
+	r.LearnFromPeer(now, 5)
+	is.Equal(limit(), 50.0)
+	is.Equal(r.Changes(), 3)
 }
 
 // Guards against a rate of starts that counts those of long ago.
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -91,7 +91,7 @@
 	}
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetSlots(now, b.Slots) })
 	if b.Notice.Limit == backend.Limited {
-		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.LearnRateLimit(now, b.Notice.PerSecond) })
+		n.server.learnRateLimit(now, b.Notice.PerSecond)
 	}
 	n.setReady(true, "found at the start")
 }
--- a/node/loops.go
+++ b/node/loops.go
@@ -59,6 +59,7 @@
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Tick(now) })
 	n.checkSilence(now)
 	n.logLevelChange(now)
+	n.logRateLimitChange(now)
 }
 
 // tickMembers runs the periodic work of the membership and passes the member list on.
--- a/node/node.go
+++ b/node/node.go
@@ -147,8 +147,9 @@
 	instance instance // the backend server's last reported state
 	starts   starts
 
-	levelLog  levelLog // used by one loop alone
-	noticeLog noticeLog
+	levelLog     levelLog     // used by one loop alone
+	rateLimitLog rateLimitLog // used by one loop alone
+	noticeLog    noticeLog
 
 	// levelsReceived wakes the loop that gossips admission levels.
 	levelsReceived chan struct{}
--- a/node/notice.go
+++ b/node/notice.go
@@ -6,10 +6,9 @@
 
 	"github.com/cassialoom/cassialoom/backend"
 	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/serve"
 )
 
-// noticeLogInterval is the least time between two log lines about malformed notices.
+// noticeLogInterval is the least time between two log lines about notices of one kind.
 const noticeLogInterval = time.Second
 
 // noticeLog limits the log lines about malformed notices of the backend server, which may
@@ -19,6 +18,24 @@
 	loggedAt time.Time
 }
 
+// rateLimitLog limits the log lines about changes of the rate limit: a backend server may
+// name another one in each answer.
+type rateLimitLog struct {
+	changes  int
+	loggedAt time.Time
+}
+
+// shouldLog reports whether to log the rate limit after so many changes, and how many were
+// not logged. It records that they are logged if so.
+func (l *rateLimitLog) shouldLog(now time.Time, changes int) (unlogged int, ok bool) {
+	unlogged = changes - l.changes
+	if unlogged == 0 || now.Sub(l.loggedAt) < noticeLogInterval {
+		return 0, false
+	}
+	l.changes, l.loggedAt = changes, now
+	return unlogged, true
+}
+
 // shouldLog reports whether to log a malformed notice, and records it if so.
 func (l *noticeLog) shouldLog(now time.Time) bool {
 	l.mu.Lock()
@@ -76,18 +93,23 @@
 			n.stopBackend(start, "leaving, by a peer")
 		}
 		if notice.Limited {
-			n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.LearnRateLimit(now, notice.PerSecond) })
+			n.server.learnRateLimit(time.Now(), notice.PerSecond)
 		}
 	}
 }
 
-// logRateLimit logs the rate limit of the backend server after a change.
-func (n *Node) logRateLimit(now time.Time) {
+// logRateLimitChange logs the rate limit of the backend server if it has changed.
+func (n *Node) logRateLimitChange(now time.Time) {
+	changes, ok := n.rateLimitLog.shouldLog(now, n.server.rateLimitChanges())
+	if !ok {
+		return
+	}
 	d := n.server.dump(now)
 	n.log.Info().
 		Str("instance", n.backendInstance().start.ID).
 		Bool("limited", d.RateLimit.Named).
 		Float64("per_second", d.RateLimit.PerSecond).
+		Int("changes", changes).
 		Float64("starts_per_second", d.RateLimit.StartsPerSecond).
 		Int("running", d.Running).
 		Int("waiting", d.Queue.Waiting).
--- a/node/run.go
+++ b/node/run.go
@@ -21,9 +21,6 @@
 	n.replying.Add(1)
 	defer n.replying.Add(-1)
 	e, started := n.server.do(func(s *serve.Server) serve.Effects { return f(now, s) })
-	if e.RateLimitChanged {
-		n.logRateLimit(now)
-	}
 	for _, notice := range e.Notices {
 		n.broadcastNotice(notice)
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -191,6 +191,20 @@
 	return s.serve.Level(now)
 }
 
+// learnRateLimit applies a rate limit that the backend server did not name to this process.
+func (s *server) learnRateLimit(now time.Time, perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serve.LearnRateLimit(now, perSecond)
+}
+
+// rateLimitChanges returns how often the rate limit has changed.
+func (s *server) rateLimitChanges() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.RateLimitChanges()
+}
+
 // rateLimit returns the number of requests a second that the backend server takes, and
 // false if it names no limit.
 func (s *server) rateLimit() (perSecond float64, limited bool) {
--- a/serve/rate.go
+++ b/serve/rate.go
@@ -31,25 +31,28 @@
 
 // learnRateLimit applies what the answer to a task says about the rate limit of the backend
 // server. An answer of an earlier incarnation says nothing about the present one.
-func (s *Server) learnRateLimit(now time.Time, t *Task, r Result, e *Effects) {
+func (s *Server) learnRateLimit(now time.Time, t *Task, r Result) {
 	if !r.Answered || r.LimitUnreadable || t.incarnation != s.incarnation {
 		return
 	}
 	statement := r.Limit
 	statement.RequestStarted = t.started
-	e.RateLimitChanged = s.rate.Learn(now, statement)
+	s.rate.Learn(now, statement)
 }
 
 // LearnRateLimit applies a limit that the backend server named to an earlier process of this
 // node or in a health check.
-func (s *Server) LearnRateLimit(now time.Time, perSecond float64) Effects {
-	return Effects{RateLimitChanged: s.rate.LearnFromPeer(now, perSecond)}
+func (s *Server) LearnRateLimit(now time.Time, perSecond float64) {
+	s.rate.LearnFromPeer(now, perSecond)
 }
 
 // RateLimit returns the number of requests a second that the backend server takes, and
 // false if it names no limit.
 func (s *Server) RateLimit() (perSecond float64, limited bool) { return s.rate.Limit() }
 
+// RateLimitChanges returns how often the rate limit has changed.
+func (s *Server) RateLimitChanges() int { return s.rate.Changes() }
+
 // forgetRateLimit ends the rate limit, since another backend incarnation is in use.
 func (s *Server) forgetRateLimit() {
 	s.incarnation++
--- a/serve/run.go
+++ b/serve/run.go
@@ -183,7 +183,7 @@
 		s.reportFinished(now, t, r, &e)
 		s.faults.record(r.Latency-t.callTime, r)
 	}
-	s.learnRateLimit(now, t, r, &e)
+	s.learnRateLimit(now, t, r)
 	s.recordRunTime(r)
 	delete(s.running, id)
 	if s.isolated == t {
--- a/serve/task.go
+++ b/serve/task.go
@@ -113,9 +113,6 @@
 	Stop []uint64
 	// Start lists the tasks to hand to the backend server now.
 	Start []*Task
-	// RateLimitChanged reports that the backend server names another rate limit than
-	// before, or none.
-	RateLimitChanged bool
 	// Replies are sent to the node in their To field.
 	Replies []call.Reply
 }
