node: reports about the backend server take effect in the order in which they are applied

The log of the node has, within 0.09 ms, 'backend server was restarted', ready false (draining), ready true: two heartbeats of a new incarnation were handled at once, the earlier one's effect came after the later one's, and the node went on to hand requests over with its state saying 'not ready'.

Cause: the state changes under a lock, its effects (the callee's readiness, the entry in the membership) were carried out after it, in any order. Ruled out: the order of the two heartbeats themselves (the sequence is checked), a restart of the node (none at that time). Now one lock is held from a change to its last effect, for heartbeats, last calls, answers that say leaving, crashes and silence alike. Nothing under it waits: connections queue.

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -30,6 +30,8 @@
 // ReceiveHeartbeat applies a heartbeat of the backend server of this node. Once it returns, an
 // incarnation that is leaving gets no more requests.
 func (n *Node) ReceiveHeartbeat(now time.Time, b Heartbeat) {
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
 	before, after, taken := n.applyHeartbeat(now, b)
 	if !taken {
 		n.counts.LateHeartbeats.Add(1)
@@ -80,6 +82,8 @@
 // heartbeat has arrived yet. Otherwise, after a restart of the node alone, a backend server
 // that is ready would get no requests until its next heartbeat.
 func (n *Node) BackendFound(now time.Time, b Heartbeat) {
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
 	n.stateMu.Lock()
 	known := n.instance.start.ID != "" || n.starts.hasEnded(b.Start)
 	if !known {
@@ -101,6 +105,8 @@
 func (n *Node) BackendStopped(start Start) { n.stopBackend(start, "left") }
 
 func (n *Node) stopBackend(start Start, why string) {
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
 	n.stateMu.Lock()
 	ended := n.starts.markLeft(n.instance, start)
 	n.stateMu.Unlock()
--- a/node/instance.go
+++ b/node/instance.go
@@ -63,6 +63,8 @@
 	if err := backend.CheckURL(url); err != nil {
 		return fmt.Errorf("url %q: %w", url, err)
 	}
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
 	before, after := n.setInstance(func(i *instance) {
 		*i = instance{url: url, start: Start{ID: boot}, ready: state == stateReady, lastReport: now}
 	})
@@ -77,9 +79,14 @@
 }
 
 // Leave implements local.Backends. It is ignored if another boot has announced itself since.
-func (n *Node) Leave(boot string) { n.backendLeft(Start{ID: boot}, "left") }
+func (n *Node) Leave(boot string) {
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
+	n.backendLeft(Start{ID: boot}, "left")
+}
 
-// backendLeft stops new requests to a backend incarnation that leaves, if it is in use.
+// backendLeft stops new requests to a backend incarnation that leaves, if it is in use. The
+// caller holds reportMu.
 func (n *Node) backendLeft(start Start, why string) {
 	before, after := n.setInstance(func(i *instance) {
 		if i.is(start) {
@@ -93,6 +100,8 @@
 
 // backendCrashed stops new requests to a backend incarnation whose process is gone.
 func (n *Node) backendCrashed(start Start) {
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
 	before, after := n.setInstance(func(i *instance) {
 		if i.is(start) {
 			i.ready = false
@@ -107,6 +116,8 @@
 // checkSilence stops new requests to a backend server that has not reported for longer than
 // BackendSilence: it is frozen, or cut off from its node.
 func (n *Node) checkSilence(now time.Time) {
+	n.reportMu.Lock()
+	defer n.reportMu.Unlock()
 	before, after := n.setInstance(func(i *instance) {
 		if i.ready && now.Sub(i.lastReport) > n.cfg.BackendSilence {
 			i.ready = false
@@ -118,7 +129,7 @@
 }
 
 // setReady applies the readiness of the backend server to the callee's side of this node and
-// publishes it to the other nodes.
+// publishes it to the other nodes. The caller holds reportMu.
 func (n *Node) setReady(ready bool, why string) {
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetReady(now, ready) })
 	n.announceReady(ready, why)
--- a/node/node.go
+++ b/node/node.go
@@ -4,7 +4,8 @@
 //
 // The deciding types are not safe for concurrent use. Each has one lock; the
 // effects that it returns are carried out after the lock is released. No two of
-// these locks are held at once.
+// these locks are held at once, except that changes of the backend server's state
+// are applied under a lock of their own.
 package node
 
 import (
@@ -143,6 +144,11 @@
 	requestMu sync.Mutex
 	requests  *retry.Requests
 
+	// reportMu is held while a change of the backend server's state is applied, from the
+	// report to its last effect. Otherwise the effects of two reports could take place in
+	// another order than the changes, and a backend server that has been acknowledged to
+	// be leaving could be set ready. It is taken before any other lock.
+	reportMu sync.Mutex
 	stateMu  sync.Mutex
 	instance instance // the backend server's last reported state
 	starts   starts
--- a/node/notice_test.go
+++ b/node/notice_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -88,3 +90,22 @@
 		})
 	}
 }
+
+// Guards against a backend server that is handed requests after its leaving was acknowledged,
+// since a heartbeat that was received just before takes effect just after.
+func TestConcurrentReportsTakeEffectInOrder(t *testing.T) {
+	is := is.New(t)
+	c := startWithRoutes(t, nil)
+	a := c.Add("a", testnode.Echo)
+	c.AwaitReady()
+	for i := range 3000 {
+		beat := node.Heartbeat{Start: node.Start{ID: "i-" + strconv.Itoa(i), Born: int64(i + 1)}, URL: a.Backend.URL, Slots: 4}
+		ready, draining := beat, beat
+		ready.Sequence, draining.Sequence, draining.Draining = 1, 2, true
+		var both sync.WaitGroup
+		both.Go(func() { a.Node.ReceiveHeartbeat(time.Now(), ready) })
+		both.Go(func() { a.Node.ReceiveHeartbeat(time.Now(), draining) })
+		both.Wait()
+		is.True(!a.State().Serve.Ready)
+	}
+}
