serve: a late report of a crash does not stop the next backend incarnation

Found by reading around the order of reports. A request that is lost in a crash is reported once its node has tried to connect again, some milliseconds later. If the backend server has restarted and announced itself in between, the report set the callee's side to 'crashed', and nothing set it ready again: heartbeats of the same incarnation are no change. The node refused all requests (no-backend) until the next restart.

The crash of an earlier incarnation is reported by BackendRestarted already, so the late report is dropped; tasks know the incarnation since the rate limits. TestLateCrashReportDoesNotStopTheNextIncarnation failed before (0 started, want 1).

--- a/serve/run.go
+++ b/serve/run.go
@@ -177,9 +177,12 @@
 	if t.openCalls > 0 {
 		s.OutgoingCallsChanged(now, id, -t.openCalls)
 	}
-	if r.Crashed {
+	switch {
+	case r.Crashed && t.incarnation != s.incarnation:
+		// BackendRestarted has reported this crash; the next incarnation goes on.
+	case r.Crashed:
 		s.crash(now, &e)
-	} else {
+	default:
 		s.reportFinished(now, t, r, &e)
 		s.faults.record(r.Latency-t.callTime, r)
 	}
