--- a/dispatch/notices.go
+++ b/dispatch/notices.go
@@ -14,7 +14,7 @@
 //
 // It answers the restart of a node beside a backend server that is limited or leaving. The
 // new process knows of neither and would hand over all that arrives, while this node must
-// send no more than it has been told. A notice therefore goes with each request to a node
+// send no more than it has heard. A notice therefore goes with each request to a node
 // of the service until that node has shown that it has heard its backend server itself.
 type notices struct {
 	byService map[string]map[incarnation]heldNotice
--- a/dispatch/notices_test.go
+++ b/dispatch/notices_test.go
@@ -31,7 +31,7 @@
 	backend call.Notice // what the backend server says in its answers
 	ends    []fleetRun
 	record  *ratebound.Record
-	// leavingTold is when each entry forwarded an answer of the leaving backend server.
+	// violation is the first request to a leaving backend server.
 	violation error
 	seq       uint64
 	restarts  byte
@@ -151,7 +151,7 @@
 	entry := f.entryOf(task.Request.From)
 	if f.backend.Limited {
 		f.record.Name(f.now, f.backend.PerSecond)
-		f.record.Told(entry.name, f.now)
+		f.record.Forwarded(entry.name, f.now)
 	} else {
 		f.record.Name(f.now, -1)
 	}
--- a/internal/ratebound/ratebound.go
+++ b/internal/ratebound/ratebound.go
@@ -26,7 +26,7 @@
 type Record struct {
 	limits   []namedLimit
 	arrivals []arrival
-	told     []told
+	known    []knownSpan
 }
 
 // namedLimit is the limit in force from a moment on; a negative one is none.
@@ -40,8 +40,8 @@
 	origin string
 }
 
-// told is the time from which a node knows the limit, until it is excused.
-type told struct {
+// knownSpan is the time from which a node knows the limit, until it is excused.
+type knownSpan struct {
 	origin      string
 	from, until time.Time // until is zero while it lasts
 }
@@ -54,20 +54,20 @@
 	r.limits = append(r.limits, namedLimit{at, perSecond})
 }
 
-// Told records that a node forwarded an answer that names a limit.
-func (r *Record) Told(origin string, at time.Time) {
-	known := slices.ContainsFunc(r.told, func(t told) bool { return t.origin == origin && t.until.IsZero() })
-	if !known {
-		r.told = append(r.told, told{origin: origin, from: at})
+// Forwarded records that a node forwarded an answer that names a limit.
+func (r *Record) Forwarded(origin string, at time.Time) {
+	already := slices.ContainsFunc(r.known, func(t knownSpan) bool { return t.origin == origin && t.until.IsZero() })
+	if !already {
+		r.known = append(r.known, knownSpan{origin: origin, from: at})
 	}
 }
 
 // Excuse records a restart, freeze or cut of a node, which counts again from the next answer
 // that it forwards.
 func (r *Record) Excuse(origin string, at time.Time) {
-	for i := range r.told {
-		if r.told[i].origin == origin && r.told[i].until.IsZero() {
-			r.told[i].until = at
+	for i := range r.known {
+		if r.known[i].origin == origin && r.known[i].until.IsZero() {
+			r.known[i].until = at
 		}
 	}
 }
@@ -112,7 +112,7 @@
 // counts reports whether an arrival comes from a node that has known the limit for long
 // enough.
 func (r *Record) counts(a arrival) bool {
-	return slices.ContainsFunc(r.told, func(t told) bool {
+	return slices.ContainsFunc(r.known, func(t knownSpan) bool {
 		return t.origin == a.origin && a.at.Sub(t.from) >= NoticeDelay && (t.until.IsZero() || a.at.Before(t.until))
 	})
 }
--- a/internal/ratebound/ratebound_test.go
+++ b/internal/ratebound/ratebound_test.go
@@ -27,26 +27,26 @@
 		record func(*Record)
 		broken bool
 	}{
-		"within the limit": {record: func(r *Record) { r.Told("a", at(0)); arrivals(r, "a", 20, 0, 20) }},
-		"three times":      {record: func(r *Record) { r.Told("a", at(0)); arrivals(r, "a", 60, 0, 20) }, broken: true},
-		"before the delay": {record: func(r *Record) { r.Told("a", at(0)); arrivals(r, "a", 60, 0, 3) }},
-		"not told":         {record: func(r *Record) { r.Told("a", at(0)); arrivals(r, "b", 60, 0, 20) }},
+		"within the limit": {record: func(r *Record) { r.Forwarded("a", at(0)); arrivals(r, "a", 20, 0, 20) }},
+		"three times":      {record: func(r *Record) { r.Forwarded("a", at(0)); arrivals(r, "a", 60, 0, 20) }, broken: true},
+		"before the delay": {record: func(r *Record) { r.Forwarded("a", at(0)); arrivals(r, "a", 60, 0, 3) }},
+		"not known":        {record: func(r *Record) { r.Forwarded("a", at(0)); arrivals(r, "b", 60, 0, 20) }},
 		"sum of two": {record: func(r *Record) {
-			r.Told("a", at(0))
-			r.Told("b", at(0))
+			r.Forwarded("a", at(0))
+			r.Forwarded("b", at(0))
 			arrivals(r, "a", 25, 0, 20)
 			arrivals(r, "b", 25, 0, 20)
 		}, broken: true},
-		"restarted": {record: func(r *Record) { r.Told("a", at(0)); r.Excuse("a", at(1)); arrivals(r, "a", 60, 1, 20) }},
-		"restarted, then told": {record: func(r *Record) {
-			r.Told("a", at(0))
+		"restarted": {record: func(r *Record) { r.Forwarded("a", at(0)); r.Excuse("a", at(1)); arrivals(r, "a", 60, 1, 20) }},
+		"restarted, then known": {record: func(r *Record) {
+			r.Forwarded("a", at(0))
 			r.Excuse("a", at(1))
-			r.Told("a", at(2))
+			r.Forwarded("a", at(2))
 			arrivals(r, "a", 60, 1, 20)
 		}, broken: true},
-		"limit has ended": {record: func(r *Record) { r.Told("a", at(0)); r.Name(at(1), -1); arrivals(r, "a", 60, 1, 20) }},
-		"limit has risen": {record: func(r *Record) { r.Told("a", at(0)); r.Name(at(1), 60); arrivals(r, "a", 60, 1, 20) }},
-		"limit falls":     {record: func(r *Record) { r.Told("a", at(0)); r.Name(at(8), 5); arrivals(r, "a", 20, 0, 20) }, broken: true},
+		"limit has ended": {record: func(r *Record) { r.Forwarded("a", at(0)); r.Name(at(1), -1); arrivals(r, "a", 60, 1, 20) }},
+		"limit has risen": {record: func(r *Record) { r.Forwarded("a", at(0)); r.Name(at(1), 60); arrivals(r, "a", 60, 1, 20) }},
+		"limit falls":     {record: func(r *Record) { r.Forwarded("a", at(0)); r.Name(at(8), 5); arrivals(r, "a", 20, 0, 20) }, broken: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -128,7 +128,7 @@
 	if b.rateLimit < 0 {
 		return limit.Statement{}
 	}
-	b.record.Told(everyNode, time.Now())
+	b.record.Forwarded(everyNode, time.Now())
 	return limit.Statement{Named: true, PerSecond: b.rateLimit}
 }
 
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -14,7 +14,7 @@
 // backend server must send it no more requests, with a margin for their way.
 const drainTime = 2300 * time.Millisecond
 
-// excuse is a fault that excuses a machine from what its node was told before its end.
+// excuse is a fault that excuses a machine from the notices that its node forwarded before its end.
 type excuse struct {
 	machine    string
 	start, end time.Time
@@ -82,27 +82,27 @@
 		}
 	}
 	type event struct {
-		at   time.Time
-		told bool
-		name string
+		at        time.Time
+		forwarded bool
+		name      string
 	}
 	var events []event
-	for _, told := range t.Told {
-		if told.Limited && !excused(excuses, t.Machine, told.Machine, told.At, told.At) {
-			events = append(events, event{told.At, true, told.Machine})
+	for _, notice := range t.Forwarded {
+		if notice.Limited && !excused(excuses, t.Machine, notice.Machine, notice.At, notice.At) {
+			events = append(events, event{notice.At, true, notice.Machine})
 		}
 	}
 	for _, x := range excuses {
-		for _, told := range t.Told {
-			if x.concerns(t.Machine, told.Machine) {
-				events = append(events, event{x.start, false, told.Machine})
+		for _, notice := range t.Forwarded {
+			if x.concerns(t.Machine, notice.Machine) {
+				events = append(events, event{x.start, false, notice.Machine})
 			}
 		}
 	}
 	slices.SortStableFunc(events, func(a, b event) int { return a.at.Compare(b.at) })
 	for _, ev := range events {
-		if ev.told {
-			r.Told(ev.name, ev.at)
+		if ev.forwarded {
+			r.Forwarded(ev.name, ev.at)
 		} else {
 			r.Excuse(ev.name, ev.at)
 		}
@@ -125,14 +125,14 @@
 // lateArrival describes a request that a machine sent to a leaving backend server although it
 // had passed on an answer that says so, empty for none.
 func lateArrival(j *standin.RunLog, t *standin.TargetNotices, excuses []excuse) (what, id string) {
-	for _, told := range t.Told {
-		if !told.Leaving {
+	for _, notice := range t.Forwarded {
+		if !notice.Leaving {
 			continue
 		}
 		for _, a := range t.Arrivals {
 			o, known := j.Origin(a.ID)
-			late := o.Sent.Sub(told.At)
-			if !known || o.Machine != told.Machine || late <= drainTime || excused(excuses, t.Machine, o.Machine, told.At, a.At) {
+			late := o.Sent.Sub(notice.At)
+			if !known || o.Machine != notice.Machine || late <= drainTime || excused(excuses, t.Machine, o.Machine, notice.At, a.At) {
 				continue
 			}
 			return fmt.Sprintf("%s sent a request %v after it had passed on an answer that says so", o.Machine, late.Round(time.Millisecond)), a.ID
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -195,6 +195,6 @@
 	t.Answer = standin.SendRequest(ctx, c.http, c.host.Machine, standin.Request{
 		Method: http.MethodPost, Host: routeHost, Path: t.Path, ID: t.ID, Key: with.key, Timeout: clientTimeout,
 	})
-	c.e.journal.RecordTold(c.host.Name, t.Header)
+	c.e.journal.RecordForwarded(c.host.Name, t.Header)
 	return t
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -208,22 +208,22 @@
 	begin := time.Now()
 	at := func(seconds float64) time.Time { return begin.Add(time.Duration(seconds * float64(time.Second))) }
 	for name, c := range map[string]struct {
-		told    standin.Told
+		notice  standin.ForwardedNotice
 		excuses []excuse
 		found   int
 	}{
-		"limited":               {told: standin.Told{At: at(0), Machine: "m", Limited: true}, found: 1},
-		"other machine":         {told: standin.Told{At: at(0), Machine: "other", Limited: true}},
-		"restarted":             {told: standin.Told{At: at(0), Machine: "m", Limited: true}, excuses: []excuse{{machine: "m", start: at(1), end: at(2)}}},
-		"backend server is cut": {told: standin.Told{At: at(0), Machine: "m", Limited: true}, excuses: []excuse{{machine: "b", start: at(1), end: at(2), backendLink: true}}},
-		"leaving":               {told: standin.Told{At: at(-10), Machine: "m", Leaving: true}, found: 1},
-		"leaving, just now":     {told: standin.Told{At: begin, Machine: "m", Leaving: true}},
-		"leaving, restarted":    {told: standin.Told{At: at(-10), Machine: "m", Leaving: true}, excuses: []excuse{{machine: "m", start: at(-9), end: at(-8)}}},
+		"limited":               {notice: standin.ForwardedNotice{At: at(0), Machine: "m", Limited: true}, found: 1},
+		"other machine":         {notice: standin.ForwardedNotice{At: at(0), Machine: "other", Limited: true}},
+		"restarted":             {notice: standin.ForwardedNotice{At: at(0), Machine: "m", Limited: true}, excuses: []excuse{{machine: "m", start: at(1), end: at(2)}}},
+		"backend server is cut": {notice: standin.ForwardedNotice{At: at(0), Machine: "m", Limited: true}, excuses: []excuse{{machine: "b", start: at(1), end: at(2), backendLink: true}}},
+		"leaving":               {notice: standin.ForwardedNotice{At: at(-10), Machine: "m", Leaving: true}, found: 1},
+		"leaving, just now":     {notice: standin.ForwardedNotice{At: begin, Machine: "m", Leaving: true}},
+		"leaving, restarted":    {notice: standin.ForwardedNotice{At: at(-10), Machine: "m", Leaving: true}, excuses: []excuse{{machine: "m", start: at(-9), end: at(-8)}}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			j := standin.NewRunLog()
-			record := &standin.TargetNotices{Machine: "b", Told: []standin.Told{c.told}, Limits: []standin.LimitStatement{{At: at(0), PerSecond: 10}}}
+			record := &standin.TargetNotices{Machine: "b", Forwarded: []standin.ForwardedNotice{c.notice}, Limits: []standin.LimitStatement{{At: at(0), PerSecond: 10}}}
 			for i := range 300 {
 				id := fmt.Sprint("r", i)
 				j.RecordOrigin(id, "m")
--- a/serve/rate_test.go
+++ b/serve/rate_test.go
@@ -72,7 +72,7 @@
 		b.ends = b.ends[1:]
 		if b.named.Named {
 			b.oracle.Name(b.now, b.named.PerSecond)
-			b.oracle.Told(origin, b.now)
+			b.oracle.Forwarded(origin, b.now)
 		} else {
 			b.oracle.Name(b.now, noLimit)
 		}
