node, soak: one limiter of log lines about changes, one drain limit

The lines about the rate limit wrote the limiter of those about the admission level again, and the soak the stand-in's drain limit (2.3 s). Cause: both were written beside their twin. Now changeLog serves both lines and standin.DrainLimit both checks; behaviour, bounds and checks are as before.

--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -10,10 +10,6 @@
 	"github.com/cassialoom/cassialoom/platform/standin"
 )
 
-// drainTime is the time after which a machine that has passed on the answer of a leaving
-// backend server must send it no more requests, with a margin for their way.
-const drainTime = 2300 * time.Millisecond
-
 // excuse is a fault that excuses a machine from the notices that its node forwarded before its end.
 type excuse struct {
 	machine    string
@@ -132,7 +128,7 @@
 		for _, a := range t.Arrivals {
 			o, known := j.Origin(a.ID)
 			late := o.Sent.Sub(notice.At)
-			if !known || o.Machine != notice.Machine || late <= drainTime || excused(excuses, t.Machine, o.Machine, notice.At, a.At) {
+			if !known || o.Machine != notice.Machine || late <= standin.DrainLimit || excused(excuses, t.Machine, o.Machine, notice.At, a.At) {
 				continue
 			}
 			return fmt.Sprintf("%s sent a request %v after it had passed on an answer that says so", o.Machine, late.Round(time.Millisecond)), a.ID
--- a/node/node.go
+++ b/node/node.go
@@ -153,8 +153,8 @@
 	instance instance // the backend server's last reported state
 	starts   starts
 
-	levelLog     levelLog     // used by one loop alone
-	rateLimitLog rateLimitLog // used by one loop alone
+	levelLog     changeLog[uint16] // used by one loop alone
+	rateLimitLog changeLog[int]    // number of changes; used by one loop alone
 	noticeLog    noticeLog
 
 	// levelsReceived wakes the loop that gossips admission levels.
--- a/node/notice.go
+++ b/node/notice.go
@@ -8,7 +8,7 @@
 	"github.com/cassialoom/cassialoom/call"
 )
 
-// noticeLogInterval is the least time between two log lines about notices of one kind.
+// noticeLogInterval is the least time between two log lines about malformed notices.
 const noticeLogInterval = time.Second
 
 // noticeLog limits the log lines about malformed notices of the backend server, which may
@@ -18,24 +18,6 @@
 	loggedAt time.Time
 }
 
-// rateLimitLog limits the log lines about changes of the rate limit: a backend server may
-// name another one in each answer.
-type rateLimitLog struct {
-	changes  int
-	loggedAt time.Time
-}
-
-// shouldLog reports whether to log the rate limit after so many changes, and how many were
-// not logged. It records that they are logged if so.
-func (l *rateLimitLog) shouldLog(now time.Time, changes int) (unlogged int, ok bool) {
-	unlogged = changes - l.changes
-	if unlogged == 0 || now.Sub(l.loggedAt) < noticeLogInterval {
-		return 0, false
-	}
-	l.changes, l.loggedAt = changes, now
-	return unlogged, true
-}
-
 // shouldLog reports whether to log a malformed notice, and records it if so.
 func (l *noticeLog) shouldLog(now time.Time) bool {
 	l.mu.Lock()
@@ -100,8 +82,8 @@
 
 // logRateLimitChange logs the rate limit of the backend server if it has changed.
 func (n *Node) logRateLimitChange(now time.Time) {
-	changes, ok := n.rateLimitLog.shouldLog(now, n.server.rateLimitChanges())
-	if !ok {
+	changes, logged := n.server.rateLimitChanges(), n.rateLimitLog.last
+	if !n.rateLimitLog.shouldLog(now, changes) {
 		return
 	}
 	d := n.server.dump(now)
@@ -109,7 +91,7 @@
 		Str("instance", n.backendInstance().start.ID).
 		Bool("limited", d.RateLimit.Named).
 		Float64("per_second", d.RateLimit.PerSecond).
-		Int("changes", changes).
+		Int("changes", changes-logged).
 		Float64("starts_per_second", d.RateLimit.StartsPerSecond).
 		Int("running", d.Running).
 		Int("waiting", d.Queue.Waiting).
