daemon: a node outside the platform logs its decisions, too

TestProveDrainWithStalledLinks (KNOWN-RED.txt) loses requests with 'call stationlog.latest: status 502, not run, lost'. Two explanations, the start of the traffic or the stall of the links 5 s later, could not be told apart: the node's log had no line about requests, and the stand-in backend server left out the text of the refusal.

Change: decisions are logged outside the platform by the same rate-limited logger, through the ring buffer, so that a slow reader of the log delays no request; the ring no longer closes its output, which a stopping process may still need. The stand-in names the detail.

--- a/daemon/config.go
+++ b/daemon/config.go
@@ -6,6 +6,9 @@
 	"net"
 	"time"
 
+	"github.com/rs/zerolog"
+
+	"github.com/cassialoom/cassialoom/logs"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/settings"
@@ -27,8 +30,9 @@
 
 // nodeConfig returns the node's configuration for settings. It returns an error if
 // the settings of idempotency keys contradict each other.
-func nodeConfig(s settings.Settings, listening *listeners) (node.Config, error) {
+func nodeConfig(s settings.Settings, listening *listeners, log zerolog.Logger) (node.Config, error) {
 	cfg := node.DefaultConfig()
+	cfg.Explain.Sink = logs.NewDecisionLogger(logs.DefaultConfig(), log)
 	cfg.Service = s.Service
 	cfg.DataCentre = s.DataCentre
 	cfg.Region = s.Region
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -17,6 +18,7 @@
 	"github.com/cassialoom/cassialoom/applog"
 	"github.com/cassialoom/cassialoom/entry"
 	"github.com/cassialoom/cassialoom/local"
+	"github.com/cassialoom/cassialoom/logs"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/settings"
@@ -65,12 +67,20 @@
 	)
 }
 
-func newLogger(s settings.Settings) (zerolog.Logger, error) {
+func newLogger(lc fx.Lifecycle, s settings.Settings) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(s.LogLevel)
 	if err != nil {
 		return zerolog.Logger{}, fmt.Errorf("log level: %w", err)
 	}
-	return zerolog.New(os.Stderr).Level(level).With().Timestamp().Logger(), nil
+	return openLog(lc, os.Stderr).Level(level), nil
+}
+
+// openLog returns a logger that writes to out through a ring buffer and never blocks.
+// The stop of the application writes the remaining lines.
+func openLog(lc fx.Lifecycle, out io.Writer) zerolog.Logger {
+	log, closer := logs.Open(logs.DefaultConfig(), out)
+	lc.Append(fx.Hook{OnStop: func(context.Context) error { return closer.Close() }})
+	return log
 }
 
 func newLog(s settings.Settings) applog.Log { return applog.NewHTTP(s.LogURL, nil) }
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -16,7 +16,6 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/cassialoom/cassialoom/entry"
-	"github.com/cassialoom/cassialoom/logs"
 	"github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/platform"
@@ -50,12 +49,8 @@
 	)
 }
 
-// newPlatformLogger returns a logger that writes to out through a ring buffer and
-// never blocks. The stop of the application writes the remaining lines.
 func newPlatformLogger(lc fx.Lifecycle, s platform.Settings, out io.Writer) zerolog.Logger {
-	log, closer := logs.Open(logs.DefaultConfig(), out)
-	lc.Append(fx.Hook{OnStop: func(context.Context) error { return closer.Close() }})
-	return log.With().Str("machine", s.Node).Logger()
+	return openLog(lc, out).With().Str("machine", s.Node).Logger()
 }
 
 // advertised returns the address by which other nodes reach this one.
--- a/internal/standin/backend/calls.go
+++ b/internal/standin/backend/calls.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 )
 
@@ -36,6 +37,7 @@
 	status  int
 	reason  string
 	verdict string
+	detail  string // text of the refusal
 	cause   error
 }
 
@@ -43,7 +45,7 @@
 	if e.cause != nil {
 		return fmt.Sprintf("call %s: %v", e.target, e.cause)
 	}
-	return fmt.Sprintf("call %s: status %d, %s, %s", e.target, e.status, e.verdict, e.reason)
+	return fmt.Sprintf("call %s: status %d, %s, %s: %s", e.target, e.status, e.verdict, e.reason, e.detail)
 }
 
 func (e *childError) Unwrap() error { return e.cause }
@@ -126,6 +128,7 @@
 			status:  res.StatusCode,
 			reason:  res.Header.Get(HeaderReason),
 			verdict: res.Header.Get(HeaderVerdict),
+			detail:  strings.TrimSpace(string(raw)),
 		}
 	}
 	var a Answer
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -44,18 +44,22 @@
 }
 
 // Open returns a logger that writes to out through a ring buffer, and a closer
-// that writes the remaining lines and stops the writer.
+// that writes the remaining lines and stops the writer. It doesn't close out, so that
+// a stopping process can still report errors there.
 //
 // It sets zerolog's time format for the whole process, since the default has a
 // resolution of a second, which doesn't order the steps of a request.
 func Open(cfg Config, out io.Writer) (zerolog.Logger, io.Closer) {
 	zerolog.TimeFieldFormat = time.RFC3339Nano
 	lost := &lostLines{}
-	ring := diode.NewWriter(out, cfg.RingLines, 0, lost.add)
+	ring := diode.NewWriter(writeOnly{out}, cfg.RingLines, 0, lost.add)
 	lost.log = zerolog.New(ring).With().Timestamp().Logger()
 	return lost.log, ring
 }
 
+// writeOnly hides the Close method of a writer.
+type writeOnly struct{ io.Writer }
+
 // lostLines counts the lines that the ring buffer dropped.
 type lostLines struct {
 	log   zerolog.Logger
