dispatch: a call of a running request is not given up while it cannot be sent

Cause: a node loses the links to all nodes of a service for a moment while requests run there. Each dial that fails ends an attempt; the run's call moves once or twice, as far as extra attempts and nodes go, and is given up, with most of its deadline left and no byte sent. Its failure fails the request whose work is done.

Change: the calls of a run are marked (Params.ForRun), on the platform and outside of it. If an attempt of one was never sent, the next node is tried at once and, when all were tried, again after a pause that grows from 25 to 200 ms, for 0.9 of the call's time. Such resends take no extra attempt, since they add no load. Entering requests are refused as before, now with a Retry-After. A run's call that finds no node of the service waits for one outside of the platform, too (it did on the platform).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,6 +10,8 @@
 //     the attempt was sent to.
 //   - Every retry takes one extra attempt from the request's ledger and one from the
 //     node's budget, except as Config.MaxReroutes and Config.MaxReoffers say.
+//   - A call of a running request that could not be sent is resent for most of its time;
+//     these resends take no extra attempts.
 package dispatch
 
 import (
@@ -145,6 +147,8 @@
 	OverBudget uint64 `json:"over_budget"`
 	Refused    uint64 `json:"refused_by_levels"`
 	Deferred   uint64 `json:"deferred"`
+	// Resends counts the repeats of attempts that were never sent; they are no retries.
+	Resends uint64 `json:"resends"`
 	// RateLimited counts attempts refused because of a backend server's rate limit.
 	RateLimited    uint64 `json:"rate_limited"`
 	Unmatched      uint64 `json:"unmatched_replies"`
@@ -225,6 +229,9 @@
 	// Admitted says that the call belongs to an admitted request. It skips the check
 	// of admission levels, since refusing it would waste the work already done.
 	Admitted bool
+	// ForRun says that a running request makes the call, so that its failure wastes the
+	// work already done.
+	ForRun bool
 	// Reach lists services that the call may lead to; if empty, those that the
 	// operation declares are used.
 	Reach []string
@@ -280,6 +287,12 @@
 	return out
 }
 
+// noteResend records that an attempt that was never sent is followed by another one.
+func (d *Dispatcher) noteResend(p Params, a *attempts, r call.Reply) {
+	d.count(func(c *Counts) { c.Resends++ })
+	d.noteRetry(p, a, r)
+}
+
 // attempt makes attempts until the outcome is final.
 func (d *Dispatcher) attempt(ctx context.Context, p Params) call.Outcome {
 	to, ok := d.awaitTarget(ctx, p)
@@ -293,10 +306,16 @@
 	a.reroutesLeft = d.cfg.MaxReroutes
 	a.reoffersLeft = d.cfg.MaxReoffers
 	hopAttemptsLeft := d.cfg.HopAttempts
+	resender := newResender(d, p)
 	start := time.Now()
 	for {
 		reply := d.attemptHedged(ctx, p, &a, to, &hopAttemptsLeft)
-		var next target
+		next, resend := resender.next(ctx, &a, reply)
+		if resend {
+			d.noteResend(p, &a, reply)
+			to = next
+			continue
+		}
 		switch a.next(reply, func() bool { return d.acquireRetry(ctx, p, &a, reply, &next, &hopAttemptsLeft) }) {
 		case finish:
 			out := a.conclude(reply)
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -149,14 +149,14 @@
 	maxTargetWaitShare = 0.5
 )
 
-// awaitTarget returns the node for the first attempt. For an admitted request it waits some
-// time for one: failing a single call would fail the whole request, while the last backend
+// awaitTarget returns the node for the first attempt. For a call of a running request it waits
+// some time for one: failing a single call would fail the whole request, while the last backend
 // server of a service may only be in the process of being replaced.
 func (d *Dispatcher) awaitTarget(ctx context.Context, p Params) (target, bool) {
 	until := time.Now().Add(time.Duration(maxTargetWaitShare * float64(time.Until(p.Deadline))))
 	for {
 		to, ok := d.firstTarget(p)
-		if ok || !p.Admitted || !time.Now().Before(until) {
+		if ok || !p.ForRun || !time.Now().Before(until) {
 			return to, ok
 		}
 		select {
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -57,7 +57,7 @@
 	if ctx.Err() != nil {
 		return contextError(ctx, verdict.NotRun)
 	}
-	return verdict.Refuse(verdict.ConnectionLost, "request not sent to %s: %v", to.id.Short(), err)
+	return verdict.Refuse(verdict.ConnectionLost, "request not sent to %s: %v", to.id.Short(), err).WithRetryAfter(lostRetryAfter)
 }
 
 // awaitReply waits for the answer, the end of the connection, or the end of ctx. settled
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -176,7 +176,7 @@
 	out := n.dispatch.Call(r.ctx, dispatch.Params{
 		RequestID: n.simulation.nextID(), Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1,
-		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, Repeat: req.Repeat, Depth: req.Depth + 1,
+		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
 	n.used(r, c.Service, out)
 	n.simulation.report.callEnded(c.Service, out)
--- a/node/entry.go
+++ b/node/entry.go
@@ -166,6 +166,7 @@
 // callForRun makes a call on behalf of a run and records its result there. The call
 // goes on if the run ends.
 func (n *Node) callForRun(ctx context.Context, r *run, p dispatch.Params) call.Outcome {
+	p.ForRun = true
 	n.server.countCall(time.Now(), r, 1)
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
