config: the sum in a dump is that of the configuration in force

It reads like a divergence.

Cause: the sum covered the whole state of a reader of the log, and the record of a publication that lost changes that state and no version.

--- a/config/distributor.go
+++ b/config/distributor.go
@@ -197,6 +197,7 @@
 		AsOf:      st.AsOf(),
 		Version:   st.Version(),
 		Sum:       st.Sum(),
+		RecordSum: st.RecordSum(),
 		Sections:  len(st.Sections()),
 		AgeMillis: -1,
 		Reader:    s.ring.isReader(),
--- a/config/fixed_test.go
+++ b/config/fixed_test.go
@@ -67,6 +67,43 @@
 	}
 }
 
+// Guards against two sums at nodes of one version, which an operator must take for a
+// divergence: records that change nothing come after the version on some of them. Readers
+// that started from a checkpoint or an update have the sum of those that read all records.
+func TestStatesOfOneVersionHaveOneSum(t *testing.T) {
+	is := is.New(t)
+	f := replayer{assemble: testAssemble}
+	w := newWorld(DefaultConfig(), 0, 1)
+	service := testServices[0]
+	for i := range 40 {
+		o := w.currentOracle()
+		change := setSection(service, fmt.Sprint(i), o.sections[service].version)
+		w.append(publication(fmt.Sprint("wins", i), o.end(), change))
+		w.append(publication(fmt.Sprint("loses", i), o.end(), change))
+	}
+	sums := map[uint64]uint64{}
+	versions := map[uint64]uint64{}
+	s := emptyState()
+	for _, r := range w.log.History(Stream) {
+		before := s
+		s = f.apply(s, r.Data)
+		s.setSums()
+		if known, ok := sums[s.Version()]; ok {
+			is.Equal(s.Sum(), known)
+			is.True(s.RecordSum() != before.RecordSum())
+		}
+		sums[s.Version()] = s.Sum()
+		versions[s.Sum()] = s.Version()
+		for _, from := range []uint64{0, before.AsOf()} {
+			got, err := f.applyUpdate(before, s.updateSince(from))
+			is.NoErr(err)
+			is.Equal(got.Sum(), s.Sum())
+		}
+	}
+	is.Equal(len(sums), 40)
+	is.Equal(len(versions), 40) // no two versions share a sum
+}
+
 // Guards against a delta update whose result differs from the state after
 // applying the records. An older base has to get the whole state.
 func TestUpdatesGiveTheReplayedState(t *testing.T) {
@@ -84,7 +121,7 @@
 	states := []*State{emptyState()}
 	for i, r := range w.log.History(Stream) {
 		next := f.apply(states[i], r.Data)
-		next.setSum()
+		next.setSums()
 		states = append(states, next)
 	}
 	end := states[len(states)-1]
@@ -94,7 +131,7 @@
 		for _, state := range []*State{s, states[min(from+7, len(states)-1)]} {
 			got, err := f.applyUpdate(state, u)
 			is.NoErr(err)
-			is.Equal(got.sum, end.sum)
+			is.Equal(got.recordSum, end.recordSum)
 		}
 	}
 }
--- a/config/follow.go
+++ b/config/follow.go
@@ -77,7 +77,7 @@
 	if s == f.state {
 		return false
 	}
-	s.setSum()
+	s.setSums()
 	f.state = s
 	return true
 }
@@ -139,7 +139,7 @@
 	}
 	switch {
 	case s.best != nil && s.best.asOf >= f.oldest && s.best.asOf > f.state.AsOf():
-		s.best.setSum()
+		s.best.setSums()
 		f.install(s.best)
 	case f.oldest == 0 && s.low == 0:
 		// Nothing was trimmed: the start of the stream is the base.
@@ -158,6 +158,6 @@
 
 func emptyState() *State {
 	s := &State{}
-	s.setSum()
+	s.setSums()
 	return s
 }
--- a/config/message.go
+++ b/config/message.go
@@ -6,7 +6,7 @@
 // announces the sender's state, and a receiver with a newer state answers with
 // an update.
 type Message struct {
-	// AsOf and Sum identify the sender's state.
+	// AsOf and Sum, its RecordSum, identify the sender's state.
 	AsOf uint64 `cbor:"1,keyasint"`
 	Sum  uint64 `cbor:"2,keyasint,omitempty"`
 	// AgeMillis is one plus the milliseconds since the state was last known to
@@ -59,7 +59,10 @@
 type Dump struct {
 	AsOf    uint64 `json:"as_of"`
 	Version uint64 `json:"version"`
-	Sum     uint64 `json:"sum"`
+	// Sum is that of the configuration in force: equal on all nodes of one version.
+	Sum uint64 `json:"sum"`
+	// RecordSum is that of the whole state: equal on all nodes with the same AsOf.
+	RecordSum uint64 `json:"record_sum"`
 	// Sections is the number of sections in force.
 	Sections int `json:"sections"`
 	// AgeMillis is the time since the state was last known to be the newest,
--- a/config/publish_test.go
+++ b/config/publish_test.go
@@ -68,7 +68,7 @@
 	for _, r := range o.log.History(Stream) {
 		s = replayer{assemble: testAssemble}.apply(s, r.Data)
 	}
-	s.setSum()
+	s.setSums()
 	data, err := wire.Marshal(record{Checkpoint: s.updateSince(0)})
 	if err != nil {
 		panic(err)
--- a/config/push.go
+++ b/config/push.go
@@ -33,7 +33,7 @@
 	update := st.updateSince(s.pushed)
 	s.pushed = st.AsOf()
 	s.counters.Pushes++
-	m := Message{AsOf: st.AsOf(), Sum: st.Sum(), AgeMillis: s.ageForMessage(), Update: update}
+	m := Message{AsOf: st.AsOf(), Sum: st.RecordSum(), AgeMillis: s.ageForMessage(), Update: update}
 	s.sendToChildren(a, m, Push{Source: s.ring.self, Until: s.ring.self})
 }
 
--- a/config/repair.go
+++ b/config/repair.go
@@ -5,7 +5,7 @@
 // offer returns a message that announces this node's state.
 func (s *Distributor) offer() Message {
 	st := s.State()
-	return Message{AsOf: st.AsOf(), Sum: st.Sum(), AgeMillis: s.ageForMessage()}
+	return Message{AsOf: st.AsOf(), Sum: st.RecordSum(), AgeMillis: s.ageForMessage()}
 }
 
 // repairIfDue offers the own state to a random peer. A node without a state
@@ -33,8 +33,8 @@
 		s.pullFrom(a, from, m.AsOf)
 	case m.AsOf < st.AsOf():
 		s.counters.Served++
-		s.send(a, from, Message{AsOf: st.AsOf(), Sum: st.Sum(), AgeMillis: s.ageForMessage(), Update: st.updateSince(m.AsOf)})
-	case m.Sum != st.Sum() && m.Sum != 0 && st != nil:
+		s.send(a, from, Message{AsOf: st.AsOf(), Sum: st.RecordSum(), AgeMillis: s.ageForMessage(), Update: st.updateSince(m.AsOf)})
+	case m.Sum != st.RecordSum() && m.Sum != 0 && st != nil:
 		s.counters.Diverged++
 	default:
 		s.mergeAge(m.AgeMillis)
--- a/config/state.go
+++ b/config/state.go
@@ -54,7 +54,8 @@
 	deletions  []Deletion // sorted by version, of the last retainedRecords records
 	verdicts   []Verdict  // sorted by version, of the last retainedRecords records
 	graph      *graph.Graph
-	sum        uint64
+	sum        uint64 // checksum of the configuration in force
+	recordSum  uint64 // checksum of all fields but graph
 }
 
 // AsOf returns the offset before which all records are applied. Of two states
@@ -117,7 +118,8 @@
 	return Verdict{}, false
 }
 
-// Sum returns a checksum of the state. Equal states have equal sums.
+// Sum returns a checksum of the configuration in force. States of one version have equal
+// sums, also if one of them includes later records that changed nothing.
 func (s *State) Sum() uint64 {
 	if s == nil {
 		return 0
@@ -125,6 +127,15 @@
 	return s.sum
 }
 
+// RecordSum returns a checksum of the whole state. States with the same as-of offset have
+// equal sums; nodes compare them to detect a divergence.
+func (s *State) RecordSum() uint64 {
+	if s == nil {
+		return 0
+	}
+	return s.recordSum
+}
+
 func findSection(sections []Section, service string) (int, bool) {
 	return slices.BinarySearchFunc(sections, service, func(s Section, name string) int {
 		return strings.Compare(s.Service, name)
@@ -188,31 +199,45 @@
 	s.deletions = s.deletions[i:]
 }
 
-// setSum sets the checksum. It excludes the causes, whose wording may differ
-// between two releases that otherwise agree.
-func (s *State) setSum() {
-	d := digest{Digest: xxhash.New()}
-	d.writeNumbers(s.asOf, s.version, s.floor, s.checkpoint, uint64(len(s.sections)))
-	for _, sec := range s.sections {
+// setSums sets the checksums. They exclude the causes, whose wording may differ between two
+// releases that otherwise agree.
+func (s *State) setSums() {
+	inForce := newDigest()
+	inForce.writeNumbers(s.version)
+	inForce.writeSections(s.sections)
+	s.sum = inForce.Sum64()
+	whole := newDigest()
+	whole.writeNumbers(s.asOf, s.version, s.floor, s.checkpoint, uint64(len(s.sections)))
+	whole.writeSections(s.sections)
+	whole.writeHistory(s.deletions, s.verdicts)
+	s.recordSum = whole.Sum64()
+}
+
+type digest struct{ *xxhash.Digest }
+
+func newDigest() digest { return digest{Digest: xxhash.New()} }
+
+func (d digest) writeSections(sections []Section) {
+	for _, sec := range sections {
 		d.writeStrings(sec.Service, sec.Text, sec.PublicationID, sec.Operator)
 		d.writeNumbers(sec.Version)
 	}
-	for _, del := range s.deletions {
+}
+
+func (d digest) writeHistory(deletions []Deletion, verdicts []Verdict) {
+	for _, del := range deletions {
 		d.writeStrings(del.Service)
 		d.writeNumbers(del.Version)
 	}
-	for _, v := range s.verdicts {
+	for _, v := range verdicts {
 		d.writeStrings(v.ID)
 		d.writeNumbers(v.Version, uint64(len(v.ID)))
 		if v.Accepted {
 			d.writeNumbers(1)
 		}
 	}
-	s.sum = d.Sum64()
 }
 
-type digest struct{ *xxhash.Digest }
-
 func (d digest) writeNumbers(ns ...uint64) {
 	var b [8]byte
 	for _, n := range ns {
--- a/config/update.go
+++ b/config/update.go
@@ -20,15 +20,16 @@
 // contains all sections that changed since From. If From is zero, it is a
 // whole state.
 type Update struct {
-	From       uint64     `cbor:"1,keyasint,omitempty"`
-	To         uint64     `cbor:"2,keyasint"`
-	Version    uint64     `cbor:"3,keyasint,omitempty"`
-	Floor      uint64     `cbor:"4,keyasint,omitempty"`
-	Checkpoint uint64     `cbor:"5,keyasint,omitempty"`
-	Sum        uint64     `cbor:"6,keyasint"`
-	Sections   []Section  `cbor:"7,keyasint,omitempty"`
-	Deletions  []Deletion `cbor:"8,keyasint,omitempty"`
-	Verdicts   []Verdict  `cbor:"9,keyasint,omitempty"`
+	From       uint64 `cbor:"1,keyasint,omitempty"`
+	To         uint64 `cbor:"2,keyasint"`
+	Version    uint64 `cbor:"3,keyasint,omitempty"`
+	Floor      uint64 `cbor:"4,keyasint,omitempty"`
+	Checkpoint uint64 `cbor:"5,keyasint,omitempty"`
+	// Sum is the RecordSum of the state.
+	Sum       uint64     `cbor:"6,keyasint"`
+	Sections  []Section  `cbor:"7,keyasint,omitempty"`
+	Deletions []Deletion `cbor:"8,keyasint,omitempty"`
+	Verdicts  []Verdict  `cbor:"9,keyasint,omitempty"`
 }
 
 // updateSince returns the update from an offset to the state. It returns the
@@ -43,7 +44,7 @@
 		Version:    s.version,
 		Floor:      s.floor,
 		Checkpoint: s.checkpoint,
-		Sum:        s.sum,
+		Sum:        s.recordSum,
 	}
 	for _, sec := range s.sections {
 		if sec.Version > from {
@@ -81,8 +82,8 @@
 	next.deletions = mergeDeletions(old.deletions, u)
 	next.verdicts = mergeVerdicts(old.verdicts, u)
 	next.trimHistory()
-	next.setSum()
-	if next.sum != u.Sum {
+	next.setSums()
+	if next.recordSum != u.Sum {
 		return s, fmt.Errorf("%w: from %d to %d", errDiverged, u.From, u.To)
 	}
 	if err := f.setGraph(next, old); err != nil {
--- a/internal/prove/config_test.go
+++ b/internal/prove/config_test.go
@@ -63,17 +63,34 @@
 	is := is.New(t)
 	state, err := config.ReadState(t.Context(), applog.NewHTTP(f.LogURL, nil))
 	is.NoErr(err)
+	for _, i := range f.Instances {
+		var s struct {
+			Config config.Dump `json:"config"`
+		}
+		is.NoErr(i.Get(t.Context(), "/state", &s))
+		if s.Config.Version != state.Version() || s.Config.Sum != state.Sum() {
+			t.Errorf("%s has version %d, sum %x; the log has %d, %x",
+				i.Name, s.Config.Version, s.Config.Sum, state.Version(), state.Sum())
+		}
+	}
+	checkSameRecords(t, f)
+	return state
+}
+
+// checkSameRecords fails unless each node, once it has read as far as a reader of the log,
+// has the same state as that reader.
+func checkSameRecords(t *testing.T, f *Fleet) {
+	t.Helper()
+	state, err := config.ReadState(t.Context(), applog.NewHTTP(f.LogURL, nil))
+	is.New(t).NoErr(err)
 	for _, i := range f.Instances {
 		var d config.Dump
-		// Sums are those of one offset. A node may have the version in force and not yet
-		// the record of the publication that lost; a checkpoint may follow it.
 		state, d = awaitSameOffset(t, f, i, state)
-		if d.AsOf != state.AsOf() || d.Version != state.Version() || d.Sum != state.Sum() {
-			t.Errorf("%s has version %d as of %d, sum %x; the log has %d as of %d, %x",
-				i.Name, d.Version, d.AsOf, d.Sum, state.Version(), state.AsOf(), state.Sum())
+		if d.AsOf != state.AsOf() || d.Version != state.Version() || d.RecordSum != state.RecordSum() {
+			t.Errorf("%s has version %d as of %d, sum of records %x; the log has %d as of %d, %x",
+				i.Name, d.Version, d.AsOf, d.RecordSum, state.Version(), state.AsOf(), state.RecordSum())
 		}
 	}
-	return state
 }
 
 // awaitSameOffset waits, for versionTimeout at most, until a node has read the log to the
