serve: a draining node binds no key, and serves those that it had bound

Cause: a draining node that gets a request with an unknown caller-made key claims the key in the log first and refuses the request then. The caller's node moves on, finds the key bound to the node that refused it, and that node has ended. The same for keys whose claim is under way and for tasks that wait when the drain begins.

Change: a node that drains, or has no backend server, looks a key up and binds no new one. A task whose key was being bound, or that waited, when the drain began may start for 1.5 s more, which with the grace before it stays within the 3 s in which a leaving backend server may get work.

--- a/once/binder.go
+++ b/once/binder.go
@@ -127,19 +127,15 @@
 // Bind returns where a caller-made key may run. If the result is Pending, the
 // caller keeps the request until Page or Tick returns a Resolution for the key.
 func (b *Binder) Bind(now time.Time, key string) Resolution {
-	age := b.clock.ageAt(now)
-	b.claims.removeEnded(age)
-	d := digestOf(key)
-	if r, ok := b.lookup(age, key, d); ok {
+	if r, ok := b.Lookup(now, key); ok {
 		return r
 	}
-	if _, ok := b.pending[d]; ok {
-		return Resolution{Key: key, State: Pending}
-	}
+	age := b.clock.ageAt(now)
 	if err := b.refusal(age, key); err != nil {
 		b.counts.Refused++
 		return Resolution{Key: key, State: Refused, Err: err}
 	}
+	d := digestOf(key)
 	p := &pendingKey{text: key, key: d, deadline: age + b.cfg.PendingFor}
 	b.pending[d] = p
 	b.byDeadline = append(b.byDeadline, p)
@@ -147,6 +143,19 @@
 	return Resolution{Key: key, State: Pending}
 }
 
+// Lookup is Bind for a caller that binds no new key. It returns false if the key is not known
+// to be bound or about to be.
+func (b *Binder) Lookup(now time.Time, key string) (Resolution, bool) {
+	age := b.clock.ageAt(now)
+	b.claims.removeEnded(age)
+	d := digestOf(key)
+	if r, ok := b.lookup(age, key, d); ok {
+		return r, true
+	}
+	_, pending := b.pending[d]
+	return Resolution{Key: key, State: Pending}, pending
+}
+
 // Tick refuses the keys that have waited for their binding for PendingFor.
 func (b *Binder) Tick(now time.Time) []Resolution {
 	return b.expire(b.clock.ageAt(now))
--- a/serve/key.go
+++ b/serve/key.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if !info.Minted {
-		s.applyResolution(now, t, s.binder.Bind(now, key), e)
+		s.applyResolution(now, t, s.resolveKey(now, key), e)
 		return
 	}
 	if info.Holder != s.cfg.Self {
@@ -57,12 +57,29 @@
 	s.beginKeyed(now, t, e)
 }
 
+// resolveKey returns where a caller-made key may run. A node that takes no new work binds no
+// new key: no other node could run it, also after this one has ended.
+func (s *Server) resolveKey(now time.Time, key string) once.Resolution {
+	if s.ready && !s.draining {
+		return s.binder.Bind(now, key)
+	}
+	if r, known := s.binder.Lookup(now, key); known {
+		return r
+	}
+	err := s.notReadyRefusal()
+	if s.draining {
+		err = s.drainingRefusal()
+	}
+	return once.Resolution{Key: key, State: once.Refused, Err: err}
+}
+
 // applyResolution handles a task according to the binding of its caller-made key.
 func (s *Server) applyResolution(now time.Time, t *Task, r once.Resolution, e *Effects) {
 	switch r.State {
 	case once.Pending:
 		s.parkPending(t, e)
 	case once.BoundHere:
+		t.boundHere = true
 		t.heldUntil = now.Add(r.SafeFor)
 		// When the binding ends, the key may be bound to another node, which
 		// would run the action again. The task must not start after that.
--- a/serve/server.go
+++ b/serve/server.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -51,6 +53,7 @@
 	ready       bool // the backend server accepts requests
 	crashed     bool // it crashed and has not announced itself since
 	draining    bool
+	drainedAt   time.Time // when the drain began
 	counts      Counts
 }
 
@@ -107,14 +110,27 @@
 }
 
 // Drain refuses all further attempts and those that wait, so that another node
-// serves them at once. Running tasks continue.
+// serves them at once. Running tasks continue. Tasks that wait with a caller-made key
+// may start for another boundKeyGrace, since no other node may run them.
 func (s *Server) Drain(now time.Time) Effects {
 	var e Effects
-	s.draining = true
+	if !s.draining {
+		s.draining, s.drainedAt = true, now
+	}
 	s.refuseWaiting(now, verdict.Draining, &e)
 	return e
 }
 
+// boundKeyGrace is how long tasks with caller-made keys may start after a drain began. With
+// the grace that precedes the drain it stays within the 3 s in which a leaving backend
+// server may receive new requests.
+const boundKeyGrace = 1500 * time.Millisecond
+
+// mayStartDraining reports whether a task may start although the node drains.
+func (s *Server) mayStartDraining(now time.Time, t *Task) bool {
+	return t.boundHere && !t.arrived.After(s.drainedAt) && now.Sub(s.drainedAt) < boundKeyGrace
+}
+
 // TaskCount returns the number of tasks that wait or run, plus the number of keys
 // whose requests wait for a binding.
 func (s *Server) TaskCount() int { return len(s.tasks) + len(s.parked) }
@@ -246,10 +262,10 @@
 
 func (s *Server) checkAdmission(now time.Time, t *Task) *verdict.Error {
 	switch {
-	case s.draining:
-		return verdict.Refuse(verdict.Draining, "backend server is leaving").WithRetryAfter(s.cfg.RefuseRetryAfter)
+	case s.draining && !s.mayStartDraining(now, t):
+		return s.drainingRefusal()
 	case !s.ready:
-		return verdict.Refuse(verdict.NoBackend, "backend server has not announced itself").WithRetryAfter(s.cfg.RefuseRetryAfter)
+		return s.notReadyRefusal()
 	case s.cfg.Policy != PolicyFull:
 		return nil
 	case s.guard.Check(now, t.Request.Fingerprint) == poison.Refuse:
@@ -265,6 +281,14 @@
 	return nil
 }
 
+func (s *Server) drainingRefusal() *verdict.Error {
+	return verdict.Refuse(verdict.Draining, "backend server is leaving").WithRetryAfter(s.cfg.RefuseRetryAfter)
+}
+
+func (s *Server) notReadyRefusal() *verdict.Error {
+	return verdict.Refuse(verdict.NoBackend, "backend server has not announced itself").WithRetryAfter(s.cfg.RefuseRetryAfter)
+}
+
 func (s *Server) shedError(now time.Time) *verdict.Error {
 	if _, limited := s.rate.Limit(); limited {
 		return s.rateRefusal(now)
@@ -320,6 +344,9 @@
 		}
 	}
 	s.expire(now, &e)
+	if s.draining {
+		s.refuseWaiting(now, verdict.Draining, &e)
+	}
 	s.tickKeys(now, &e)
 	s.startQueued(now, &e)
 	return e
@@ -337,15 +364,32 @@
 	}
 }
 
+// waitingTasks returns the tasks in the queue, oldest first.
+func (s *Server) waitingTasks() []*Task {
+	var waiting []*Task
+	for id, t := range s.tasks {
+		if _, running := s.running[id]; !running && t != s.isolated {
+			waiting = append(waiting, t)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *Task) int { return cmp.Compare(a.ID, b.ID) })
+	return waiting
+}
+
+// refuseWaiting refuses the tasks that wait, except for those that a draining node may still
+// start.
 func (s *Server) refuseWaiting(now time.Time, reason verdict.Reason, e *Effects) {
 	s.expire(now, e)
-	for {
-		item, ok := s.queue.Pop(now)
-		if !ok {
-			break
+	for _, t := range s.waitingTasks() {
+		if reason == verdict.Draining && s.mayStartDraining(now, t) {
+			continue
 		}
+		s.queue.Remove(t.ID)
 		err := verdict.Refuse(reason, "refused while waiting").WithRetryAfter(s.cfg.RefuseRetryAfter)
-		s.finishUnstarted(item.Value, err, e)
+		s.finishUnstarted(t, err, e)
+	}
+	if s.isolated != nil && reason == verdict.Draining && s.mayStartDraining(now, s.isolated) {
+		return
 	}
 	s.refuseIsolated(reason, e)
 }
--- a/serve/task.go
+++ b/serve/task.go
@@ -44,6 +44,9 @@
 	arrived, started time.Time
 	// heldUntil is the time until which a resend with the same key is safe.
 	heldUntil time.Time
+	// boundHere is set if its caller-made key is bound to this node, so that no other
+	// one may run the task.
+	boundHere bool
 	// mustIsolate is set if nothing else may run at the same time.
 	mustIsolate bool
 	// inFlight is the number of tasks that ran when this one began.
