internal/rig: the error about a process that does not stop names the longest stall of the machine

The state of the kernel alone does not tell a process that hangs from a machine that stood still.

Change: Stop watches for stalls.

--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -75,8 +75,10 @@
 
 // Stop sends SIGTERM and waits for the end of the process. A process that still runs
 // after the limit writes its goroutines to its log and is killed, and Stop returns an
-// error with its kernel state.
+// error with its kernel state and the longest stall of the machine meanwhile.
 func (p *Process) Stop(limit time.Duration) error {
+	stalls := WatchStalls()
+	defer stalls.Stop()
 	if err := p.Signal(syscall.SIGTERM); err != nil {
 		return err
 	}
@@ -86,7 +88,9 @@
 	case <-p.done:
 		return nil
 	case <-timer.C:
-		err := fmt.Errorf("%s did not stop within %v: %s", p.Name, limit, p.kernelState())
+		state := p.kernelState()
+		time.Sleep(2 * stallInterval) // a stall that ends now is measured by then
+		err := fmt.Errorf("%s did not stop within %v: %s, longest stall of this machine %v", p.Name, limit, state, stalls.Longest())
 		return errors.Join(err, p.dumpGoroutines(), p.Kill())
 	}
 }
