transport, node: an ending node says that it runs no call that it has not answered

What callers saw: 'may have run', 'connection to ... ended before the answer' (502), for a request that was on its way to a node at the end of its planned stop and never ran.

Cause: the request reaches the ending node's connection after the node has found that nothing is in flight, here because a stalled link delivers it late. The node ends without reading it. All that the caller's node sees is a connection that ends.

Ruled out: a run that was cut off (the node's stop waits for those).

Change: a node that drains, has no task and has queued all replies sends Closing on each connection, behind its replies, and waits up to 250 ms until that is written. A peer that got it takes its calls without a reply there for never arrived, so that they move to another node. After a kill, or a stop that had to give up running requests, it is not sent. Older releases ignore it.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -35,8 +35,8 @@
 // Link is a connection to one incarnation.
 type Link interface {
 	// Call queues an attempt. An error means that the request will never be sent.
-	// After Done is closed, written reports whether it may have been sent.
-	Call(req call.Request) (written func() bool, err error)
+	// After Done is closed, mayHaveArrived reports whether the remote node may run it.
+	Call(req call.Request) (mayHaveArrived func() bool, err error)
 	// Cancel tells the remote node that the caller no longer waits for the attempt.
 	Cancel(c call.Cancel)
 	// MarkAnswered tells the link that the attempt has been answered.
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -34,12 +34,12 @@
 	req := d.newRequest(p, to.id, grant.Extra)
 	w := d.addPending(req.Seq, to.id)
 	defer d.removePending(req.Seq)
-	written, err := link.Call(req)
+	mayHaveArrived, err := link.Call(req)
 	if err != nil {
 		d.returnGrant(p, grant, grant.Extra)
 		return errorReply(notSent(ctx, to, err))
 	}
-	reply, settled := d.awaitReply(ctx, link, w, req, written, to)
+	reply, settled := d.awaitReply(ctx, link, w, req, mayHaveArrived, to)
 	if settled {
 		d.returnGrant(p, grant, reply.UnusedGrant)
 	} else {
@@ -62,7 +62,7 @@
 
 // awaitReply waits for the answer, the end of the connection, or the end of ctx. settled
 // says that the unused part of the grant is known.
-func (d *Dispatcher) awaitReply(ctx context.Context, link Link, w *pendingAttempt, req call.Request, written func() bool, to target) (r call.Reply, settled bool) {
+func (d *Dispatcher) awaitReply(ctx context.Context, link Link, w *pendingAttempt, req call.Request, mayHaveArrived func() bool, to target) (r call.Reply, settled bool) {
 	select {
 	case r := <-w.reply:
 		link.MarkAnswered()
@@ -79,7 +79,7 @@
 	default:
 	}
 	d.count(func(c *Counts) { c.ConnectionLost++ })
-	if !written() {
+	if !mayHaveArrived() {
 		r := errorReply(notSent(ctx, to, errConnectionEnded))
 		r.UnusedGrant = req.Grant
 		return r, true
--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -11,6 +11,7 @@
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/internal/testnode"
 	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/transport"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -84,3 +85,31 @@
 	is.Equal(after.Key, "")
 	is.Equal(after.Reason, verdict.Draining)
 }
+
+// Guards against "may have run" for calls on their way to a node that ends: after a planned
+// stop it announces that it runs none of them, and otherwise it does not.
+func TestOnlyAPlannedStopAnnouncesClosing(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		t.Run(fmt.Sprint(planned), func(t *testing.T) {
+			is := is.New(t)
+			c := startCluster(t, nil)
+			running := make(chan struct{})
+			ending := c.Add("fieldlog", func(ctx context.Context, w *testnode.Work) testnode.Answer {
+				close(running)
+				<-ctx.Done()
+				return testnode.OK(w.Body)
+			})
+			c.AwaitReady()
+			peer := ending.Dial(t, wire.NewNodeID())
+			if planned {
+				is.NoErr(ending.Stop(t.Context()))
+			} else {
+				is.NoErr(peer.Send(wire.KindCall, request(peer, ending, 1, "runs")))
+				<-running
+				ending.Kill()
+			}
+			err := peer.NextOf(wire.KindClosing, &transport.Closing{})
+			is.Equal(err == nil, planned)
+		})
+	}
+}
--- a/node/links.go
+++ b/node/links.go
@@ -64,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return d.Written, nil
+	return d.MayHaveArrived, nil
 }
 
 func (l *peerLink) Cancel(c call.Cancel) {
--- a/node/server.go
+++ b/node/server.go
@@ -220,6 +220,13 @@
 	return s.serve.Exhausted()
 }
 
+// draining reports whether the callee runs no call that arrives from now on.
+func (s *server) draining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.Draining()
+}
+
 // tasks returns the number of calls that wait or run.
 func (s *server) tasks() int {
 	s.mu.Lock()
--- a/node/stop.go
+++ b/node/stop.go
@@ -101,7 +101,7 @@
 func (n *Node) InFlight() InFlight {
 	return InFlight{
 		CallerRequests: int(n.callerRequests.Load()),
-		Tasks:          n.server.tasks(),
+		Tasks:          n.server.tasks(), // before Replying, see answeredAllCalls
 		Replying:       int(n.replying.Load()),
 		Unflushed:      !n.peers.Flushed(),
 	}
@@ -113,12 +113,34 @@
 	return n.InFlight() == InFlight{}
 }
 
-// leave notifies the connected peers that this process ends.
+// answeredAllCalls reports whether the replies to all calls are at least queued, and no call
+// that arrives from now on will run.
+func (n *Node) answeredAllCalls() bool {
+	if !n.server.draining() {
+		return false
+	}
+	// A task is counted as replying before it is no longer counted as a task.
+	f := n.InFlight()
+	return f.Tasks == 0 && f.Replying == 0
+}
+
+// flushTimeout limits how long an ending process waits until its last messages are written.
+const flushTimeout = 250 * time.Millisecond
+
+// leave notifies the connected peers that this process ends. After a planned stop it also
+// announces that calls without an answer do not run, so that their callers may repeat them:
+// they may still be on their way here.
 func (n *Node) leave() {
 	now := time.Now()
 	connected := n.peers.Connected()
 	n.sendMembership(n.members.collect(func(m *membership.Members) []membership.Send {
 		return m.Leave(now, connected...)
 	}))
-	time.Sleep(waitPoll) // lets the connections write the messages
+	if n.answeredAllCalls() {
+		n.peers.AnnounceClosing()
+	}
+	time.Sleep(waitPoll)
+	for end := now.Add(flushTimeout); !n.peers.Flushed() && time.Now().Before(end); {
+		time.Sleep(waitPoll)
+	}
 }
--- a/serve/server.go
+++ b/serve/server.go
@@ -121,6 +121,9 @@
 	return e
 }
 
+// Draining reports whether Drain was called: no call that arrives from now on will run.
+func (s *Server) Draining() bool { return s.draining }
+
 // boundKeyGrace is how long tasks with caller-made keys may start after a drain began. With
 // the grace that precedes the drain it stays within the 3 s in which a leaving backend
 // server may receive new requests.
--- a/transport/config.go
+++ b/transport/config.go
@@ -4,7 +4,8 @@
 //
 // It guarantees three things. A message reaches the intended incarnation or
 // none, because both ends identify themselves before anything else. A message
-// that was never written to the network is known as such (Delivery.Written).
+// that was never written to the network, or arrived at a node that had announced to
+// close the connection, is known as such (Delivery.MayHaveArrived).
 // Memory is bounded whatever a peer does, because message sizes, queue lengths
 // and waiting times are limited.
 package transport
@@ -39,6 +40,10 @@
 // unknown kind.
 type Opened struct{}
 
+// Closing is the last message of a node that has answered all calls and runs no
+// further one. Earlier releases ignore it as a message of unknown kind.
+type Closing struct{}
+
 // Config holds the settings of a Transport.
 type Config struct {
 	// Cluster is the name of the installation. Peers of another cluster are
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -40,6 +40,8 @@
 	unackedCalls unackedCalls
 	// probing is set while a ping of this connection is under way.
 	probing atomic.Bool
+	// peerClosing is set once the peer has sent Closing.
+	peerClosing atomic.Bool
 	// writeTimer closes the connection when a write takes too long. One timer
 	// serves all writes because a context for each would cost more than the
 	// write.
@@ -115,7 +117,7 @@
 	if len(data) > wire.MaxMessageBytes {
 		return nil, fmt.Errorf("message of %d bytes: at most %d", len(data), wire.MaxMessageBytes)
 	}
-	d := &Delivery{}
+	d := &Delivery{conn: c}
 	if err := c.out.put(queuedMessage{data: data, delivery: d}); err != nil {
 		return nil, err
 	}
--- a/transport/outbox.go
+++ b/transport/outbox.go
@@ -9,6 +9,7 @@
 // Delivery tracks whether one message may have been written to the network.
 type Delivery struct {
 	written atomic.Bool
+	conn    *Conn
 }
 
 // Written reports whether the message may have reached the peer. It becomes
@@ -17,6 +18,10 @@
 // does not prove that the message arrived.
 func (d *Delivery) Written() bool { return d.written.Load() }
 
+// MayHaveArrived reports whether the peer may act on the message, a call, without an
+// answer to it. After Conn.Done is closed, false is final.
+func (d *Delivery) MayHaveArrived() bool { return d.Written() && !d.conn.peerClosing.Load() }
+
 type queuedMessage struct {
 	data     []byte
 	delivery *Delivery
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -95,6 +95,17 @@
 	t.wg.Wait()
 }
 
+// AnnounceClosing tells all peers that every call of theirs that has no answer yet does not
+// run. The caller must be sure of it, also for calls that arrive later.
+func (t *Transport) AnnounceClosing() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.byNumber {
+		// Without the message the peer takes unanswered calls for "may have run".
+		_, _ = c.Send(wire.KindClosing, Closing{})
+	}
+}
+
 // Connect returns a connection to the incarnation id and dials addr if there is
 // none. A zero id accepts whichever incarnation answers. Connect sends no
 // message; if the node at addr is another incarnation the error is ErrOtherIncarnation.
@@ -334,7 +345,12 @@
 			active = true
 			t.activate(c)
 		}
-		if f.Kind != wire.KindOpened {
+		switch f.Kind {
+		case wire.KindOpened:
+		case wire.KindClosing:
+			c.peerClosing.Store(true)
+			t.deactivate(c)
+		default:
 			t.handler.Handle(c, f)
 		}
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -311,3 +311,42 @@
 		}
 	}
 }
+
+// Guards against "may have run" for a call that reaches a node which ends and doesn't handle it
+// any more.
+func TestCallAfterClosingHasNotArrived(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+	c, err := a.Connect(context.Background(), b.id, b.addr)
+	is.NoErr(err)
+	d, err := c.Send(wire.KindCall, call.Request{Seq: 7})
+	is.NoErr(err)
+	<-b.frames
+	is.True(d.MayHaveArrived()) // no answer yet
+
+	b.AnnounceClosing()
+	for !b.Flushed() {
+		time.Sleep(time.Millisecond)
+	}
+	b.Transport.Close()
+	<-c.Done()
+
+	is.True(d.Written())
+	is.True(!d.MayHaveArrived())
+	_, usable := a.Lookup(b.id)
+	is.True(!usable)
+}
+
+// Guards against "not run" for a call at a node that ended without announcing it.
+func TestCallBeforeAnUnannouncedEndMayHaveArrived(t *testing.T) {
+	is := is.New(t)
+	a, b := startPeer(t, "c"), startPeer(t, "c")
+	c, err := a.Connect(context.Background(), b.id, b.addr)
+	is.NoErr(err)
+	d, err := c.Send(wire.KindCall, call.Request{Seq: 7})
+	is.NoErr(err)
+	<-b.frames
+	b.Transport.Close()
+	<-c.Done()
+	is.True(d.MayHaveArrived())
+}
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -36,6 +36,8 @@
 	KindQuotaAnswer
 	// KindQuotaClaim: claim of a node to own quotas.
 	KindQuotaClaim
+	// KindClosing: the sender runs no call of this connection that it has not answered.
+	KindClosing
 )
 
 // Limits for messages from peers, which keep memory bounded. A peer that
