transport: the accepting end answers the hello, and gives up after the dialling end

What callers would see: 'may have run', lost, for calls that never arrived.

Cause: both ends sent their hello at once, and the accepting end gave up reading the other's after 1 s, the DialTimeout. A dialling end that had got the accepting end's hello took the connection for open, sent calls, and the accepting end, late on a busy machine or behind a link that passes nothing one way, closed it.

Ruled out by the traces: idle closing, a full queue, a late write, a message that can't be decoded.

Change: the accepting end reads the hello and then sends its own, which so tells the dialling end that it was received (one round trip more for each dial). It waits 5 s, longer than the dialling end, so that the one that can dial again gives up first. After AnnounceClosing no connection is accepted.

--- a/transport/config.go
+++ b/transport/config.go
@@ -23,7 +23,8 @@
 // Path is the HTTP path at which a node accepts connections from peers.
 const Path = "/peer"
 
-// Hello is the first message in each direction.
+// Hello is the first message in each direction. The accepting end sends its hello after it
+// received the other, so that it reads all that the dialling end sends from then on.
 type Hello struct {
 	Cluster string      `cbor:"1,keyasint"`
 	Version uint16      `cbor:"2,keyasint"`
@@ -60,6 +61,9 @@
 	// is longer than many round trips between regions and short against the
 	// deadlines of requests.
 	DialTimeout time.Duration
+	// AcceptTimeout bounds the exchange of hellos at the accepting end. It is longer than
+	// DialTimeout, so that the dialling end, which can dial again, gives up first.
+	AcceptTimeout time.Duration
 	// WriteTimeout bounds one write. A connection whose peer reads nothing, for
 	// example because it is frozen, is closed after it, so that messages queued
 	// for that peer fail.
@@ -88,6 +92,7 @@
 func DefaultConfig() Config {
 	return Config{
 		DialTimeout:       time.Second,
+		AcceptTimeout:     5 * time.Second,
 		WriteTimeout:      3 * time.Second,
 		ProbeAfter:        150 * time.Millisecond,
 		ProbeTimeout:      250 * time.Millisecond,
--- a/transport/transport.go
+++ b/transport/transport.go
@@ -50,6 +50,7 @@
 	dials    map[string]*dial
 	inbound  int
 	closed   bool
+	closing  bool // AnnounceClosing was called
 	wg       sync.WaitGroup
 	stop     chan struct{}
 }
@@ -96,10 +97,12 @@
 }
 
 // AnnounceClosing tells all peers that every call of theirs that has no answer yet does not
-// run. The caller must be sure of it, also for calls that arrive later.
+// run. The caller must be sure of it, also for calls that arrive later. No connection is
+// accepted from then on.
 func (t *Transport) AnnounceClosing() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.closing = true
 	for _, c := range t.byNumber {
 		// Without the message the peer takes unanswered calls for "may have run".
 		_, _ = c.Send(wire.KindClosing, Closing{})
@@ -179,7 +182,7 @@
 // ServeHTTP accepts a connection from a peer.
 func (t *Transport) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if !t.admitInbound() {
-		http.Error(w, "too many peers", http.StatusServiceUnavailable)
+		http.Error(w, "no further peer is accepted", http.StatusServiceUnavailable)
 		return
 	}
 	opts := &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled}
@@ -188,7 +191,7 @@
 		t.releaseInbound()
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.DialTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), t.cfg.AcceptTimeout)
 	defer cancel()
 	// After an error open has closed the connection.
 	_, _ = t.open(ctx, ws, openParams{onEnd: t.releaseInbound})
@@ -197,7 +200,7 @@
 func (t *Transport) admitInbound() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.closed || t.inbound >= t.cfg.MaxInbound {
+	if t.closed || t.closing || t.inbound >= t.cfg.MaxInbound {
 		return false
 	}
 	t.inbound++
@@ -230,7 +233,7 @@
 func (t *Transport) open(ctx context.Context, ws *websocket.Conn, o openParams) (*Conn, error) {
 	ws.SetReadLimit(maxHelloBytes)
 	begin := time.Now()
-	peer, err := t.exchangeHellos(ctx, ws)
+	peer, err := t.exchangeHellos(ctx, ws, o.dialed != "")
 	if err != nil {
 		ws.CloseNow()
 		o.onEnd()
@@ -240,7 +243,7 @@
 	c := newConn(&t.cfg, ws, peer)
 	c.dialed = o.dialed
 	// The dialling end sends its hello after it received the answer to its
-	// upgrade request.
+	// upgrade request, and this end reads it before it writes.
 	c.roundTrip = cmp.Or(o.roundTrip, time.Since(begin))
 	if !t.register(c) {
 		c.Close()
@@ -266,16 +269,34 @@
 	return c, nil
 }
 
-func (t *Transport) exchangeHellos(ctx context.Context, ws *websocket.Conn) (Hello, error) {
+func (t *Transport) exchangeHellos(ctx context.Context, ws *websocket.Conn, dialing bool) (Hello, error) {
+	if !dialing {
+		peer, err := t.readHello(ctx, ws)
+		if err != nil {
+			return Hello{}, err
+		}
+		return peer, t.writeHello(ctx, ws)
+	}
+	if err := t.writeHello(ctx, ws); err != nil {
+		return Hello{}, err
+	}
+	return t.readHello(ctx, ws)
+}
+
+func (t *Transport) writeHello(ctx context.Context, ws *websocket.Conn) error {
 	own := Hello{Cluster: t.cfg.Cluster, Version: ProtocolVersion, ID: t.cfg.ID, Addr: t.cfg.Addr, DataCentre: t.cfg.DataCentre}
 	data, err := wire.Encode(wire.KindHello, own)
 	if err != nil {
-		return Hello{}, err
+		return err
 	}
 	if err := ws.Write(ctx, websocket.MessageBinary, data); err != nil {
-		return Hello{}, fmt.Errorf("send hello: %w", err)
+		return fmt.Errorf("send hello: %w", err)
 	}
-	_, data, err = ws.Read(ctx)
+	return nil
+}
+
+func (t *Transport) readHello(ctx context.Context, ws *websocket.Conn) (Hello, error) {
+	_, data, err := ws.Read(ctx)
 	if err != nil {
 		return Hello{}, fmt.Errorf("read hello: %w", err)
 	}
--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -350,3 +350,15 @@
 	<-c.Done()
 	is.True(d.MayHaveArrived())
 }
+
+// Guards against calls that are lost, and may have run, on a connection that the accepting
+// end never opened: its hello tells the dialling end that it has received the other.
+func TestAcceptingEndAnswersTheHello(t *testing.T) {
+	is := is.New(t)
+	p := startPeerWith(t, "c", func(cfg *Config) { cfg.AcceptTimeout = 50 * time.Millisecond })
+	ws, _, err := websocket.Dial(t.Context(), "ws://"+p.addr+Path, nil)
+	is.NoErr(err)
+	defer ws.CloseNow()
+	_, _, err = ws.Read(t.Context())
+	is.True(err != nil) // no hello was sent, and the connection was closed
+}
