dispatch: a call whose key is bound to one node is resent while that node cannot be reached

Change: such an attempt is made again, for half of the request's time if a caller sent it, which leaves the caller the other half to ask another node, and for 0.9 of it if a running request did. It ends at once if the holder has ended: membership says so, its address refuses the connection, or another incarnation answers there (dispatch.ErrEnded). The answer has a Retry-After unless the holder has ended.

Before: TestCallWithABoundKeyOutlastsLostLinks fails (may have run). After: passes.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,12 +10,13 @@
 //     the attempt was sent to.
 //   - Every retry takes one extra attempt from the request's ledger and one from the
 //     node's budget, except as Config.MaxReroutes and Config.MaxReoffers say.
-//   - A call of a running request that could not be sent is resent for most of its time;
-//     these resends take no extra attempts.
+//   - A call of a running request, or of a key that is bound to one node, that could not be
+//     sent is resent for most of its time; these resends take no extra attempts.
 package dispatch
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -50,10 +51,13 @@
 // Linker finds or opens connections.
 type Linker interface {
 	// Link returns a connection to the incarnation id. After an error nothing has been
-	// sent.
+	// sent; ErrEnded says that the incarnation has ended.
 	Link(ctx context.Context, id wire.NodeID) (Link, error)
 }
 
+// ErrEnded is returned by a Linker for an incarnation that has ended.
+var ErrEnded = errors.New("the node has ended")
+
 // Members is the view of the nodes of each service.
 type Members interface {
 	// Candidates returns the nodes that accept calls for a service, and a version
@@ -310,7 +314,7 @@
 	start := time.Now()
 	for {
 		reply := d.attemptHedged(ctx, p, &a, to, &hopAttemptsLeft)
-		next, resend := resender.next(ctx, &a, reply)
+		next, resend := resender.next(ctx, &a, to, reply)
 		if resend {
 			d.noteResend(p, &a, reply)
 			to = next
@@ -326,7 +330,7 @@
 			if !d.members.Known(reply.BoundTo) {
 				return d.keyHolderGone(p, &a, reply)
 			}
-			to = target{id: reply.BoundTo, keyHolder: a.keyed}
+			to = target{id: reply.BoundTo, keyHolder: a.keyed, onlyHolder: a.keyed}
 		case tryAgain:
 			p.repeated = p.repeated || reply.Verdict != verdict.NotRun
 			d.noteRetry(p, &a, reply)
--- a/dispatch/resend.go
+++ b/dispatch/resend.go
@@ -11,13 +11,17 @@
 
 // A call of a running request fails that request, whose work is done, if it is given up.
 // While its node has lost the links to all nodes of a service, such a call is therefore sent
-// again until it leaves this node. An attempt that was never sent adds no load, so these
-// resends take no extra attempts; pauses bound the dials.
+// again until it leaves this node. So is a call that only one node may run, because its key
+// is bound there: given up, it may have run as far as its caller can know. An attempt that
+// was never sent adds no load, so these resends take no extra attempts; pauses bound the dials.
 
 const (
 	// maxResendShare is the share of a call's time that resends may use. The rest is for
 	// the run to answer that its call failed.
 	maxResendShare = 0.9
+	// maxEntryResendShare is the same for a request of a caller. It leaves the caller time
+	// to try another node, which may reach the one that its key is bound to.
+	maxEntryResendShare = 0.5
 	// minResendPause is the pause after no node could be reached; it doubles up to
 	// maxResendPause.
 	minResendPause = 25 * time.Millisecond
@@ -38,9 +42,13 @@
 }
 
 func newResender(d *Dispatcher, p Params) *resender {
+	share := maxResendShare
+	if p.FromCaller {
+		share = maxEntryResendShare
+	}
 	now := time.Now()
-	share := time.Duration(maxResendShare * float64(p.Deadline.Sub(now)))
-	return &resender{d: d, p: p, until: now.Add(share), pause: minResendPause}
+	until := now.Add(time.Duration(share * float64(p.Deadline.Sub(now))))
+	return &resender{d: d, p: p, until: until, pause: minResendPause}
 }
 
 // unsent reports whether r is the result of an attempt that never left this node.
@@ -48,21 +56,48 @@
 	return r.From.IsZero() && r.Verdict == verdict.NotRun && r.Reason == verdict.ConnectionLost
 }
 
-// next returns the node for the next attempt after the reply r, after a pause if all were
-// tried. It returns false if the call must not be resent.
-func (s *resender) next(ctx context.Context, a *attempts, r call.Reply) (target, bool) {
-	if !s.p.ForRun || !unsent(r) {
+// unsentToHolder is unsent for the node that a key is bound to, unless that node has ended.
+func unsentToHolder(r call.Reply) bool {
+	return r.From.IsZero() && r.Reason == verdict.KeyHolderGone && r.RetryAfter > 0
+}
+
+// next returns the node for the next attempt after the reply r to an attempt at last, after a
+// pause if all were tried. It returns false if the call must not be resent.
+func (s *resender) next(ctx context.Context, a *attempts, last target, r call.Reply) (target, bool) {
+	switch {
+	case last.onlyHolder && unsentToHolder(r):
+		return s.nextAtHolder(ctx, last)
+	case s.p.ForRun && unsent(r):
+		return s.nextAtAnyNode(ctx, a)
+	default:
 		return target{}, false
 	}
+}
+
+// nextAtHolder returns last after a pause, unless that node is no longer there.
+func (s *resender) nextAtHolder(ctx context.Context, last target) (target, bool) {
+	return last, s.d.members.Known(last.id) && s.wait(ctx)
+}
+
+func (s *resender) nextAtAnyNode(ctx context.Context, a *attempts) (target, bool) {
 	if to, ok := s.d.pick(s.p, a.tried[s.round:]); ok {
 		return to, true
 	}
 	s.round = len(a.tried)
-	for time.Now().Add(s.pause).Before(s.until) && pause.For(ctx, s.pause) {
-		s.pause = min(2*s.pause, maxResendPause)
+	for s.wait(ctx) {
 		if to, ok := s.d.pick(s.p, nil); ok {
 			return to, true
 		}
 	}
 	return target{}, false
 }
+
+// wait makes the pause before the next round. It returns false if the time for resends, or
+// ctx, ends before.
+func (s *resender) wait(ctx context.Context) bool {
+	if !time.Now().Add(s.pause).Before(s.until) || !pause.For(ctx, s.pause) {
+		return false
+	}
+	s.pause = min(2*s.pause, maxResendPause)
+	return true
+}
--- a/dispatch/resend_test.go
+++ b/dispatch/resend_test.go
@@ -101,6 +101,34 @@
 	})
 }
 
+// Guards against "may have run" for a key whose node can't be reached for a moment. A node that
+// is no longer there is not waited for.
+func TestCallWithABoundKeyOutlastsLostLinks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetworkDownUntil(time.Now().Add(time.Second))
+		p := params(t, "once", 0)
+		p.Deadline = time.Now().Add(3 * time.Second)
+		p.FromCaller, p.Key, p.KeyHolder = true, "minted", n.nodes[1]
+		is.Equal(n.d.Call(t.Context(), p).Verdict, verdict.Ran)
+		is.Equal(n.ranAt, []wire.NodeID{n.nodes[1]})
+
+		start := time.Now()
+		n = newNetworkDownUntil(start.Add(time.Hour))
+		n.d.members = gone{n}
+		p.Deadline = start.Add(3 * time.Second)
+		out := n.d.Call(t.Context(), p)
+		is.Equal(out.Verdict, verdict.MayHaveRun)
+		is.Equal(out.Reason, verdict.KeyHolderGone)
+		is.Equal(time.Since(start), time.Duration(0))
+	})
+}
+
+// gone is a view of a network in which no node is believed to be alive.
+type gone struct{ *network }
+
+func (gone) Known(wire.NodeID) bool { return false }
+
 // changingMembers gives each set of candidates of a network a version of its own.
 type changingMembers struct{ *network }
 
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -49,10 +49,15 @@
 }
 
 // notSent returns the error of an attempt that was never sent. It is "not run", except for
-// a key's holder: the key may have run there before.
+// a key's holder: the key may have run there before. It has a Retry-After unless the holder
+// has ended.
 func notSent(ctx context.Context, to target, err error) *verdict.Error {
 	if to.keyHolder {
-		return verdict.MayHaveRunError(verdict.KeyHolderGone, "the node %s that the key is bound to does not answer: %v", to.id.Short(), err)
+		gone := verdict.MayHaveRunError(verdict.KeyHolderGone, "the node %s that the key is bound to does not answer: %v", to.id.Short(), err)
+		if errors.Is(err, ErrEnded) {
+			return gone
+		}
+		return gone.WithRetryAfter(lostRetryAfter)
 	}
 	if ctx.Err() != nil {
 		return contextError(ctx, verdict.NotRun)
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -32,12 +32,15 @@
 	// keyHolder says that a key is bound to the node. If the node can't be reached,
 	// it is unknown whether the key has run there.
 	keyHolder bool
+	// onlyHolder says that a key is bound to the node before the attempt, so that no
+	// other one may run the call.
+	onlyHolder bool
 }
 
 // firstTarget returns the node for the first attempt; there may be none.
 func (d *Dispatcher) firstTarget(p Params) (target, bool) {
 	if !p.KeyHolder.IsZero() {
-		return target{id: p.KeyHolder, keyHolder: true}, true
+		return target{id: p.KeyHolder, keyHolder: true, onlyHolder: true}, true
 	}
 	return d.pick(p, nil)
 }
@@ -46,7 +49,7 @@
 // may have run stays at the incarnation that remembers its key.
 func (d *Dispatcher) nextTarget(p Params, a *attempts, r call.Reply) (target, bool) {
 	if !p.KeyHolder.IsZero() {
-		return target{id: p.KeyHolder, keyHolder: true}, true
+		return target{id: p.KeyHolder, keyHolder: true, onlyHolder: true}, true
 	}
 	if a.keyed && r.Verdict != verdict.NotRun {
 		return target{id: a.tried[len(a.tried)-1], keyHolder: true}, true
@@ -129,10 +132,11 @@
 	}
 }
 
-// Choose returns a random node of the service for something other than a call, such as
-// minting a key.
-func (d *Dispatcher) Choose(service string) (wire.NodeID, bool) {
+// Choose returns a random node of the service, except for those tried, for something other
+// than a call, such as minting a key.
+func (d *Dispatcher) Choose(service string, tried ...wire.NodeID) (wire.NodeID, bool) {
 	candidates, _ := d.members.Candidates(service)
+	candidates = slices.DeleteFunc(slices.Clone(candidates), func(c balancer.Candidate) bool { return slices.Contains(tried, c.ID) })
 	if len(candidates) == 0 {
 		return wire.NodeID{}, false
 	}
--- a/node/links.go
+++ b/node/links.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
@@ -34,14 +36,18 @@
 	}
 	rec, ok := n.members.lookup(id)
 	if !ok || rec.State.Gone() {
-		return nil, fmt.Errorf("node %s is not a live member", id.Short())
+		return nil, fmt.Errorf("node %s is not a live member: %w", id.Short(), dispatch.ErrEnded)
 	}
 	c, err := n.peers.Connect(ctx, id, rec.PeerAddr)
-	if err != nil {
-		now := time.Now()
-		n.members.with(func(m *membership.Members) { m.PeerUnreachable(now, id) })
+	if err == nil {
+		return c, nil
+	}
+	now := time.Now()
+	n.members.with(func(m *membership.Members) { m.PeerUnreachable(now, id) })
+	if errors.Is(err, transport.ErrOtherIncarnation) || errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, fmt.Errorf("%w: %w", dispatch.ErrEnded, err)
 	}
-	return c, err
+	return nil, err
 }
 
 // peerLink implements dispatch.Link for one attempt on a connection to a peer.
