node: a key is requested from another node if the first one cannot give it

A request for a key has no effect, so it may go to another node.

Change: up to three nodes are asked, each for 0.7 s at most, so a caller waits about 2 s as before.

Before: TestKeyIsRequestedFromAnotherNode fails in both cases, 502 lost and 503 draining. After: passes.

--- a/node/drain_test.go
+++ b/node/drain_test.go
@@ -86,6 +86,29 @@
 	is.Equal(after.Reason, verdict.Draining)
 }
 
+// Guards against a caller that gets no key because the node that was asked for it has just
+// failed, or drains, while others could give one.
+func TestKeyIsRequestedFromAnotherNode(t *testing.T) {
+	for name, end := range map[string]func(i *testnode.Instance){
+		"failed":  func(i *testnode.Instance) { i.Kill() },
+		"drained": func(i *testnode.Instance) { i.Node.Drain() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, func(cfg *node.Config) { cfg.DrainAfter = time.Minute })
+			desk := c.Add("alertdesk", testnode.Echo)
+			ending := c.Add("fieldlog", testnode.Echo)
+			for range 3 {
+				c.Add("fieldlog", testnode.Echo)
+			}
+			c.AwaitReady()
+			end(ending)
+			for range 16 {
+				desk.MintKey(t, "fieldlog", "file") // fails the test without a key
+			}
+		})
+	}
+}
+
 // Guards against "may have run" for calls on their way to a node that ends: after a planned
 // stop it announces that it runs none of them, and otherwise it does not.
 func TestOnlyAPlannedStopAnnouncesClosing(t *testing.T) {
--- a/node/mint.go
+++ b/node/mint.go
@@ -9,8 +9,13 @@
 	"github.com/cassialoom/cassialoom/wire"
 )
 
-// mintTimeout bounds how long a caller waits for an idempotency key.
-const mintTimeout = 2 * time.Second
+const (
+	// mintTimeout bounds how long a node may take to give an idempotency key.
+	mintTimeout = 700 * time.Millisecond
+	// maxMintAttempts is how many nodes are asked for a key, so that a caller waits about
+	// 2 s at most.
+	maxMintAttempts = 3
+)
 
 // mintRequest asks a node of the service for an idempotency key. The key must come from that
 // node, since it names the incarnation that will run the request.
@@ -35,44 +40,55 @@
 	if _, err := n.lookup(service, operation); err != nil {
 		return "", 0, err
 	}
+	err := verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", service)
+	var tried []wire.NodeID
+	for len(tried) < maxMintAttempts {
+		id, ok := n.dispatch.Choose(service, tried...)
+		if !ok {
+			break
+		}
+		tried = append(tried, id)
+		r, failure := n.mintAt(ctx, id, operation)
+		if failure == nil {
+			n.counts.KeysMinted.Add(1)
+			return r.Key, r.Held, nil
+		}
+		err = failure
+	}
+	return "", 0, err.WithRetryAfter(refuseRetryAfter)
+}
+
+// mintAt obtains a key from a node.
+func (n *Node) mintAt(ctx context.Context, id wire.NodeID, operation string) (mintReply, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(ctx, mintTimeout)
 	defer cancel()
-	id, ok := n.dispatch.Choose(service)
-	if !ok {
-		return "", 0, verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", service).WithRetryAfter(refuseRetryAfter)
+	r, err := n.requestKey(ctx, id, operation)
+	if err == nil && r.Key == "" {
+		err = verdict.Refuse(r.Reason, "%s", r.Detail)
 	}
-	r, err := n.mintAt(ctx, id, operation)
-	if err != nil {
-		return "", 0, err
-	}
-	if r.Key == "" {
-		return "", 0, verdict.Refuse(r.Reason, "%s", r.Detail).WithRetryAfter(refuseRetryAfter)
-	}
-	n.counts.KeysMinted.Add(1)
-	return r.Key, r.Held, nil
+	return r, err
 }
 
-// mintAt obtains a key from a node.
-func (n *Node) mintAt(ctx context.Context, id wire.NodeID, operation string) (mintReply, error) {
+func (n *Node) requestKey(ctx context.Context, id wire.NodeID, operation string) (mintReply, *verdict.Error) {
 	if id == n.id {
 		return n.mintHere(mintRequest{Operation: operation}), nil
 	}
 	c, err := n.connect(ctx, id)
 	if err != nil {
-		return mintReply{}, verdict.Refuse(verdict.ConnectionLost, "%v", err).WithRetryAfter(refuseRetryAfter)
+		return mintReply{}, verdict.Refuse(verdict.ConnectionLost, "%v", err)
 	}
 	seq, answer := n.server.addPendingMint(id)
 	defer n.server.removePendingMint(seq)
 	if _, err := c.Send(wire.KindMintKeyRequest, mintRequest{Seq: seq, Operation: operation}); err != nil {
-		return mintReply{}, verdict.Refuse(verdict.ConnectionLost, "%v", err).WithRetryAfter(refuseRetryAfter)
+		return mintReply{}, verdict.Refuse(verdict.ConnectionLost, "%v", err)
 	}
 	select {
 	case r := <-answer:
 		return r, nil
 	case <-c.Done():
-		return mintReply{}, verdict.Refuse(verdict.ConnectionLost, "connection to %s ended", id.Short()).WithRetryAfter(refuseRetryAfter)
+		return mintReply{}, verdict.Refuse(verdict.ConnectionLost, "connection to %s ended", id.Short())
 	case <-ctx.Done():
-		return mintReply{}, verdict.Refuse(verdict.Deadline, "no key from %s in time", id.Short()).WithRetryAfter(refuseRetryAfter)
+		return mintReply{}, verdict.Refuse(verdict.Deadline, "no key from %s in time", id.Short())
 	}
 }
 
