internal/replay: two runs of a scenario are the same

Cause: events of a run fell on the same simulated instant (ticks of all nodes, arrivals after one constant delay, calls of one run, a slot that is handed over), and goroutines that wake at one instant run in the order that the Go scheduler draws, with the random draws of backend servers and nodes.

Change: a schedule gives each event an instant of its own, nanoseconds from the one asked for.

--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -18,8 +18,9 @@
 
 // backend models one backend server. Its methods block in simulated time.
 type backend struct {
-	service *Service
-	speed   float64
+	service  *Service
+	speed    float64
+	schedule *schedule
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -42,8 +43,8 @@
 // noRateLimit is the rateLimit of a backend server that names none.
 const noRateLimit = -1
 
-func newBackend(s *Service, speed float64, seed uint64) *backend {
-	return &backend{service: s, speed: speed, slowFactor: 1, rateLimit: noRateLimit, rng: rand.New(rand.NewPCG(seed, 7))}
+func newBackend(s *Service, speed float64, schedule *schedule, seed uint64) *backend {
+	return &backend{service: s, speed: speed, schedule: schedule, slowFactor: 1, rateLimit: noRateLimit, rng: rand.New(rand.NewPCG(seed, 7))}
 }
 
 // update changes the condition of the backend server.
@@ -75,6 +76,7 @@
 	b.mu.Unlock()
 	select {
 	case <-granted:
+		b.schedule.sleep(context.WithoutCancel(ctx), 0)
 		return true
 	case <-ctx.Done():
 		return b.leaveBacklog(granted)
--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -36,7 +36,8 @@
 // send tries the request at random nodes until it succeeds, may not be retried or reaches
 // its deadline.
 func (r *request) send() {
-	deadline := r.start.Add(r.class.Deadline)
+	schedule := r.simulation.schedule
+	deadline := schedule.deadline(r.start.Add(r.class.Deadline))
 	maxRetries := cmp.Or(r.class.MaxRetries, defaultMaxRetries)
 	for try := 0; ; try++ {
 		id := fmt.Sprint("r", r.simulation.nextID())
@@ -53,7 +54,7 @@
 		if !retry || try == maxRetries {
 			return
 		}
-		time.Sleep(pause)
+		time.Sleep(schedule.delay(pause))
 	}
 }
 
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -10,7 +10,6 @@
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/explain"
 	"github.com/cassialoom/cassialoom/graph"
-	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/reach"
 	"github.com/cassialoom/cassialoom/retry"
@@ -57,7 +56,7 @@
 func newNode(sim *simulation, s *Service, speed float64, centre string, id wire.NodeID) *node {
 	n := &node{
 		simulation: sim, id: id, service: s, centre: centre,
-		backend:    newBackend(s, speed, sim.nextSeed()),
+		backend:    newBackend(s, speed, sim.schedule, sim.nextSeed()),
 		running:    make(map[uint64]*run),
 		entryReach: reach.New(reach.DefaultConfig()),
 		callReach:  reach.New(reach.DefaultConfig()),
@@ -103,13 +102,13 @@
 	if l.from.centre != l.to.centre {
 		l.from.simulation.report.remoteAttempts.Add(1)
 	}
-	time.AfterFunc(l.delay(), func() { l.to.arrive(req) })
+	l.from.simulation.schedule.after(l.delay(), func() { l.to.arrive(req) })
 	return func() bool { return true }, nil
 }
 
 // Cancel implements dispatch.Link.
 func (l link) Cancel(c call.Cancel) {
-	time.AfterFunc(l.delay(), func() {
+	l.from.simulation.schedule.after(l.delay(), func() {
 		l.to.apply(func(now time.Time, s *serve.Server) serve.Effects { return s.Cancel(now, c) })
 	})
 }
@@ -173,7 +172,10 @@
 	if r.task.Deadline.Before(deadline) {
 		deadline = r.task.Deadline
 	}
-	out := n.dispatch.Call(r.ctx, dispatch.Params{
+	deadline = n.simulation.schedule.deadline(deadline)
+	ctx, stop := n.simulation.schedule.followed(r.ctx)
+	defer stop()
+	out := n.dispatch.Call(ctx, dispatch.Params{
 		RequestID: n.simulation.nextID(), Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1,
 		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
@@ -221,14 +223,14 @@
 	var started []*run
 	for _, t := range e.Start {
 		r := &run{task: t, class: n.simulation.classes[t.Request.Operation]}
-		r.ctx, r.stop = context.WithDeadline(context.Background(), t.Deadline)
+		r.ctx, r.stop = context.WithDeadline(context.Background(), n.simulation.schedule.deadline(t.Deadline))
 		n.running[t.ID] = r
 		started = append(started, r)
 	}
 	ownLevel := n.callee.Level(now)
 	n.mu.Unlock()
 	for _, r := range started {
-		go n.run(r)
+		n.simulation.schedule.after(0, func() { n.run(r) })
 	}
 	for _, r := range e.Replies {
 		n.reply(now, r, ownLevel)
@@ -245,7 +247,7 @@
 		r.Notice = call.Notice{Incarnation: n.id.Short(), Limited: true, PerSecond: perSecond}
 	}
 	to := n.simulation.nodes[r.To]
-	time.AfterFunc(link{from: n, to: to}.delay(), func() { to.dispatch.Reply(n.id, r) })
+	n.simulation.schedule.after(link{from: n, to: to}.delay(), func() { to.dispatch.Reply(n.id, r) })
 }
 
 // rateLimit returns the limit that the node's backend server has named, and false for none.
@@ -280,7 +282,7 @@
 		return serve.Result{Verdict: verdict.NotRun, Reason: verdict.Shed, ReachedBackend: true}
 	}
 	acquired := time.Now()
-	ok := pause.For(r.ctx, n.backend.work(r.class)) && n.callAll(r)
+	ok := n.simulation.schedule.sleep(r.ctx, n.backend.work(r.class)) && n.callAll(r)
 	n.backend.releaseSlot()
 	n.simulation.report.addSlotTime(n.service, r.task.Request.RootID(), time.Since(acquired))
 	switch {
@@ -313,7 +315,7 @@
 	}
 	results := make(chan bool, len(r.class.Calls))
 	for _, c := range r.class.Calls {
-		go func() { results <- n.call(r, c) }()
+		n.simulation.schedule.after(0, func() { results <- n.call(r, c) })
 	}
 	ok := true
 	for range r.class.Calls {
--- /dev/null
+++ b/internal/replay/schedule.go
@@ -0,0 +1,78 @@
+package replay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cassialoom/cassialoom/internal/pause"
+)
+
+// schedule gives each event of a run an instant of its own, at nanoseconds from the one that it
+// asks for. Goroutines that wake at the same simulated instant run in an order that the
+// Go scheduler draws, and a run would not repeat.
+type schedule struct {
+	mu    sync.Mutex
+	taken map[int64]struct{} // instants of events to come, in Unix nanoseconds
+}
+
+// maxTaken is the number of instants after which those that have passed are dropped.
+const maxTaken = 1 << 16
+
+func newSchedule() *schedule { return &schedule{taken: make(map[int64]struct{})} }
+
+// delay returns the time until the first free instant that is d from now or later, and takes
+// that instant. It is always positive.
+func (s *schedule) delay(d time.Duration) time.Duration {
+	now := time.Now().UnixNano()
+	at := now + max(1, int64(d))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.taken) >= maxTaken {
+		s.dropPassed(now)
+	}
+	for {
+		if _, taken := s.taken[at]; !taken {
+			break
+		}
+		at++
+	}
+	s.taken[at] = struct{}{}
+	return time.Duration(at - now)
+}
+
+func (s *schedule) dropPassed(now int64) {
+	for at := range s.taken {
+		if at <= now {
+			delete(s.taken, at)
+		}
+	}
+}
+
+// deadline takes an instant for the deadline at.
+func (s *schedule) deadline(at time.Time) time.Time {
+	return time.Now().Add(s.delay(time.Until(at)))
+}
+
+// after calls f after d.
+func (s *schedule) after(d time.Duration, f func()) { time.AfterFunc(s.delay(d), f) }
+
+// sleep waits for d. It returns false if ctx ends first.
+func (s *schedule) sleep(ctx context.Context, d time.Duration) bool {
+	return pause.For(ctx, s.delay(d))
+}
+
+// followed returns a context that ends after parent, at an instant of its own. Several calls of
+// one run would otherwise end at the same instant.
+func (s *schedule) followed(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	own := s.delay(0)
+	stop := context.AfterFunc(parent, func() {
+		time.Sleep(own)
+		cancel()
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -1,6 +1,7 @@
 package replay
 
 import (
+	"context"
 	"math/rand/v2"
 	"strconv"
 	"sync"
@@ -27,6 +28,7 @@
 	classes    map[string]*Class
 	operations map[*Class]*graph.Operation
 	report     *Report
+	schedule   *schedule
 	callers    sync.WaitGroup
 }
 
@@ -39,17 +41,19 @@
 		members:    newMembers(),
 		classes:    make(map[string]*Class),
 		operations: make(map[*Class]*graph.Operation),
+		schedule:   newSchedule(),
 	}
 	sim.report = newReport(&scenario, policy.Name)
 	for _, c := range scenario.Deployment.Classes {
 		sim.register(c)
 	}
 	sim.buildNodes()
-	stop := make(chan struct{})
+	running, stop := context.WithCancel(context.Background())
 	for _, n := range sim.nodeList {
-		go n.tick(stop)
+		sim.schedule.after(0, func() { n.tick(running) })
 		if policy.Dispatch.LevelGossip.Interval > 0 {
-			go n.gossipLevels(stop, rand.New(rand.NewPCG(sim.nextSeed(), 5)))
+			rng := rand.New(rand.NewPCG(sim.nextSeed(), 5))
+			sim.schedule.after(0, func() { n.gossipLevels(running, rng) })
 		}
 	}
 	for i := range scenario.Phases {
@@ -60,7 +64,7 @@
 	// synctest reports goroutines that are blocked at the end of the bubble as a
 	// deadlock.
 	time.Sleep(sim.longestDeadline())
-	close(stop)
+	stop()
 	sim.report.computeRecovery()
 	sim.report.MaxRelativeLoad = sim.maxRelativeLoad()
 	sim.reportRateLimits()
@@ -151,40 +155,27 @@
 // tickInterval is the interval between ticks of a node, as in production.
 const tickInterval = 5 * time.Millisecond
 
-// tick calls Tick of the callee at tickInterval until stop is closed.
-func (n *node) tick(stop <-chan struct{}) {
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-			n.apply(func(now time.Time, s *serve.Server) serve.Effects { return s.Tick(now) })
-		}
+// tick calls Tick of the callee at tickInterval until stop ends.
+func (n *node) tick(stop context.Context) {
+	for n.simulation.schedule.sleep(stop, tickInterval) {
+		n.apply(func(now time.Time, s *serve.Server) serve.Effects { return s.Tick(now) })
 	}
 }
 
 // gossipLevels forwards admission levels to a few random nodes at a fixed interval, as in
 // production.
-func (n *node) gossipLevels(stop <-chan struct{}, rng *rand.Rand) {
+func (n *node) gossipLevels(stop context.Context, rng *rand.Rand) {
+	schedule := n.simulation.schedule
 	interval := n.simulation.policy.Dispatch.LevelGossip.Interval
-	time.Sleep(time.Duration(rng.Int64N(int64(interval))))
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-stop:
-			return
-		case <-ticker.C:
-		}
+	schedule.sleep(stop, time.Duration(rng.Int64N(int64(interval))))
+	for schedule.sleep(stop, interval) {
 		levels := n.dispatch.OutgoingGossip(time.Now())
 		if len(levels) == 0 {
 			continue
 		}
 		for range production.GossipFanOut {
 			to := n.simulation.nodeList[rng.IntN(len(n.simulation.nodeList))]
-			time.AfterFunc(link{from: n, to: to}.delay(), func() { to.dispatch.ReceiveGossip(time.Now(), levels) })
+			schedule.after(link{from: n, to: to}.delay(), func() { to.dispatch.ReceiveGossip(time.Now(), levels) })
 		}
 	}
 }
@@ -197,10 +188,10 @@
 	for {
 		gap := time.Duration(sim.rng.ExpFloat64() / (p.Load * sim.deployment.capacity()) * float64(time.Second))
 		if !time.Now().Add(gap).Before(end) {
-			time.Sleep(time.Until(end))
+			time.Sleep(sim.schedule.delay(time.Until(end)))
 			return
 		}
-		time.Sleep(gap)
+		time.Sleep(sim.schedule.delay(gap))
 		r := &request{simulation: sim, class: sim.pickClass(), phase: i, start: time.Now(), eager: sim.rng.Float64() < sim.scenario.EagerShare, rng: rand.New(rand.NewPCG(sim.nextSeed(), 2))}
 		sim.report.offered(r)
 		sim.callers.Go(r.send)
