once, node: a key that a node never used before its planned stop is answered 'not run'

What callers see: after a planned stop of a node each key that it had given out and nobody had used is answered 'may have run', key-holder-gone, though it ran nowhere.

Cause: which keys an incarnation has used is known to it alone and lost with it.

Change: a node that has answered all calls at the end of a planned stop hands the list of its used minted keys, and the lists that it keeps for others, to three nodes of its service, drawn by the holder's id. A request with a key whose holder is gone is sent to up to four of them; none of them runs it. A key that had not expired by the holder's age at its end and is not in the list has not run; one in the list, an expired one, or one without a list may have run. Lists are kept for the lifetime of a key and bounded (256 lists, 2^20 keys). Only outside of the platform, where keys exist.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -279,13 +279,13 @@
 			return call.OutcomeOf(err)
 		}
 	}
+	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
+	defer cancel()
 	if !p.KeyHolder.IsZero() && !d.members.Known(p.KeyHolder) {
-		err := verdict.MayHaveRunError(verdict.KeyHolderGone, "the node %s that the key names is not there", p.KeyHolder.Short())
+		err := d.askKeepers(ctx, p)
 		d.noteRefused(p, err)
 		return call.OutcomeOf(err)
 	}
-	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
-	defer cancel()
 	out := d.attempt(ctx, p)
 	d.recordOutcome(p, out)
 	return out
--- a/node/keys_test.go
+++ b/node/keys_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/internal/testnode"
+	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -154,3 +156,36 @@
 	})
 	is.Equal(k.runs("d"), 1)
 }
+
+// Guards against "may have run" for a fresh key after a planned stop of the node that minted
+// it: a rolling restart would leave callers that fetch keys ahead without knowledge. The
+// second node that stops kept the list of the first.
+func TestUnusedKeyOfAStoppedNodeHasNotRun(t *testing.T) {
+	is := is.New(t)
+	c := startCluster(t, nil)
+	desk := c.Add("alertdesk", testnode.Echo)
+	first := c.Add("fieldlog", testnode.Echo)
+	c.AwaitReady()
+	used, unused := desk.MintKey(t, "fieldlog", "file"), desk.MintKey(t, "fieldlog", "file")
+	is.Equal(desk.MustSend(t, "fieldlog", "file", "a", headers.IdempotencyKey, used).Verdict(), verdict.Ran)
+	second := c.Add("fieldlog", testnode.Echo)
+	c.AwaitReady()
+	stop := func(i *testnode.Instance) {
+		is.NoErr(i.Stop(t.Context()))
+		testnode.Await(t, "it is known to have left", func() bool {
+			return !slices.ContainsFunc(desk.Node.Members(), func(r membership.Record) bool { return r.ID == i.Node.ID() })
+		})
+	}
+	stop(first)
+	third := c.Add("fieldlog", testnode.Echo)
+	c.AwaitReady()
+	stop(second)
+
+	a := desk.MustSend(t, "fieldlog", "file", "b", headers.IdempotencyKey, unused)
+	is.Equal(a.Verdict(), verdict.NotRun)
+	is.Equal(a.Reason(), verdict.KeyHolderGone)
+	a = desk.MustSend(t, "fieldlog", "file", "a", headers.IdempotencyKey, used)
+	is.Equal(a.Verdict(), verdict.MayHaveRun)
+	is.Equal(a.Reason(), verdict.KeyHolderGone)
+	is.Equal(third.Backend.Runs("a")+third.Backend.Runs("b"), 0)
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -6,6 +6,7 @@
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/quota"
 	"github.com/cassialoom/cassialoom/transport"
@@ -129,6 +130,8 @@
 		return decode(f, func(m quotaAnswer) { n.handleQuotaAnswer(from, m) })
 	case wire.KindQuotaClaim:
 		return decode(f, func(m quota.Claim) { n.handleQuotaClaim(from, m) })
+	case wire.KindUsedKeys:
+		return decode(f, func(m once.UsedKeys) { n.server.keepUsedKeys(time.Now(), m) })
 	default:
 		// A node of a newer release may send kinds that are unknown here.
 		return nil
--- a/node/server.go
+++ b/node/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
@@ -227,6 +228,18 @@
 	return s.serve.Draining()
 }
 
+func (s *server) usedKeys(now time.Time) []once.UsedKeys {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serve.UsedKeys(now)
+}
+
+func (s *server) keepUsedKeys(now time.Time, list once.UsedKeys) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serve.KeepUsedKeys(now, list)
+}
+
 // tasks returns the number of calls that wait or run.
 func (s *server) tasks() int {
 	s.mu.Lock()
--- a/node/stop.go
+++ b/node/stop.go
@@ -7,7 +7,9 @@
 
 	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/membership"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/serve"
+	"github.com/cassialoom/cassialoom/wire"
 )
 
 // ErrStopTimeout is returned when requests were still in flight at the end of
@@ -124,6 +126,35 @@
 	return f.Tasks == 0 && f.Replying == 0
 }
 
+// handOverTimeout limits how long an ending node hands over its lists of used keys.
+const handOverTimeout = 500 * time.Millisecond
+
+// handOverUsedKeys sends the lists of used keys to the nodes that are asked for them once this
+// one has ended. Without a list the keys of its holder may have run.
+func (n *Node) handOverUsedKeys() {
+	ctx, cancel := context.WithTimeout(n.ctx, handOverTimeout)
+	defer cancel()
+	for _, list := range n.server.usedKeys(time.Now()) {
+		for _, id := range n.dispatch.KeyKeepers(n.cfg.Service, list.Holder) {
+			if id == n.id {
+				continue
+			}
+			if err := n.sendUsedKeys(ctx, id, list); err != nil {
+				n.log.Warn().Err(err).Str("to", id.Short()).Str("holder", list.Holder.Short()).Msg("used keys not handed over")
+			}
+		}
+	}
+}
+
+func (n *Node) sendUsedKeys(ctx context.Context, to wire.NodeID, list once.UsedKeys) error {
+	c, err := n.connect(ctx, to)
+	if err != nil {
+		return err
+	}
+	_, err = c.Send(wire.KindUsedKeys, list)
+	return err
+}
+
 // flushTimeout limits how long an ending process waits until its last messages are written.
 const flushTimeout = 250 * time.Millisecond
 
@@ -131,12 +162,16 @@
 // announces that calls without an answer do not run, so that their callers may repeat them:
 // they may still be on their way here.
 func (n *Node) leave() {
+	answeredAll := n.answeredAllCalls()
+	if answeredAll && !n.routing.enabled() {
+		n.handOverUsedKeys()
+	}
 	now := time.Now()
 	connected := n.peers.Connected()
 	n.sendMembership(n.members.collect(func(m *membership.Members) []membership.Send {
 		return m.Leave(now, connected...)
 	}))
-	if n.answeredAllCalls() {
+	if answeredAll {
 		n.peers.AnnounceClosing()
 	}
 	time.Sleep(waitPoll)
--- a/serve/key.go
+++ b/serve/key.go
@@ -47,6 +47,10 @@
 		return
 	}
 	if info.Holder != s.cfg.Self {
+		if err, known := s.ended.Answer(now, key, info); known {
+			s.reply(e, s.refusal(t.Request, err))
+			return
+		}
 		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key names another node"), info.Holder, e)
 		return
 	}
@@ -167,6 +171,19 @@
 	return s.mint.Mint(now, s.cfg.Service, operation), s.cfg.Once.KeyTTL, nil
 }
 
+// UsedKeys returns the lists of used keys to hand over before this node ends: its own, and
+// those that it keeps for other holders. It must not be called while a key may still be used.
+func (s *Server) UsedKeys(now time.Time) []once.UsedKeys {
+	return append(s.ended.Lists(now), s.keys.ListUsed(now, s.cfg.Self))
+}
+
+// KeepUsedKeys keeps a list of used keys for a holder that ends.
+func (s *Server) KeepUsedKeys(now time.Time, list once.UsedKeys) {
+	if list.Holder != s.cfg.Self {
+		s.ended.Add(now, list)
+	}
+}
+
 // NextBindingRecord returns the next record to append to the log of bindings, if there
 // is one. The node must report the outcome by BindingsAppended or BindingsFailed.
 func (s *Server) NextBindingRecord(now time.Time) ([]byte, bool) { return s.binder.NextAppend(now) }
--- a/serve/server.go
+++ b/serve/server.go
@@ -26,6 +26,7 @@
 	mint    *once.Mint
 	keys    *once.Keys[answer, recipient]
 	binder  *once.Binder
+	ended   *once.EndedHolders
 	limit   *limit.Limiter
 	rate    limit.Rate
 	queue   *queue.Queue[*Task]
@@ -66,6 +67,7 @@
 		mint:           once.NewMint(cfg.Once, cfg.Self, secret, start),
 		keys:           once.NewKeys[answer, recipient](cfg.Once, start, answerSize),
 		binder:         once.NewBinder(cfg.Once, cfg.Self, start),
+		ended:          once.NewEndedHolders(cfg.Once),
 		limit:          limit.New(cfg.Limit),
 		queue:          queue.New[*Task](cfg.Queue),
 		gate:           admission.NewGate(cfg.Gate),
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -38,6 +38,8 @@
 	KindQuotaClaim
 	// KindClosing: the sender runs no call of this connection that it has not answered.
 	KindClosing
+	// KindUsedKeys: list of the minted keys that an ending node has used.
+	KindUsedKeys
 )
 
 // Limits for messages from peers, which keep memory bounded. A peer that
