dispatch: the list of an ended node's keys is asked for before membership has noticed its end

Change: a call with a minted key that no node can have received asks the keepers of the list before it concludes; if none knows, its outcome is as before.

--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -29,11 +29,13 @@
 	keyed bool
 	// bound says that only one incarnation may run the call. If it refuses, no other
 	// one is tried.
-	bound      bool
-	worst      verdict.Verdict
-	hasVerdict bool
-	tried      []wire.NodeID
-	redirects  int
+	bound bool
+	// mayHaveArrived says that a node may have received an attempt.
+	mayHaveArrived bool
+	worst          verdict.Verdict
+	hasVerdict     bool
+	tried          []wire.NodeID
+	redirects      int
 	// reroutesLeft is how often the call may still move to another node without
 	// spending an extra attempt.
 	reroutesLeft int
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -282,7 +282,10 @@
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
 	defer cancel()
 	if !p.KeyHolder.IsZero() && !d.members.Known(p.KeyHolder) {
-		err := d.askKeepers(ctx, p)
+		err, known := d.askKeepers(ctx, p)
+		if !known {
+			err = verdict.MayHaveRunError(verdict.KeyHolderGone, "the node %s that the key names is not there", p.KeyHolder.Short())
+		}
 		d.noteRefused(p, err)
 		return call.OutcomeOf(err)
 	}
@@ -314,6 +317,7 @@
 	start := time.Now()
 	for {
 		reply := d.attemptHedged(ctx, p, &a, to, &hopAttemptsLeft)
+		a.mayHaveArrived = a.mayHaveArrived || !neverSent(reply)
 		next, resend := resender.next(ctx, &a, to, reply)
 		if resend {
 			d.noteResend(p, &a, reply)
@@ -322,7 +326,7 @@
 		}
 		switch a.next(reply, func() bool { return d.acquireRetry(ctx, p, &a, reply, &next, &hopAttemptsLeft) }) {
 		case finish:
-			out := a.conclude(reply)
+			out := d.conclude(ctx, p, &a, reply)
 			d.noteOutcome(p, &a, out, start)
 			return out
 		case redirect:
@@ -339,6 +343,18 @@
 	}
 }
 
+// conclude returns the outcome of the call. If its minted key names a node that could not be
+// reached and got none of its attempts, that node may have ended with a list of its used keys.
+func (d *Dispatcher) conclude(ctx context.Context, p Params, a *attempts, r call.Reply) call.Outcome {
+	if p.KeyHolder.IsZero() || a.mayHaveArrived {
+		return a.conclude(r)
+	}
+	if err, known := d.askKeepers(ctx, p); known {
+		return call.OutcomeOf(err)
+	}
+	return a.conclude(r)
+}
+
 // keyHolderGone returns the outcome of a call that was redirected to an incarnation that
 // is not known.
 func (d *Dispatcher) keyHolderGone(p Params, a *attempts, r call.Reply) call.Outcome {
--- a/dispatch/keepers.go
+++ b/dispatch/keepers.go
@@ -36,14 +36,14 @@
 	return ids
 }
 
-// askKeepers returns what became of a minted key whose holder has ended. Nodes other than the
-// holder never run the call.
-func (d *Dispatcher) askKeepers(ctx context.Context, p Params) *verdict.Error {
+// askKeepers returns what became of a minted key whose holder has ended, and false if no node
+// knows. Nodes other than the holder never run the call.
+func (d *Dispatcher) askKeepers(ctx context.Context, p Params) (*verdict.Error, bool) {
 	for _, id := range d.keepers(p.Operation.Service, p.KeyHolder, maxKeepersAsked) {
 		r := d.send(ctx, p, target{id: id})
 		if !r.From.IsZero() && (r.Reason == verdict.KeyHolderGone || r.Reason == verdict.KeyExpired) {
-			return &verdict.Error{Verdict: r.Verdict, Reason: r.Reason, Detail: r.Detail}
+			return &verdict.Error{Verdict: r.Verdict, Reason: r.Reason, Detail: r.Detail}, true
 		}
 	}
-	return verdict.MayHaveRunError(verdict.KeyHolderGone, "the node %s that the key names is not there", p.KeyHolder.Short())
+	return nil, false
 }
--- a/dispatch/resend.go
+++ b/dispatch/transparent.go
@@ -51,21 +51,23 @@
 	return &resender{d: d, p: p, until: until, pause: minResendPause}
 }
 
-// unsent reports whether r is the result of an attempt that never left this node.
+// unsent reports whether r is the result of an attempt that never left this node and was not
+// bound to one node.
 func unsent(r call.Reply) bool {
 	return r.From.IsZero() && r.Verdict == verdict.NotRun && r.Reason == verdict.ConnectionLost
 }
 
-// unsentToHolder is unsent for the node that a key is bound to, unless that node has ended.
-func unsentToHolder(r call.Reply) bool {
-	return r.From.IsZero() && r.Reason == verdict.KeyHolderGone && r.RetryAfter > 0
-}
+// unsentToHolder is unsent for the node that a key is bound to.
+func unsentToHolder(r call.Reply) bool { return r.From.IsZero() && r.Reason == verdict.KeyHolderGone }
+
+// neverSent reports whether r is the result of an attempt that never left this node.
+func neverSent(r call.Reply) bool { return unsent(r) || unsentToHolder(r) }
 
 // next returns the node for the next attempt after the reply r to an attempt at last, after a
 // pause if all were tried. It returns false if the call must not be resent.
 func (s *resender) next(ctx context.Context, a *attempts, last target, r call.Reply) (target, bool) {
 	switch {
-	case last.onlyHolder && unsentToHolder(r):
+	case last.onlyHolder && unsentToHolder(r) && r.RetryAfter > 0: // it has not ended
 		return s.nextAtHolder(ctx, last)
 	case s.p.ForRun && unsent(r):
 		return s.nextAtAnyNode(ctx, a)
