dispatch: a key of a node that has just started is not answered 'may have run'

Cause: a caller fetches a key from a node that has just started and sends the request through another node that has not heard of it yet. A node that is not known was taken for one that is gone.

Ruled out: a holder that had stopped (its list of used keys was never asked for by then).

Change: a request whose key names, or is bound to, a node that is neither known nor known to have ended waits up to 1 s for news of it. A holder is 'ended' for the linker only if membership says so, its address refuses the connection or another incarnation answers there.

Before: TestKeyOfANewNodeWaitsUntilItIsKnown fails (may have run at once).

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -10,8 +10,8 @@
 //     the attempt was sent to.
 //   - Every retry takes one extra attempt from the request's ledger and one from the
 //     node's budget, except as Config.MaxReroutes and Config.MaxReoffers say.
-//   - A call of a running request, or of a key that is bound to one node, that could not be
-//     sent is resent for most of its time; these resends take no extra attempts.
+//   - Transparent retries repeat attempts that never left this node, for most of a call's time.
+//     They take no extra attempts.
 package dispatch
 
 import (
@@ -65,6 +65,9 @@
 	Candidates(service string) ([]balancer.Candidate, uint64)
 	// Known reports whether the incarnation is believed to be alive.
 	Known(id wire.NodeID) bool
+	// Gone reports whether the incarnation is known to have ended. One that has just
+	// started may be neither known nor gone.
+	Gone(id wire.NodeID) bool
 }
 
 // Config configures a Dispatcher.
@@ -151,8 +154,8 @@
 	OverBudget uint64 `json:"over_budget"`
 	Refused    uint64 `json:"refused_by_levels"`
 	Deferred   uint64 `json:"deferred"`
-	// Resends counts the repeats of attempts that were never sent; they are no retries.
-	Resends uint64 `json:"resends"`
+	// TransparentRetries counts the repeats of attempts that were never sent; they are no retries.
+	TransparentRetries uint64 `json:"transparent_retries"`
 	// RateLimited counts attempts refused because of a backend server's rate limit.
 	RateLimited    uint64 `json:"rate_limited"`
 	Unmatched      uint64 `json:"unmatched_replies"`
@@ -281,7 +284,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
 	defer cancel()
-	if !p.KeyHolder.IsZero() && !d.members.Known(p.KeyHolder) {
+	if !p.KeyHolder.IsZero() && !d.awaitKnown(ctx, p.KeyHolder) {
 		err, known := d.askKeepers(ctx, p)
 		if !known {
 			err = verdict.MayHaveRunError(verdict.KeyHolderGone, "the node %s that the key names is not there", p.KeyHolder.Short())
@@ -294,9 +297,9 @@
 	return out
 }
 
-// noteResend records that an attempt that was never sent is followed by another one.
-func (d *Dispatcher) noteResend(p Params, a *attempts, r call.Reply) {
-	d.count(func(c *Counts) { c.Resends++ })
+// noteTransparentRetry records that an attempt that was never sent is followed by another one.
+func (d *Dispatcher) noteTransparentRetry(p Params, a *attempts, r call.Reply) {
+	d.count(func(c *Counts) { c.TransparentRetries++ })
 	d.noteRetry(p, a, r)
 }
 
@@ -313,14 +316,14 @@
 	a.reroutesLeft = d.cfg.MaxReroutes
 	a.reoffersLeft = d.cfg.MaxReoffers
 	hopAttemptsLeft := d.cfg.HopAttempts
-	resender := newResender(d, p)
+	transparentRetries := newTransparentRetries(d, p)
 	start := time.Now()
 	for {
 		reply := d.attemptHedged(ctx, p, &a, to, &hopAttemptsLeft)
 		a.mayHaveArrived = a.mayHaveArrived || !neverSent(reply)
-		next, resend := resender.next(ctx, &a, to, reply)
-		if resend {
-			d.noteResend(p, &a, reply)
+		next, again := transparentRetries.next(ctx, &a, to, reply)
+		if again {
+			d.noteTransparentRetry(p, &a, reply)
 			to = next
 			continue
 		}
@@ -331,7 +334,7 @@
 			return out
 		case redirect:
 			d.count(func(c *Counts) { c.Redirects++ })
-			if !d.members.Known(reply.BoundTo) {
+			if !d.awaitKnown(ctx, reply.BoundTo) {
 				return d.keyHolderGone(p, &a, reply)
 			}
 			to = target{id: reply.BoundTo, keyHolder: a.keyed, onlyHolder: a.keyed}
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -56,6 +56,8 @@
 
 func (n *network) Known(wire.NodeID) bool { return true }
 
+func (n *network) Gone(wire.NodeID) bool { return false }
+
 func (n *network) Link(_ context.Context, id wire.NodeID) (Link, error) {
 	n.linksAsked++
 	e := n.script()
--- a/dispatch/keepers.go
+++ b/dispatch/keepers.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/cassialoom/cassialoom/balancer"
+	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -16,6 +18,22 @@
 	maxKeepersAsked = 4
 )
 
+// maxKnownWait is how long a request waits for news of the node that its key names. Membership
+// spreads a new node in less.
+const maxKnownWait = time.Second
+
+// awaitKnown waits until the incarnation is known, and reports whether it is. It does not wait
+// for one that has ended.
+func (d *Dispatcher) awaitKnown(ctx context.Context, id wire.NodeID) bool {
+	until := time.Now().Add(maxKnownWait)
+	for !d.members.Known(id) {
+		if d.members.Gone(id) || time.Now().After(until) || !pause.For(ctx, targetPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // KeyKeepers returns the nodes of the service that keep the list of the used keys of holder
 // once it has ended. Nodes with the same view of the service return the same ones.
 func (d *Dispatcher) KeyKeepers(service string, holder wire.NodeID) []wire.NodeID {
--- a/dispatch/transparent.go
+++ b/dispatch/transparent.go
@@ -13,26 +13,27 @@
 // While its node has lost the links to all nodes of a service, such a call is therefore sent
 // again until it leaves this node. So is a call that only one node may run, because its key
 // is bound there: given up, it may have run as far as its caller can know. An attempt that
-// was never sent adds no load, so these resends take no extra attempts; pauses bound the dials.
+// was never sent adds no load, so these transparent retries take no extra attempts; pauses
+// bound the dials.
 
 const (
-	// maxResendShare is the share of a call's time that resends may use. The rest is for
-	// the run to answer that its call failed.
-	maxResendShare = 0.9
-	// maxEntryResendShare is the same for a request of a caller. It leaves the caller time
+	// maxTransparentShare is the share of a call's time that transparent retries may use. The
+	// rest is for the run to answer that its call failed.
+	maxTransparentShare = 0.9
+	// maxEntryTransparentShare is the same for a request of a caller. It leaves the caller time
 	// to try another node, which may reach the one that its key is bound to.
-	maxEntryResendShare = 0.5
-	// minResendPause is the pause after no node could be reached; it doubles up to
-	// maxResendPause.
-	minResendPause = 25 * time.Millisecond
-	maxResendPause = 200 * time.Millisecond
+	maxEntryTransparentShare = 0.5
+	// minTransparentPause is the pause after no node could be reached; it doubles up to
+	// maxTransparentPause.
+	minTransparentPause = 25 * time.Millisecond
+	maxTransparentPause = 200 * time.Millisecond
 	// lostRetryAfter is the Retry-After of a call that could not be sent.
 	lostRetryAfter = 100 * time.Millisecond
 )
 
-// resender resends one call that was never sent. It excludes nodes that were tried since the
-// last pause.
-type resender struct {
+// transparentRetries decides the transparent retries of one call. It excludes nodes that were
+// tried since the last pause.
+type transparentRetries struct {
 	d     *Dispatcher
 	p     Params
 	until time.Time
@@ -41,14 +42,14 @@
 	pause time.Duration
 }
 
-func newResender(d *Dispatcher, p Params) *resender {
-	share := maxResendShare
+func newTransparentRetries(d *Dispatcher, p Params) *transparentRetries {
+	share := maxTransparentShare
 	if p.FromCaller {
-		share = maxEntryResendShare
+		share = maxEntryTransparentShare
 	}
 	now := time.Now()
 	until := now.Add(time.Duration(share * float64(p.Deadline.Sub(now))))
-	return &resender{d: d, p: p, until: until, pause: minResendPause}
+	return &transparentRetries{d: d, p: p, until: until, pause: minTransparentPause}
 }
 
 // unsent reports whether r is the result of an attempt that never left this node and was not
@@ -64,8 +65,8 @@
 func neverSent(r call.Reply) bool { return unsent(r) || unsentToHolder(r) }
 
 // next returns the node for the next attempt after the reply r to an attempt at last, after a
-// pause if all were tried. It returns false if the call must not be resent.
-func (s *resender) next(ctx context.Context, a *attempts, last target, r call.Reply) (target, bool) {
+// pause if all were tried. It returns false if there is none.
+func (s *transparentRetries) next(ctx context.Context, a *attempts, last target, r call.Reply) (target, bool) {
 	switch {
 	case last.onlyHolder && unsentToHolder(r) && r.RetryAfter > 0: // it has not ended
 		return s.nextAtHolder(ctx, last)
@@ -77,11 +78,11 @@
 }
 
 // nextAtHolder returns last after a pause, unless that node is no longer there.
-func (s *resender) nextAtHolder(ctx context.Context, last target) (target, bool) {
+func (s *transparentRetries) nextAtHolder(ctx context.Context, last target) (target, bool) {
 	return last, s.d.members.Known(last.id) && s.wait(ctx)
 }
 
-func (s *resender) nextAtAnyNode(ctx context.Context, a *attempts) (target, bool) {
+func (s *transparentRetries) nextAtAnyNode(ctx context.Context, a *attempts) (target, bool) {
 	if to, ok := s.d.pick(s.p, a.tried[s.round:]); ok {
 		return to, true
 	}
@@ -94,12 +95,12 @@
 	return target{}, false
 }
 
-// wait makes the pause before the next round. It returns false if the time for resends, or
+// wait makes the pause before the next round. It returns false if the time for retries, or
 // ctx, ends before.
-func (s *resender) wait(ctx context.Context) bool {
+func (s *transparentRetries) wait(ctx context.Context) bool {
 	if !time.Now().Add(s.pause).Before(s.until) || !pause.For(ctx, s.pause) {
 		return false
 	}
-	s.pause = min(2*s.pause, maxResendPause)
+	s.pause = min(2*s.pause, maxTransparentPause)
 	return true
 }
--- a/dispatch/transparent_test.go
+++ b/dispatch/transparent_test.go
@@ -51,7 +51,7 @@
 
 // Guards against a call that waits for lost links until its deadline has passed, so that
 // the run that made it can no longer answer, and against dials without a pause.
-func TestResendsEndBeforeTheDeadline(t *testing.T) {
+func TestTransparentRetriesEndBeforeTheDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		start := time.Now()
@@ -129,6 +129,34 @@
 
 func (gone) Known(wire.NodeID) bool { return false }
 
+func (gone) Gone(wire.NodeID) bool { return true }
+
+// Guards against "may have run" for a key of a node that has just started and that this node
+// hasn't heard of.
+func TestKeyOfANewNodeWaitsUntilItIsKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := newNetworkDownUntil(time.Now())
+		n.d.members = unknownUntil{n, time.Now().Add(300 * time.Millisecond)}
+		p := params(t, "once", 0)
+		p.FromCaller, p.Key, p.KeyHolder = true, "minted", n.nodes[1]
+		is.Equal(n.d.Call(t.Context(), p).Verdict, verdict.Ran)
+
+		n.d.members = unknownUntil{n, time.Now().Add(time.Hour)}
+		out := n.d.Call(t.Context(), p)
+		is.Equal(out.Verdict, verdict.MayHaveRun)
+		is.Equal(out.Reason, verdict.KeyHolderGone)
+	})
+}
+
+// unknownUntil is a view of a network in which no node has been heard of before a time.
+type unknownUntil struct {
+	*network
+	at time.Time
+}
+
+func (u unknownUntil) Known(wire.NodeID) bool { return !time.Now().Before(u.at) }
+
 // changingMembers gives each set of candidates of a network a version of its own.
 type changingMembers struct{ *network }
 
@@ -137,7 +165,7 @@
 	return candidates, uint64(len(candidates))
 }
 
-// Property: resends of a call of a run take no extra attempts, and never repeat an attempt
+// Property: transparent retries of a call of a run take no extra attempts, and never repeat an attempt
 // that may have run unless the call is idempotent or keyed.
 func TestPropCallOfARun(t *testing.T) {
 	const schedules = 2000
@@ -175,8 +203,8 @@
 	}
 	is.True(sent <= 1+int(extra))
 	is.True(n.grants+p.Ledger.Available() <= extra)
-	resends := int(n.d.Counts().Resends)
-	is.Equal(uint32(n.linksAsked-1-resends)+n.grants+p.Ledger.Available(), extra) // resends take none
+	transparent := int(n.d.Counts().TransparentRetries)
+	is.Equal(uint32(n.linksAsked-1-transparent)+n.grants+p.Ledger.Available(), extra)
 }
 
 var errUnreachable = errors.New("unreachable")
@@ -195,7 +223,7 @@
 }
 
 // Guards against a pause before a call moves to a node that can be reached.
-func TestResendMovesToAnotherNodeAtOnce(t *testing.T) {
+func TestTransparentRetryMovesToAnotherNodeAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		n := newNetworkDownUntil(time.Now())
--- a/internal/replay/members.go
+++ b/internal/replay/members.go
@@ -25,6 +25,9 @@
 // Known implements dispatch.Members. Nodes never stop.
 func (m *members) Known(wire.NodeID) bool { return true }
 
+// Gone implements dispatch.Members.
+func (m *members) Gone(wire.NodeID) bool { return false }
+
 // add adds a backend server to the candidates of its service.
 func (m *members) add(service, centre string, id wire.NodeID) {
 	m.mu.Lock()
--- a/node/links.go
+++ b/node/links.go
@@ -35,8 +35,11 @@
 		return c, nil
 	}
 	rec, ok := n.members.lookup(id)
-	if !ok || rec.State.Gone() {
-		return nil, fmt.Errorf("node %s is not a live member: %w", id.Short(), dispatch.ErrEnded)
+	switch {
+	case !ok:
+		return nil, fmt.Errorf("node %s is not known", id.Short())
+	case rec.State.Gone():
+		return nil, fmt.Errorf("node %s has left or failed: %w", id.Short(), dispatch.ErrEnded)
 	}
 	c, err := n.peers.Connect(ctx, id, rec.PeerAddr)
 	if err == nil {
--- a/node/ops.go
+++ b/node/ops.go
@@ -131,7 +131,7 @@
 	n.counts.ExtraRefused.Set(int64(c.OverBudget))
 	n.counts.LateReplies.Set(int64(c.Unmatched))
 	n.counts.Hedges.Set(int64(c.Hedges))
-	n.counts.Resends.Set(int64(c.Resends))
+	n.counts.TransparentRetries.Set(int64(c.TransparentRetries))
 	n.counts.Deferred.Set(int64(c.Deferred))
 	n.counts.RateLimitedElsewhere.Set(int64(c.RateLimited))
 	n.counts.RateLimited.Set(int64(n.server.dump(time.Now()).Counts.RateLimited))
--- a/node/roster.go
+++ b/node/roster.go
@@ -99,6 +99,14 @@
 	return ok && !rec.State.Gone()
 }
 
+// Gone implements dispatch.Members.
+func (r *roster) Gone(id wire.NodeID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rec, ok := r.members.Lookup(id)
+	return ok && rec.State.Gone()
+}
+
 func (r *roster) lookup(id wire.NodeID) (membership.Record, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -73,9 +73,9 @@
 	// Hedges counts second attempts made while the first had no answer yet,
 	// StrayAnswers counts answers of the backend server that belong to no request.
 	Hedges, StrayAnswers expvar.Int
-	// Resends counts repeated attempts of calls that had not been sent because no
+	// TransparentRetries counts repeated attempts of calls that had not been sent because no
 	// connection could be opened.
-	Resends expvar.Int
+	TransparentRetries expvar.Int
 	// Deferred counts requests whose callers were asked to retry later because
 	// requests of the route fail.
 	Deferred expvar.Int
@@ -160,7 +160,7 @@
 		{name: "routes_refused", value: &c.RoutesRejected},
 		{name: "late_beats", value: &c.LateHeartbeats},
 		{name: "hedges", value: &c.Hedges},
-		{name: "resends", value: &c.Resends},
+		{name: "transparent_retries", value: &c.TransparentRetries},
 		{name: "deferred", value: &c.Deferred},
 		{name: "strays", value: &c.StrayAnswers},
 	}
