poison: a retry carries the suspicion of the request that it repeats

What callers saw: a request that crashes backend servers crashed three of a service, where two may be.

Cause: the notice of a crash and the retry that follows its answer travel on two connections; on a busy machine the retry starts at another node before that node knows the suspicion.

Change: the reply to a lost request, and the redirect of a suspect, carry the notice about it, the next attempt brings it along, and a node takes it in before it looks at the request. No byte more in any other message.

Before: TestRetryCarriesTheSuspicion fails (no node learns of the crash).

--- a/call/message.go
+++ b/call/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -71,6 +72,9 @@
 	// Notices are notices of backend servers of the callee's service that the callee may
 	// not know; see Notice.
 	Notices []Notice `cbor:"27,keyasint,omitempty"`
+	// Suspicions are notices that the request may crash backend servers, from the reply to
+	// its last attempt. The callee may not have received them otherwise yet.
+	Suspicions []poison.Notice `cbor:"29,keyasint,omitempty"`
 	// ConnNumber is the callee's Conn.Number of the connection on which the call
 	// arrived.
 	ConnNumber uint64 `cbor:"-"`
@@ -130,6 +134,9 @@
 	// Faults is the percentage of the backend server's recent requests that got
 	// no answer or a server error.
 	Faults uint8 `cbor:"25,keyasint,omitempty"`
+	// Suspicions are notices that the request may crash backend servers, to send with
+	// its next attempt.
+	Suspicions []poison.Notice `cbor:"29,keyasint,omitempty"`
 	// ConfigVersion is the version of the configuration in force at the
 	// replying node.
 	ConfigVersion uint64 `cbor:"15,keyasint,omitempty"`
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,6 +28,7 @@
 	"github.com/cassialoom/cassialoom/explain"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -247,6 +248,8 @@
 
 	// repeated says that an earlier attempt of this call may have run.
 	repeated bool
+	// suspicions are the latest that a reply carried.
+	suspicions []poison.Notice
 }
 
 // reach returns all services that the call may lead to.
@@ -321,6 +324,9 @@
 	for {
 		reply := d.attemptHedged(ctx, p, &a, to, &hopAttemptsLeft)
 		a.mayHaveArrived = a.mayHaveArrived || !neverSent(reply)
+		if len(reply.Suspicions) > 0 {
+			p.suspicions = reply.Suspicions
+		}
 		next, again := transparentRetries.next(ctx, &a, to, reply)
 		if again {
 			d.noteTransparentRetry(p, &a, reply)
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -133,6 +133,7 @@
 		Repeat:         p.Repeat || p.repeated,
 		Workspace:      p.Workspace,
 		Notices:        d.noticesFor(p.Operation.Service, to),
+		Suspicions:     p.suspicions,
 	}
 }
 
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -11,8 +11,9 @@
 //
 //   - The notices of a crash reach the nodes of the service before another copy
 //     starts there. The node that saw the crash sends them before it answers the
-//     lost calls, and therefore before any retry that follows such an answer. A
-//     node that redirects a suspect sends its notice first.
+//     lost calls, and therefore before any retry that follows such an answer; the
+//     answer carries them too, and so does the retry. A node that redirects a suspect
+//     does the same.
 //   - The nodes agree on which nodes are ready, except for those that the request
 //     itself has crashed.
 //
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -5,6 +5,7 @@
 
 	"github.com/cassialoom/cassialoom/admission"
 	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -29,6 +30,9 @@
 	}
 	own := s.resultReply(now, recipientOf(&t.Request), a)
 	own.UnusedGrant = r.UnusedGrant
+	if r.Crashed {
+		own.Suspicions = s.guard.NoticeFor(now, t.Request.Fingerprint)
+	}
 	s.reply(e, own)
 }
 
@@ -51,8 +55,14 @@
 
 // redirect refuses an attempt and names the node that may run it.
 func (s *Server) redirect(t *Task, err *verdict.Error, to wire.NodeID, e *Effects) {
+	s.redirectWith(t, err, to, nil, e)
+}
+
+// redirectWith is redirect with notices about the request.
+func (s *Server) redirectWith(t *Task, err *verdict.Error, to wire.NodeID, suspicions []poison.Notice, e *Effects) {
 	reply := s.refusal(t.Request, err)
 	reply.BoundTo = to
+	reply.Suspicions = suspicions
 	s.reply(e, reply)
 }
 
--- a/serve/run.go
+++ b/serve/run.go
@@ -78,8 +78,9 @@
 			return false
 		}
 		s.removeTask(t)
-		e.DirectNotices = append(e.DirectNotices, DirectNotices{To: node, Notices: s.guard.NoticeFor(now, fp)})
-		s.redirect(t, verdict.Refuse(verdict.PoisonRequest, "isolated run at another node"), node, e)
+		suspicions := s.guard.NoticeFor(now, fp)
+		e.DirectNotices = append(e.DirectNotices, DirectNotices{To: node, Notices: suspicions})
+		s.redirectWith(t, verdict.Refuse(verdict.PoisonRequest, "isolated run at another node"), node, suspicions, e)
 		return true
 	default:
 		t.mustIsolate = false
--- a/serve/server.go
+++ b/serve/server.go
@@ -173,6 +173,9 @@
 		s.reply(&e, s.refusal(req, err))
 		return e
 	}
+	for _, notice := range req.Suspicions {
+		e.Notices = append(e.Notices, s.guard.Receive(now, notice)...)
+	}
 	t := s.newTask(now, req, op)
 	if req.Key == "" {
 		s.admit(now, t, &e)
--- /dev/null
+++ b/serve/suspicion_test.go
@@ -0,0 +1,49 @@
+package serve
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// Guards against a third crash: a retry that overtakes the notices of a crash starts like any
+// other request at each further node.
+func TestRetryCarriesTheSuspicion(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(t, 4)
+	action := m.newAction()
+	var suspicions []poison.Notice
+	crashes := 0
+	to := 0
+	for range 6 { // no notice is delivered but those that replies and attempts carry
+		req := m.send(action, to, "", importance.Normal).req
+		req.Suspicions = suspicions
+		e := m.servers[to].Arrive(m.now, req, m.op, true)
+		if len(e.Start) > 0 {
+			crashes++
+			lost := Result{Verdict: verdict.MayHaveRun, Reason: verdict.ConnectionLost, Crashed: true}
+			e = m.servers[to].Done(m.now, e.Start[0].ID, lost)
+		}
+		is.Equal(len(e.Replies), 1)
+		if carried := e.Replies[0].Suspicions; len(carried) > 0 {
+			suspicions = carried
+		}
+		to = m.next(to, e.Replies[0])
+	}
+	is.Equal(crashes, 2)
+}
+
+// next returns the node of the next attempt: the one that the reply names, or else another.
+func (m *machine) next(to int, r call.Reply) int {
+	for i, id := range m.ids {
+		if id == r.BoundTo {
+			return i
+		}
+	}
+	return (to + 1) % len(m.ids)
+}
