--- a/node/fuzz_test.go
+++ b/node/fuzz_test.go
@@ -14,6 +14,7 @@
 	"github.com/cassialoom/cassialoom/internal/testnode"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/node"
+	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -117,6 +118,10 @@
 		{{wire.KindLevels, levelsMessage{LevelGossip: []call.LevelNews{{Service: "fieldlog", Priority: 65535}, {Service: "other", Priority: 1, AgeMillis: 65535}}}}, c(8, "")},
 		{noticed(9, call.Notice{Incarnation: "i-1", Born: -1, Limited: true, PerSecond: math.NaN()}), noticed(10, call.Notice{Leaving: true}),
 			{wire.KindReply, call.Reply{From: asPeer, Seq: 1, Verdict: verdict.Ran, Status: 200, Notice: call.Notice{Incarnation: "i", Limited: true, PerSecond: math.Inf(1)}}}},
+		{{wire.KindUsedKeys, once.UsedKeys{Holder: asPeer, Age: -1, Digests: make([]byte, 17)}}, {wire.KindUsedKeys, once.UsedKeys{Holder: asNode}}, c(11, key)},
+		{{wire.KindClosing, struct{}{}}, c(12, ""), {wire.KindClosing, 1}},
+		{{wire.KindCall, call.Request{From: asPeer, Seq: 13, Service: "fieldlog", Operation: "file", RequestID: "r", Budget: time.Second,
+			Suspicions: []poison.Notice{{State: poison.Suspect, Generation: 255, Fingerprints: []uint64{0}, TTL: -1}}}}},
 		{{wire.KindMintKeyRequest, struct{}{}}, {wire.KindMintKeyReply, struct{}{}}, {wire.KindHello, 1}, {99, 1}},
 	}
 }
