--- a/serve/key.go
+++ b/serve/key.go
@@ -51,7 +51,7 @@
 			s.reply(e, s.refusal(t.Request, err))
 			return
 		}
-		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key names another node"), info.Holder, e)
+		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key names another node"), info.Holder, nil, e)
 		return
 	}
 	if err := s.mint.Verify(now, key, t.Request.Service, t.Request.Operation); err != nil {
@@ -64,16 +64,13 @@
 // resolveKey returns where a caller-made key may run. A node that takes no new work binds no
 // new key: no other node could run it, also after this one has ended.
 func (s *Server) resolveKey(now time.Time, key string) once.Resolution {
-	if s.ready && !s.draining {
+	err := s.noWorkRefusal()
+	if err == nil {
 		return s.binder.Bind(now, key)
 	}
 	if r, known := s.binder.Lookup(now, key); known {
 		return r
 	}
-	err := s.notReadyRefusal()
-	if s.draining {
-		err = s.drainingRefusal()
-	}
 	return once.Resolution{Key: key, State: once.Refused, Err: err}
 }
 
@@ -92,7 +89,7 @@
 		}
 		s.beginKeyed(now, t, e)
 	case once.BoundTo:
-		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key is bound to another node"), r.Holder, e)
+		s.redirect(t, verdict.Refuse(verdict.KeyNotBound, "the key is bound to another node"), r.Holder, nil, e)
 	default:
 		s.reply(e, s.refusal(t.Request, r.Err))
 	}
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -53,13 +53,9 @@
 	s.finishUnstarted(t, s.shedError(now), e)
 }
 
-// redirect refuses an attempt and names the node that may run it.
-func (s *Server) redirect(t *Task, err *verdict.Error, to wire.NodeID, e *Effects) {
-	s.redirectWith(t, err, to, nil, e)
-}
-
-// redirectWith is redirect with notices about the request.
-func (s *Server) redirectWith(t *Task, err *verdict.Error, to wire.NodeID, suspicions []poison.Notice, e *Effects) {
+// redirect refuses an attempt and names the node that may run it, with what that node has to
+// know about the request.
+func (s *Server) redirect(t *Task, err *verdict.Error, to wire.NodeID, suspicions []poison.Notice, e *Effects) {
 	reply := s.refusal(t.Request, err)
 	reply.BoundTo = to
 	reply.Suspicions = suspicions
--- a/serve/run.go
+++ b/serve/run.go
@@ -80,7 +80,7 @@
 		s.removeTask(t)
 		suspicions := s.guard.NoticeFor(now, fp)
 		e.DirectNotices = append(e.DirectNotices, DirectNotices{To: node, Notices: suspicions})
-		s.redirectWith(t, verdict.Refuse(verdict.PoisonRequest, "isolated run at another node"), node, suspicions, e)
+		s.redirect(t, verdict.Refuse(verdict.PoisonRequest, "isolated run at another node"), node, suspicions, e)
 		return true
 	default:
 		t.mustIsolate = false
--- a/serve/server.go
+++ b/serve/server.go
@@ -270,10 +270,8 @@
 
 func (s *Server) checkAdmission(now time.Time, t *Task) *verdict.Error {
 	switch {
-	case s.draining && !s.mayStartDraining(now, t):
-		return s.drainingRefusal()
-	case !s.ready:
-		return s.notReadyRefusal()
+	case s.draining && !s.mayStartDraining(now, t), !s.ready:
+		return s.noWorkRefusal()
 	case s.cfg.Policy != PolicyFull:
 		return nil
 	case s.guard.Check(now, t.Request.Fingerprint) == poison.Refuse:
@@ -289,12 +287,16 @@
 	return nil
 }
 
-func (s *Server) drainingRefusal() *verdict.Error {
-	return verdict.Refuse(verdict.Draining, "backend server is leaving").WithRetryAfter(s.cfg.RefuseRetryAfter)
-}
-
-func (s *Server) notReadyRefusal() *verdict.Error {
-	return verdict.Refuse(verdict.NoBackend, "backend server has not announced itself").WithRetryAfter(s.cfg.RefuseRetryAfter)
+// noWorkRefusal returns why this node takes no new work, or nil.
+func (s *Server) noWorkRefusal() *verdict.Error {
+	switch {
+	case s.draining:
+		return verdict.Refuse(verdict.Draining, "backend server is leaving").WithRetryAfter(s.cfg.RefuseRetryAfter)
+	case !s.ready:
+		return verdict.Refuse(verdict.NoBackend, "backend server has not announced itself").WithRetryAfter(s.cfg.RefuseRetryAfter)
+	default:
+		return nil
+	}
 }
 
 func (s *Server) shedError(now time.Time) *verdict.Error {
