outage, dispatch, serve: a lost service doesn't take down requests that don't need it

What callers saw: while all nodes of a service are gone, operations of its callers' services that don't call it are refused.

Requests that can't succeed keep arriving, start, and fill the slots.

Ruled out: the limiter.

Change: package outage. A service is lost once attempts at all of its nodes (8 of a larger one) have failed without an answer in between. Runs that wait for it hold a quarter of the slots at most, all that wait half; the more important ones wait. A request whose run is sure to call it (learned from successful runs) is refused before it starts, as dependency-lost with a Retry-After; its caller's node learns from that, so that runs further up don't start either. One request each 200 ms is let through if no run waits. A draining node keeps its waits without a bound: nothing else needs its slots.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -4,12 +4,16 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
 // admit records the call in the retry budget and refuses it, before any work is done, if a
 // service that it would reach doesn't admit it. It adds the admitted levels to p.AdmittedLevels.
 func (d *Dispatcher) admit(p *Params) *verdict.Error {
+	if err := d.refuseIfLost(p); err != nil {
+		return err
+	}
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -32,6 +36,15 @@
 	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", entry.BlockedBy, p.priority()).WithRetryAfter(entry.RetryAfter)
 }
 
+// refuseIfLost refuses a request whose operation is lost. A call of a run waits instead, and a
+// request whose key names a node asks that node.
+func (d *Dispatcher) refuseIfLost(p *Params) *verdict.Error {
+	if p.ForRun || !p.KeyHolder.IsZero() {
+		return nil
+	}
+	return d.outages.refuse(verdict.NoBackend, outage.Target{Service: p.Operation.Service, Operation: p.Operation.Name})
+}
+
 // deferIfUnhealthy refuses an entering request whose route fails at present, and asks the
 // caller to retry later. d.mu must be held.
 func (d *Dispatcher) deferIfUnhealthy(now time.Time, p Params) *verdict.Error {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -28,6 +28,7 @@
 	"github.com/cassialoom/cassialoom/explain"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -101,6 +102,9 @@
 	// Hedge sends a second attempt to another backend server if an idempotent call
 	// gets no answer for unusually long.
 	Hedge bool
+	// Outage configures when a service counts as lost, Waits how many runs wait for one.
+	Outage outage.Config
+	Waits  outage.WaitsConfig
 	// RouteHealth configures the deferral of entering requests whose route fails; the zero
 	// value defers none.
 	RouteHealth admission.RouteHealthConfig
@@ -116,6 +120,8 @@
 		Budget:   retry.DefaultConfig(),
 		Levels:   admission.DefaultLevelsConfig(),
 		Margin:   2 * time.Millisecond,
+		Outage:   outage.DefaultConfig(),
+		Waits:    outage.DefaultWaitsConfig(),
 
 		NoBackendRetryAfter: time.Second,
 	}
@@ -127,6 +133,7 @@
 	linker  Linker
 	members Members
 	notes   *explain.Recorder
+	outages *outages
 	seq     atomic.Uint64
 
 	mu      sync.Mutex
@@ -177,6 +184,7 @@
 		linker:         l,
 		members:        m,
 		notes:          notes,
+		outages:        newOutages(cfg, m),
 		random:         rand.New(rand.NewPCG(cfg.Seed, 0)),
 		pending:        make(map[uint64]*pendingAttempt),
 		pickers:        make(map[string]*picker),
@@ -240,6 +248,10 @@
 	// ForRun says that a running request makes the call, so that its failure wastes the
 	// work already done.
 	ForRun bool
+	// RunID names the running request among those of this node, Slots is the number of slots
+	// that the node fills, zero if it starts no further runs. Both are for calls of a run.
+	RunID uint64
+	Slots int
 	// Reach lists services that the call may lead to; if empty, those that the
 	// operation declares are used.
 	Reach []string
@@ -250,6 +262,8 @@
 	repeated bool
 	// suspicions are the latest that a reply carried.
 	suspicions []poison.Notice
+	// wait is the wait of the call while its service is lost.
+	wait *runWait
 }
 
 // reach returns all services that the call may lead to.
@@ -287,6 +301,8 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
 	defer cancel()
+	p.wait = newRunWait(d, &p)
+	defer p.wait.end()
 	if !p.KeyHolder.IsZero() && !d.awaitKnown(ctx, p.KeyHolder) {
 		err, known := d.askKeepers(ctx, p)
 		if !known {
@@ -308,6 +324,11 @@
 
 // attempt makes attempts until the outcome is final.
 func (d *Dispatcher) attempt(ctx context.Context, p Params) call.Outcome {
+	if !p.wait.mayTry() {
+		err := d.outages.lostError(p.Operation.Service)
+		d.noteRefused(p, err)
+		return call.OutcomeOf(err)
+	}
 	to, ok := d.awaitTarget(ctx, p)
 	if !ok {
 		err := verdict.Refuse(verdict.NoBackend, "no backend server of %s takes work", p.Operation.Service)
--- a/dispatch/dispatcher_test.go
+++ b/dispatch/dispatcher_test.go
@@ -32,6 +32,8 @@
 	answered
 	incomplete // it ran, but its answer is unusable
 	numEvents
+	// refusedForDependency is for single tests.
+	refusedForDependency
 )
 
 // network simulates the other nodes and records what ran. It answers within Link.Call, so
@@ -94,6 +96,8 @@
 		return func() bool { return true }, nil
 	case refusedByNode:
 		reply.Verdict, reply.Reason = verdict.NotRun, verdict.Shed
+	case refusedForDependency:
+		reply.Verdict, reply.Reason = verdict.NotRun, verdict.DependencyLost
 	case incomplete:
 		l.n.ranAt = append(l.n.ranAt, l.to)
 		reply.Reason = verdict.Incomplete
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -22,6 +22,8 @@
 	Targets  []TargetDump           `json:"targets"`
 	// Notices are the limits and leavings of backend servers that this node has heard.
 	Notices []NoticeState `json:"backend_notices"`
+	// Outages are the services and operations that can't be reached from here.
+	Outages OutageDump `json:"outages"`
 }
 
 // TargetDump is the state of the picker of one called service.
@@ -32,6 +34,7 @@
 
 // Dump returns the state at the time now.
 func (d *Dispatcher) Dump(now time.Time) Dump {
+	outages := d.Outages(now)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	dump := Dump{
@@ -41,6 +44,7 @@
 		Entering: d.ingressLevels.Dump(now),
 		Own:      d.backendLevels.Dump(now),
 		Notices:  d.notices.dump(),
+		Outages:  outages,
 	}
 	for name, pk := range d.pickers {
 		dump.Targets = append(dump.Targets, TargetDump{Service: name, Picker: pk.balancer.Dump(now)})
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -153,16 +153,15 @@
 // some time for one: failing a single call would fail the whole request, while the last backend
 // server of a service may only be in the process of being replaced.
 func (d *Dispatcher) awaitTarget(ctx context.Context, p Params) (target, bool) {
-	until := time.Now().Add(time.Duration(maxTargetWaitShare * float64(time.Until(p.Deadline))))
+	until := shareOfTime(&p, maxTargetWaitShare)
 	for {
 		to, ok := d.firstTarget(p)
-		if ok || !p.ForRun || !time.Now().Before(until) {
-			return to, ok
+		if ok {
+			return to, true
 		}
-		select {
-		case <-ctx.Done():
+		d.outages.noNode(p.Operation.Service)
+		if !p.ForRun || !p.wait.pause(ctx, targetPollInterval, until) {
 			return target{}, false
-		case <-time.After(targetPollInterval):
 		}
 	}
 }
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -20,6 +20,7 @@
 	d.recordLatency(p, took, reply)
 	d.receiveLevels(p, reply)
 	d.receiveNotice(p, reply)
+	d.outages.answered(p.Operation.Service, p.Operation.Name, reply)
 	return reply
 }
 
@@ -27,7 +28,7 @@
 func (d *Dispatcher) send(ctx context.Context, p Params, to target) call.Reply {
 	link, err := d.linker.Link(ctx, to.id)
 	if err != nil {
-		return errorReply(notSent(ctx, to, err))
+		return d.unsent(ctx, p, to, err)
 	}
 	defer link.Release()
 	grant := d.grant(p)
@@ -37,9 +38,10 @@
 	mayHaveArrived, err := link.Call(req)
 	if err != nil {
 		d.returnGrant(p, grant, grant.Extra)
-		return errorReply(notSent(ctx, to, err))
+		return d.unsent(ctx, p, to, err)
 	}
-	reply, settled := d.awaitReply(ctx, link, w, req, mayHaveArrived, to)
+	p.wait.end()
+	reply, settled := d.awaitReply(ctx, p, link, w, req, mayHaveArrived, to)
 	if settled {
 		d.returnGrant(p, grant, reply.UnusedGrant)
 	} else {
@@ -48,6 +50,14 @@
 	return reply
 }
 
+// unsent records an attempt that was never sent, and returns its reply.
+func (d *Dispatcher) unsent(ctx context.Context, p Params, to target, err error) call.Reply {
+	if ctx.Err() == nil {
+		d.outages.failed(p.Operation.Service, to.id, err)
+	}
+	return errorReply(notSent(ctx, to, err))
+}
+
 // notSent returns the error of an attempt that was never sent. It is "not run", except for
 // a key's holder: the key may have run there before. It has a Retry-After unless the holder
 // has ended.
@@ -67,7 +77,7 @@
 
 // awaitReply waits for the answer, the end of the connection, or the end of ctx. settled
 // says that the unused part of the grant is known.
-func (d *Dispatcher) awaitReply(ctx context.Context, link Link, w *pendingAttempt, req call.Request, mayHaveArrived func() bool, to target) (r call.Reply, settled bool) {
+func (d *Dispatcher) awaitReply(ctx context.Context, p Params, link Link, w *pendingAttempt, req call.Request, mayHaveArrived func() bool, to target) (r call.Reply, settled bool) {
 	select {
 	case r := <-w.reply:
 		link.MarkAnswered()
@@ -85,7 +95,7 @@
 	}
 	d.count(func(c *Counts) { c.ConnectionLost++ })
 	if !mayHaveArrived() {
-		r := errorReply(notSent(ctx, to, errConnectionEnded))
+		r := d.unsent(ctx, p, to, errConnectionEnded)
 		r.UnusedGrant = req.Grant
 		return r, true
 	}
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -125,13 +126,22 @@
 // services eject the node for a while.
 func (d *Dispatcher) Unreachable(id wire.NodeID) {
 	now := time.Now()
+	var services []string
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, pk := range d.pickers {
+	for service, pk := range d.pickers {
 		pk.balancer.Unreachable(now, id)
+		if slices.ContainsFunc(pk.candidates, func(c balancer.Candidate) bool { return c.ID == id }) {
+			services = append(services, service)
+		}
+	}
+	d.mu.Unlock()
+	for _, service := range services {
+		d.outages.failed(service, id, errSilent)
 	}
 }
 
+var errSilent = errors.New("the connection has gone silent")
+
 // Choose returns a random node of the service, except for those tried, for something other
 // than a call, such as minting a key.
 func (d *Dispatcher) Choose(service string, tried ...wire.NodeID) (wire.NodeID, bool) {
--- a/dispatch/transparent.go
+++ b/dispatch/transparent.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -14,7 +13,7 @@
 // again until it leaves this node. So is a call that only one node may run, because its key
 // is bound there: given up, it may have run as far as its caller can know. An attempt that
 // was never sent adds no load, so these transparent retries take no extra attempts; pauses
-// bound the dials.
+// bound the dials. The waiting runs hold slots; runWait bounds these.
 
 const (
 	// maxTransparentShare is the share of a call's time that transparent retries may use. The
@@ -47,9 +46,7 @@
 	if p.FromCaller {
 		share = maxEntryTransparentShare
 	}
-	now := time.Now()
-	until := now.Add(time.Duration(share * float64(p.Deadline.Sub(now))))
-	return &transparentRetries{d: d, p: p, until: until, pause: minTransparentPause}
+	return &transparentRetries{d: d, p: p, until: shareOfTime(&p, share), pause: minTransparentPause}
 }
 
 // unsent reports whether r is the result of an attempt that never left this node and was not
@@ -79,7 +76,7 @@
 
 // nextAtHolder returns last after a pause, unless that node is no longer there.
 func (s *transparentRetries) nextAtHolder(ctx context.Context, last target) (target, bool) {
-	return last, s.d.members.Known(last.id) && s.wait(ctx)
+	return last, s.d.members.Known(last.id) && s.pauseRound(ctx)
 }
 
 func (s *transparentRetries) nextAtAnyNode(ctx context.Context, a *attempts) (target, bool) {
@@ -87,7 +84,7 @@
 		return to, true
 	}
 	s.round = len(a.tried)
-	for s.wait(ctx) {
+	for s.pauseRound(ctx) {
 		if to, ok := s.d.pick(s.p, nil); ok {
 			return to, true
 		}
@@ -95,10 +92,9 @@
 	return target{}, false
 }
 
-// wait makes the pause before the next round. It returns false if the time for retries, or
-// ctx, ends before.
-func (s *transparentRetries) wait(ctx context.Context) bool {
-	if !time.Now().Add(s.pause).Before(s.until) || !pause.For(ctx, s.pause) {
+// pauseRound makes the pause before the next round. It returns false if the call must give up.
+func (s *transparentRetries) pauseRound(ctx context.Context) bool {
+	if !s.p.wait.pause(ctx, s.pause, s.until) {
 		return false
 	}
 	s.pause = min(2*s.pause, maxTransparentPause)
--- a/internal/prove/traffic.go
+++ b/internal/prove/traffic.go
@@ -35,6 +35,8 @@
 	Seed       uint64
 	// Operations is the set to choose from; empty means all of the graph.
 	Operations []graph.Ref
+	// Nodes are the caller addresses of the nodes to choose from; empty means all.
+	Nodes []string
 }
 
 // DefaultTraffic returns a light load with some short timeouts.
@@ -69,7 +71,10 @@
 	if len(operations) == 0 {
 		operations = f.operations()
 	}
-	nodes := f.CallerAddrs()
+	nodes := cfg.Nodes
+	if len(nodes) == 0 {
+		nodes = f.CallerAddrs()
+	}
 	for k := range cfg.Callers {
 		c := &caller{fleet: f, cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(k))), nodes: nodes}
 		t.done.Go(func() {
--- a/node/entry.go
+++ b/node/entry.go
@@ -167,12 +167,14 @@
 // goes on if the run ends.
 func (n *Node) callForRun(ctx context.Context, r *run, p dispatch.Params) call.Outcome {
 	p.ForRun = true
+	p.RunID = r.task.ID
+	p.Slots = n.server.slotsToShare()
 	n.server.countCall(time.Now(), r, 1)
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
 		n.server.noteCallMayHaveRun(r)
 	}
-	n.server.addCallUse(r, p.Operation.Service, out)
+	n.server.addCall(r, p.Operation, out)
 	n.server.countCall(time.Now(), r, -1)
 	return out
 }
--- a/node/loops.go
+++ b/node/loops.go
@@ -60,6 +60,7 @@
 	n.checkSilence(now)
 	n.logLevelChange(now)
 	n.logRateLimitChange(now)
+	n.logOutages()
 }
 
 // tickMembers runs the periodic work of the membership and passes the member list on.
--- a/node/node.go
+++ b/node/node.go
@@ -219,6 +219,7 @@
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.server = newServer(serve.New(cfg.Serve, secret, now))
 	n.dispatch = dispatch.New(cfg.Dispatch, linker{n}, n.members, n.notes)
+	n.server.serve.SetDependencies(n.dispatch)
 	n.peers = transport.New(cfg.Transport, (*peerHandler)(n))
 	n.outbox = newPeerOutbox(n)
 	n.members.addSeeds(cfg.Seeds)
--- a/node/run.go
+++ b/node/run.go
@@ -105,6 +105,7 @@
 		Answered:       res.Answered,
 		Limit:          limit.Statement{Named: res.Notice.Limit == backend.Limited, PerSecond: res.Notice.PerSecond},
 		SlotTimeUsed:   callUse,
+		Calls:          n.server.calledTargets(r),
 		CallsFailed:    callsFailed,
 		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
@@ -50,6 +52,8 @@
 	callsFailed bool
 	// callUse is the slot time that the calls made by the task took at each service.
 	callUse []call.SlotTime
+	// targets tells for each target that the task has called whether a call succeeded.
+	targets []outage.Call
 }
 
 func newServer(s *serve.Server) *server {
@@ -138,13 +142,33 @@
 	return s.serve.HasWaiting()
 }
 
-// addCallUse adds the slot time that a call made by a run took, at its service and at the
-// services that it called in turn.
-func (s *server) addCallUse(r *run, service string, out call.Outcome) {
+// addCall adds a call that a run has made: its result, and the slot time that it took at its
+// service and at the services that it called in turn.
+func (s *server) addCall(r *run, op *graph.Operation, out call.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	r.callUse = out.AddSlotTimes(r.callUse, service)
+	r.callUse = out.AddSlotTimes(r.callUse, op.Service)
 	r.callsFailed = r.callsFailed || !out.Succeeded()
+	target := outage.Target{Service: op.Service, Operation: op.Name}
+	r.targets = outage.Add(r.targets, target, out.Succeeded())
+}
+
+// calledTargets returns the targets that a run has called.
+func (s *server) calledTargets(r *run) []outage.Call {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(r.targets)
+}
+
+// slotsToShare returns the number of slots that the node fills, zero if it starts no further
+// runs.
+func (s *server) slotsToShare() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.serve.Draining() {
+		return 0
+	}
+	return s.serve.Concurrency()
 }
 
 // callUse returns the slot time that the calls made by a run took at each service, and
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -76,6 +76,11 @@
 	// TransparentRetries counts repeated attempts of calls that had not been sent because no
 	// connection could be opened.
 	TransparentRetries expvar.Int
+	// DependencyLosses counts services and operations that could no longer be reached at any
+	// node, DependencyRefusals requests refused for one, DependencyProbes those that were let
+	// through to notice its return, DependencyGivenUp calls that did not wait for one, or no
+	// longer, since enough runs waited.
+	DependencyLosses, DependencyRefusals, DependencyProbes, DependencyGivenUp expvar.Int
 	// Deferred counts requests whose callers were asked to retry later because
 	// requests of the route fail.
 	Deferred expvar.Int
@@ -161,6 +166,10 @@
 		{name: "late_beats", value: &c.LateHeartbeats},
 		{name: "hedges", value: &c.Hedges},
 		{name: "transparent_retries", value: &c.TransparentRetries},
+		{name: "dependency_losses", value: &c.DependencyLosses},
+		{name: "dependency_refusals", value: &c.DependencyRefusals},
+		{name: "dependency_probes", value: &c.DependencyProbes},
+		{name: "dependency_given_up", value: &c.DependencyGivenUp},
 		{name: "deferred", value: &c.Deferred},
 		{name: "strays", value: &c.StrayAnswers},
 	}
--- /dev/null
+++ b/outage/waits.go
@@ -0,0 +1,143 @@
+package outage
+
+// WaitsConfig configures a Waits. Shares are fractions of the slots of the node's backend
+// server.
+type WaitsConfig struct {
+	// NodeShare bounds the slots of all runs that wait, ServiceShare those of the runs that
+	// wait for one service. The other slots keep serving requests that don't need it.
+	NodeShare, ServiceShare float64
+}
+
+// DefaultWaitsConfig returns the settings of a node.
+func DefaultWaitsConfig() WaitsConfig {
+	return WaitsConfig{NodeShare: 0.5, ServiceShare: 0.25}
+}
+
+// Waits bounds the runs that wait for a lost service while they hold a slot. The more
+// important ones wait.
+type Waits struct {
+	cfg     WaitsConfig
+	waiting []*Wait
+	// GivenUp counts the waits that were not begun or were ended for a more important one.
+	givenUp uint64
+}
+
+// Wait is a call of a run that waits for a service.
+type Wait struct {
+	service  string
+	run      uint64
+	priority uint16
+	// over is closed when a more important run takes the place.
+	over chan struct{}
+}
+
+// Over is closed when a more important run has taken the place of this one, which must give up.
+func (w *Wait) Over() <-chan struct{} { return w.over }
+
+// NewWaits returns a Waits without runs.
+func NewWaits(cfg WaitsConfig) *Waits { return &Waits{cfg: cfg} }
+
+// Begin begins a wait of a run. slots is the number of slots that the node fills, zero if it
+// starts no further runs and so needs none. It returns nil if the run may not wait. The caller must end the
+// wait with End, also if it is over.
+func (w *Waits) Begin(service string, run uint64, priority uint16, slots int) *Wait {
+	wait := &Wait{service: service, run: run, priority: priority, over: make(chan struct{})}
+	if slots > 0 && !w.makeRoom(wait, slots) {
+		w.givenUp++
+		return nil
+	}
+	w.waiting = append(w.waiting, wait)
+	return wait
+}
+
+// End ends a wait.
+func (w *Waits) End(wait *Wait) {
+	for i, other := range w.waiting {
+		if other == wait {
+			w.waiting = append(w.waiting[:i], w.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// makeRoom reports whether wait may begin, after less important ones were ended for it.
+func (w *Waits) makeRoom(wait *Wait, slots int) bool {
+	ofService := func(other *Wait) bool { return other.service == wait.service }
+	ofNode := func(*Wait) bool { return true }
+	return w.makeRoomAmong(wait, ofService, limit(w.cfg.ServiceShare, slots)) &&
+		w.makeRoomAmong(wait, ofNode, limit(w.cfg.NodeShare, slots))
+}
+
+func limit(share float64, slots int) int { return max(1, int(share*float64(slots))) }
+
+// makeRoomAmong keeps the number of waiting runs that match below limit.
+func (w *Waits) makeRoomAmong(wait *Wait, match func(*Wait) bool, limit int) bool {
+	priorities := make(map[uint64]uint16) // the highest of each run
+	for _, other := range w.waiting {
+		if match(other) {
+			priorities[other.run] = w.priorityOf(other.run)
+		}
+	}
+	if _, waits := priorities[wait.run]; waits || len(priorities) < limit {
+		return true // a run holds one slot, whatever its number of calls
+	}
+	least := leastImportant(priorities)
+	if priorities[least] >= wait.priority {
+		return false
+	}
+	w.endRun(least)
+	return true
+}
+
+// priorityOf returns the highest priority of the waits of a run.
+func (w *Waits) priorityOf(run uint64) uint16 {
+	var priority uint16
+	for _, other := range w.waiting {
+		if other.run == run {
+			priority = max(priority, other.priority)
+		}
+	}
+	return priority
+}
+
+// leastImportant returns the run with the least priority, of equal ones the latest.
+func leastImportant(priorities map[uint64]uint16) uint64 {
+	var least uint64
+	found := false
+	for run, priority := range priorities {
+		if !found || priority < priorities[least] || priority == priorities[least] && run > least {
+			least, found = run, true
+		}
+	}
+	return least
+}
+
+// endRun ends all waits of a run.
+func (w *Waits) endRun(run uint64) {
+	var kept []*Wait
+	for _, other := range w.waiting {
+		if other.run != run {
+			kept = append(kept, other)
+			continue
+		}
+		w.givenUp++
+		close(other.over)
+	}
+	w.waiting = kept
+}
+
+// WaitsFor reports whether a run waits for the service.
+func (w *Waits) WaitsFor(service string) bool {
+	for _, wait := range w.waiting {
+		if wait.service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Len returns the number of calls that wait.
+func (w *Waits) Len() int { return len(w.waiting) }
+
+// GivenUp returns how many waits were not begun, or ended for a more important one.
+func (w *Waits) GivenUp() uint64 { return w.givenUp }
--- a/serve/config.go
+++ b/serve/config.go
@@ -20,6 +20,7 @@
 	"github.com/cassialoom/cassialoom/admission"
 	"github.com/cassialoom/cassialoom/limit"
 	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/queue"
 	"github.com/cassialoom/cassialoom/wire"
@@ -34,6 +35,7 @@
 	Gate    admission.GateConfig
 	Once    once.Config
 	Poison  poison.Config
+	Needs   outage.NeedsConfig
 	// RefuseRetryAfter is the Retry-After of refusals without a measured
 	// recovery time, such as a drain. It is short: another node can serve the
 	// request at once.
@@ -75,6 +77,7 @@
 		Gate:             admission.DefaultGateConfig(),
 		Once:             once.DefaultConfig(),
 		Poison:           poison.DefaultConfig(),
+		Needs:            outage.DefaultNeedsConfig(),
 		SlotShare:        0.95,
 		RefuseRetryAfter: 100 * time.Millisecond,
 	}
--- /dev/null
+++ b/serve/dependencies.go
@@ -0,0 +1,61 @@
+package serve
+
+import (
+	"time"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/outage"
+	"github.com/cassialoom/cassialoom/verdict"
+)
+
+// Dependencies tells whether the calls that a run is going to make can be sent.
+type Dependencies interface {
+	// RefuseFor returns the refusal of a request whose run needs the targets, nil unless
+	// one of them is lost.
+	RefuseFor(targets []outage.Target) *verdict.Error
+}
+
+// SetDependencies sets what tells of lost services. Without it nothing is lost.
+func (s *Server) SetDependencies(d Dependencies) { s.dependencies = d }
+
+// checkDependencies returns the refusal of a task that can't succeed because a service that it
+// is sure to call is lost, nil if there is none. A task that was let through to notice the
+// return of the service is not checked again.
+func (s *Server) checkDependencies(now time.Time, t *Task) *verdict.Error {
+	if s.dependencies == nil || t.dependenciesChecked {
+		return nil
+	}
+	needed := s.needs.Of(now, t.Request.Operation)
+	if len(needed) == 0 {
+		return nil
+	}
+	err := s.dependencies.RefuseFor(needed)
+	t.dependenciesChecked = err == nil
+	return err
+}
+
+// recheckDependencies refuses a task that waited in the queue while a service that it needs was
+// lost, and reports whether it did.
+func (s *Server) recheckDependencies(now time.Time, t *Task, e *Effects) bool {
+	if now.Sub(t.arrived) >= dependencyCheckInterval {
+		t.dependenciesChecked = false
+	}
+	err := s.checkDependencies(now, t)
+	if err == nil {
+		return false
+	}
+	s.counts.DependencyLost++
+	s.finishUnstarted(t, err, e)
+	return true
+}
+
+// dependencyCheckInterval is the time in the queue after which a task is checked again.
+const dependencyCheckInterval = 100 * time.Millisecond
+
+// recordCalls records the calls of a successful task. An answer that the backend server marks as
+// a failure of its own tells nothing.
+func (s *Server) recordCalls(now time.Time, t *Task, r Result) {
+	if r.Verdict == verdict.Ran && r.Reason == verdict.None && r.Status < call.MinServerError {
+		s.needs.Record(now, t.Request.Operation, r.Calls)
+	}
+}
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -17,14 +17,17 @@
 	Started     uint64 `json:"started"`
 	Shed        uint64 `json:"shed"`
 	// RateLimited counts attempts refused because of the backend server's rate limit.
-	RateLimited   uint64 `json:"rate_limited"`
-	Expired       uint64 `json:"expired"`
-	Canceled      uint64 `json:"canceled"`
-	Duplicates    uint64 `json:"duplicates"`
-	PoisonRequest uint64 `json:"poison"`
-	Crashes       uint64 `json:"crashes"`
-	Joined        uint64 `json:"joined"`
-	Replayed      uint64 `json:"replayed"`
+	RateLimited uint64 `json:"rate_limited"`
+	// DependencyLost counts attempts refused because a service that they need can't be
+	// reached.
+	DependencyLost uint64 `json:"dependency_lost"`
+	Expired        uint64 `json:"expired"`
+	Canceled       uint64 `json:"canceled"`
+	Duplicates     uint64 `json:"duplicates"`
+	PoisonRequest  uint64 `json:"poison"`
+	Crashes        uint64 `json:"crashes"`
+	Joined         uint64 `json:"joined"`
+	Replayed       uint64 `json:"replayed"`
 }
 
 // Dump is a snapshot of a Server for operators.
@@ -62,7 +65,7 @@
 		FaultsPercent: s.faults.percent(),
 
 		Running:     len(s.running),
-		Concurrency: s.concurrency(),
+		Concurrency: s.Concurrency(),
 		Parked:      len(s.parked),
 		Isolated:    s.isolated != nil,
 		Counts:      s.counts,
--- a/serve/key.go
+++ b/serve/key.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if !info.Minted {
-		s.applyResolution(now, t, s.resolveKey(now, key), e)
+		s.applyResolution(now, t, s.resolveKey(now, t), e)
 		return
 	}
 	if info.Holder != s.cfg.Self {
@@ -61,15 +61,20 @@
 	s.beginKeyed(now, t, e)
 }
 
-// resolveKey returns where a caller-made key may run. A node that takes no new work binds no
-// new key: no other node could run it, also after this one has ended.
-func (s *Server) resolveKey(now time.Time, key string) once.Resolution {
+// resolveKey returns where the caller-made key of a task may run. A node that takes no new work,
+// or can't run the task, binds no new key: no other node could run it, also after this one has
+// ended.
+func (s *Server) resolveKey(now time.Time, t *Task) once.Resolution {
+	key := t.Request.Key
+	if r, known := s.binder.Lookup(now, key); known {
+		return r
+	}
 	err := s.noWorkRefusal()
 	if err == nil {
-		return s.binder.Bind(now, key)
+		err = s.checkDependencies(now, t)
 	}
-	if r, known := s.binder.Lookup(now, key); known {
-		return r
+	if err == nil {
+		return s.binder.Bind(now, key)
 	}
 	return once.Resolution{Key: key, State: once.Refused, Err: err}
 }
--- a/serve/rate.go
+++ b/serve/rate.go
@@ -80,9 +80,9 @@
 	}
 	n, limited := s.rate.Within(runTime + targetRateWait)
 	if !limited {
-		return s.concurrency()
+		return s.Concurrency()
 	}
-	return max(1, int(min(math.Ceil(n), float64(s.concurrency()))))
+	return max(1, int(min(math.Ceil(n), float64(s.Concurrency()))))
 }
 
 // reportedInFlight returns the number of tasks in flight to report to the callers' nodes. Under
--- a/serve/run.go
+++ b/serve/run.go
@@ -26,14 +26,14 @@
 
 // mayStart reports whether a waiting task may start now.
 func (s *Server) mayStart(now time.Time) bool {
-	return s.ready && s.isolated == nil && len(s.running) < s.concurrency() && s.rate.Ready(now)
+	return s.ready && s.isolated == nil && len(s.running) < s.Concurrency() && s.rate.Ready(now)
 }
 
 // startDequeued starts a task that left the queue, unless it has become a suspect while
 // it waited.
 func (s *Server) startDequeued(now time.Time, t *Task, e *Effects) {
 	s.observe(now, admission.Served)
-	if s.checkSuspect(now, t, e) {
+	if s.recheckDependencies(now, t, e) || s.checkSuspect(now, t, e) {
 		return
 	}
 	if t.mustIsolate {
@@ -124,7 +124,8 @@
 	s.finishUnstarted(t, err, e)
 }
 
-func (s *Server) concurrency() int {
+// Concurrency returns the number of tasks that may run at once.
+func (s *Server) Concurrency() int {
 	switch s.cfg.Policy {
 	case PolicyNone:
 		return maxConcurrency
@@ -189,6 +190,7 @@
 	}
 	s.learnRateLimit(now, t, r)
 	s.recordRunTime(r)
+	s.recordCalls(now, t, r)
 	delete(s.running, id)
 	if s.isolated == t {
 		s.isolated = nil
--- a/serve/server.go
+++ b/serve/server.go
@@ -13,6 +13,7 @@
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/limit"
 	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/queue"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -34,6 +35,9 @@
 	guard   *poison.Guard
 	random  *rand.Rand
 	faults  faults
+	// needs are the calls that runs make, dependencies tells which of them can't be sent.
+	needs        *outage.Needs
+	dependencies Dependencies
 
 	tasks   map[uint64]*Task   // waiting or running
 	running map[uint64]*Task   // handed to the backend server
@@ -73,6 +77,7 @@
 		gate:           admission.NewGate(cfg.Gate),
 		guard:          poison.New(cfg.Poison, cfg.Self),
 		random:         rand.New(rand.NewPCG(cfg.Seed, 0)),
+		needs:          outage.NewNeeds(cfg.Needs),
 		tasks:          make(map[uint64]*Task),
 		running:        make(map[uint64]*Task),
 		byCall:         make(map[waiter]uint64),
@@ -284,7 +289,11 @@
 		s.observe(now, admission.Shed)
 		return s.rateRefusal(now)
 	}
-	return nil
+	err := s.checkDependencies(now, t)
+	if err != nil {
+		s.counts.DependencyLost++
+	}
+	return err
 }
 
 // noWorkRefusal returns why this node takes no new work, or nil.
--- a/serve/task.go
+++ b/serve/task.go
@@ -6,6 +6,7 @@
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/limit"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
 	"github.com/cassialoom/cassialoom/wire"
@@ -49,6 +50,9 @@
 	boundHere bool
 	// mustIsolate is set if nothing else may run at the same time.
 	mustIsolate bool
+	// dependenciesChecked is set if the services that it needs could be reached, or if it
+	// was let through to find out.
+	dependenciesChecked bool
 	// inFlight is the number of tasks that ran when this one began.
 	inFlight int
 	// openCalls is the number of its open outgoing calls, callsSince the time
@@ -92,6 +96,8 @@
 	// CallsFailed reports that an outgoing call of the task failed, which may
 	// have caused a failure answered by the backend server.
 	CallsFailed bool
+	// Calls tells for each target that the task has called whether a call succeeded.
+	Calls []outage.Call
 	// SlotTimeUsed is the slot time that the calls made for the task used at each
 	// service that they reached.
 	SlotTimeUsed []call.SlotTime
--- a/verdict/reason.go
+++ b/verdict/reason.go
@@ -21,6 +21,8 @@
 	Shed     Reason = "shed"
 	Deadline Reason = "deadline"
 	Canceled Reason = "canceled"
+	// DependencyLost: a service that the request needs can't be reached.
+	DependencyLost Reason = "dependency-lost"
 	// Draining: the node is leaving.
 	Draining Reason = "draining"
 	// ConnectionLost: the connection ended without an answer.
@@ -98,7 +100,7 @@
 // because the reason concerns one node and not the request itself.
 func (r Reason) RetryElsewhere() bool {
 	switch r {
-	case Shed, NoBackend, Draining, ConnectionLost, Incomplete, NoConfiguration, Internal:
+	case Shed, NoBackend, DependencyLost, Draining, ConnectionLost, Incomplete, NoConfiguration, Internal:
 		return true
 	default:
 		return false
