limit, node: a pause of the process is not taken for latency

Cause: the runs in flight end with latencies of 8 s. They enter the floor of their class and the ratio of the window, so that the expected run time of a call of 5 ms exceeds its deadline of 1 s. Refused calls measure nothing, hence the slow recovery.

Ruled out: links and membership, since the first answers came within 0.1 s.

Change: a gap of over a second between two events of a process whose loop ticks each 200 ms is a pause. The node says so in its log, the limiter drops its window and ignores the runs that began before, the queue restarts the measurement of its service rate.

Tests: TestPauseIsNotLatency fails without the call of Resumed.

--- a/limit/limit.go
+++ b/limit/limit.go
@@ -60,6 +60,8 @@
 	inFlight  int
 	waiting   int
 	lastEvent time.Time
+	// resumedAt is the end of the last pause of this process.
+	resumedAt time.Time
 	win       window
 	floors    floors
 	// ratio is the smoothed ratio of own latency to floor; latency is the mean latency
@@ -126,10 +128,20 @@
 func (l *Limiter) End(now time.Time, s Sample) {
 	l.advance(now)
 	l.inFlight = max(0, l.inFlight-1)
-	l.account(s)
+	if !now.Add(-s.Latency).Before(l.resumedAt) {
+		l.account(s)
+	}
 	l.endWindow(now)
 }
 
+// Resumed discards the present window, since this process was paused in it. The calls in flight
+// don't count when they end: their latency contains the pause.
+func (l *Limiter) Resumed(now time.Time) {
+	l.resumedAt = now
+	l.lastEvent = now
+	l.startWindow(now)
+}
+
 // account adds a finished call to the window.
 func (l *Limiter) account(s Sample) {
 	own := max(0, s.Latency-s.Downstream).Seconds()
--- a/node/run.go
+++ b/node/run.go
@@ -20,7 +20,10 @@
 	now := time.Now()
 	n.replying.Add(1)
 	defer n.replying.Add(-1)
-	e, started := n.server.do(func(s *serve.Server) serve.Effects { return f(now, s) })
+	e, started, paused := n.server.do(now, func(s *serve.Server) serve.Effects { return f(now, s) })
+	if paused > 0 {
+		n.log.Warn().Dur("for_ms", paused).Msg("this process was paused")
+	}
 	for _, notice := range e.Notices {
 		n.broadcastNotice(notice)
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -20,8 +20,11 @@
 // server guards the callee's state with a lock. The runs are registered under
 // the same lock, so that a stop decided after a start always finds its run.
 type server struct {
-	mu      sync.Mutex
-	serve   *serve.Server
+	mu    sync.Mutex
+	serve *serve.Server
+	// lastEvent is the time of the last event that do passed on.
+	lastEvent time.Time
+
 	runs    map[uint64]*run
 	byToken map[string]*run
 	// byRequest finds a run by its request id, which the backend server knows.
@@ -67,13 +70,34 @@
 	}
 }
 
+// maxEventGap is the longest time between two events of a process that runs: a tick comes at
+// least every idleTick.
+const maxEventGap = time.Second
+
+// notePause tells the callee's state of a pause of this process, and returns its length or zero.
+// The caller holds the lock.
+func (s *server) notePause(now time.Time) time.Duration {
+	gap := now.Sub(s.lastEvent)
+	first := s.lastEvent.IsZero()
+	if gap > 0 {
+		s.lastEvent = now
+	}
+	if first || gap <= maxEventGap {
+		return 0
+	}
+	s.serve.Resumed(now)
+	return gap
+}
+
 // do calls f under the lock, stops the runs that f ends and registers those that
-// it starts. The caller starts the returned runs and carries out the other effects.
-func (s *server) do(f func(*serve.Server) serve.Effects) (serve.Effects, []*run) {
+// it starts. The caller starts the returned runs and carries out the other effects. paused is
+// the length of a pause of this process that has just ended, or zero.
+func (s *server) do(now time.Time, f func(*serve.Server) serve.Effects) (e serve.Effects, started []*run, paused time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	paused = s.notePause(now)
 	hadWaiting := s.serve.HasWaiting()
-	e := f(s.serve)
+	e = f(s.serve)
 	if !hadWaiting && s.serve.HasWaiting() {
 		select {
 		case s.taskWaiting <- struct{}{}:
@@ -85,11 +109,11 @@
 			r.stop()
 		}
 	}
-	started := make([]*run, 0, len(e.Start))
+	started = make([]*run, 0, len(e.Start))
 	for _, t := range e.Start {
 		started = append(started, s.register(t))
 	}
-	return e, started
+	return e, started, paused
 }
 
 // register creates the run of a task. The caller holds the lock.
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -139,6 +139,9 @@
 	return dropped
 }
 
+// Resumed takes a pause of this process out of the service rate.
+func (q *Queue[T]) Resumed(now time.Time) { q.rate.start(now) }
+
 // WouldExpire reports whether an item that arrives now would expire before it is served. Push
 // then refuses it, even if the queue is not full.
 func (q *Queue[T]) WouldExpire(now time.Time, item *Item[T]) bool {
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -28,6 +28,8 @@
 	Crashes        uint64 `json:"crashes"`
 	Joined         uint64 `json:"joined"`
 	Replayed       uint64 `json:"replayed"`
+	// Pauses counts how often this process did not run for a while.
+	Pauses uint64 `json:"pauses"`
 }
 
 // Dump is a snapshot of a Server for operators.
--- a/serve/server.go
+++ b/serve/server.go
@@ -86,6 +86,14 @@
 	}
 }
 
+// Resumed records that this process was paused until now, by its host or by a debugger. What it
+// measured meanwhile says nothing about the backend server.
+func (s *Server) Resumed(now time.Time) {
+	s.counts.Pauses++
+	s.limit.Resumed(now)
+	s.queue.Resumed(now)
+}
+
 // SetPeers sets the ready nodes of the service, including this one.
 func (s *Server) SetPeers(peers []wire.NodeID) { s.peers = peers }
 
