outage, dispatch: partial, short and flapping losses refuse nothing that could be served

Cause: refused from the first failed round on, also calls of running requests; callers used up their retries, since Retry-After was short; upstream nodes needed a failing run each 200 ms at each level to notice the return, and non-idempotent requests were used for that; and entering requests were refused for an operation, which adds a level that has to notice.

Change: in the first half second runs wait, in up to half of the slots; then requests are refused so that another node may take them. Nodes probe a lost service by opening a connection. Requests are let through for a lost operation alone, those that aren't idempotent once a second. The Retry-After at the entry spans the caller's deadline once a loss lasts. Entering requests are refused for a service alone. Replies tell that a call lacked a service, and such failures don't count for the health of a route.

--- a/call/message.go
+++ b/call/message.go
@@ -151,6 +151,9 @@
 	// SlotTimeUsed is the slot time that the calls made by the run took at each
 	// service.
 	SlotTimeUsed []SlotTime `cbor:"22,keyasint,omitempty"`
+	// DependencyLost says that a call of the run could not be sent, or was refused for that
+	// reason.
+	DependencyLost bool `cbor:"30,keyasint,omitempty"`
 	// RanFor is the time that the backend server took.
 	RanFor time.Duration `cbor:"21,keyasint,omitempty"`
 	// Notice is the present notice of the replying node's backend server, if it is limited
--- a/call/outcome.go
+++ b/call/outcome.go
@@ -24,6 +24,21 @@
 	SlotTimeUsed []SlotTime
 	// RanFor is the time that the backend server took to answer.
 	RanFor time.Duration
+	// DependencyLost says that a call of the request's run could not be sent, or was refused
+	// for that reason.
+	DependencyLost bool
+}
+
+// LacksDependency reports whether the request failed because a service can't be reached.
+func (o *Outcome) LacksDependency() bool {
+	switch o.Reason {
+	case verdict.DependencyLost:
+		return true
+	case verdict.ConnectionLost:
+		return o.Verdict == verdict.NotRun
+	default:
+		return o.DependencyLost && !o.Succeeded()
+	}
 }
 
 // OutcomeOf returns the outcome for an error.
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -42,7 +42,8 @@
 	if p.ForRun || !p.KeyHolder.IsZero() {
 		return nil
 	}
-	return d.outages.refuse(verdict.NoBackend, outage.Target{Service: p.Operation.Service, Operation: p.Operation.Name})
+	service := outage.Target{Service: p.Operation.Service}
+	return d.outages.refuseTarget(verdict.NoBackend, service, outage.Request{Remaining: p.CallerDeadline})
 }
 
 // deferIfUnhealthy refuses an entering request whose route fails at present, and asks the
@@ -61,9 +62,9 @@
 
 // recordOutcome records the outcome of an entering request for the health of its route.
 // Only requests that made calls count: deferring doesn't help when the backend server of
-// the route itself fails.
+// the route itself fails. Those that lack a lost service are refused while it is lost.
 func (d *Dispatcher) recordOutcome(p Params, out call.Outcome) {
-	if !p.FromCaller || out.Verdict == verdict.NotRun || len(out.SlotTimeUsed) == 0 {
+	if !p.FromCaller || out.LacksDependency() || out.Verdict == verdict.NotRun || len(out.SlotTimeUsed) == 0 {
 		return
 	}
 	d.mu.Lock()
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -138,6 +138,8 @@
 		Body:         r.Body,
 		KeySafeFor:   r.KeySafeFor,
 		SlotTimeUsed: r.SlotTimeUsed,
-		RanFor:       r.RanFor,
+
+		DependencyLost: r.DependencyLost,
+		RanFor:         r.RanFor,
 	}
 }
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -312,6 +312,10 @@
 		return call.OutcomeOf(err)
 	}
 	out := d.attempt(ctx, p)
+	if p.FromCaller && out.Reason == verdict.DependencyLost {
+		lost := outage.Target{Service: p.Operation.Service, Operation: p.Operation.Name}
+		out.RetryAfter = max(out.RetryAfter, d.outages.retryAfter(lost, p.CallerDeadline))
+	}
 	d.recordOutcome(p, out)
 	return out
 }
--- a/internal/replay/day.go
+++ b/internal/replay/day.go
@@ -25,6 +25,24 @@
 	// their answers; those without an entry name none.
 	LimitedService string
 	RateLimits     []float64
+	// Loss is the loss of links to the bottleneck service.
+	Loss Loss
+}
+
+// Loss is the loss of the links to the first Servers backend servers of the bottleneck service.
+// Calls that have been sent go on.
+type Loss struct {
+	Servers int
+	// From limits the loss to the links from one data centre, if not empty.
+	From string
+	// Flap is the time after which the links come back, and are lost again, and so on. Zero
+	// means that they stay lost for the whole phase.
+	Flap time.Duration
+}
+
+// active reports whether the links are lost at a time after the start of the phase.
+func (l *Loss) active(after time.Duration) bool {
+	return l.Servers > 0 && (l.Flap == 0 || after/l.Flap%2 == 0)
 }
 
 // Scenario is the input of one run.
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cassialoom/cassialoom/explain"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/once"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/reach"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/serve"
@@ -47,7 +49,10 @@
 	ctx         context.Context
 	stop        context.CancelFunc
 	callsFailed bool
-	used        []call.SlotTime
+	// dependencyLost is set if a call failed because a service can't be reached.
+	dependencyLost bool
+	used           []call.SlotTime
+	targets        []outage.Call
 }
 
 // minimalExplain limits the records of decisions, which nothing reads here.
@@ -68,6 +73,7 @@
 	sc.Self, sc.Service, sc.Seed = id, s.Name, sim.nextSeed()
 	now := time.Now()
 	n.callee = serve.New(sc, [once.SecretLen]byte{}, now)
+	n.callee.SetDependencies(n.dispatch)
 	n.callee.SetReady(now, true)
 	if !sim.policy.HideSlots {
 		n.callee.SetSlots(now, s.Slots)
@@ -78,8 +84,13 @@
 // linker implements dispatch.Linker with simulated connections.
 type linker struct{ n *node }
 
+var errLinkLost = errors.New("the link is lost")
+
 // Link implements dispatch.Linker.
 func (l linker) Link(_ context.Context, id wire.NodeID) (dispatch.Link, error) {
+	if l.n.simulation.linkLost(l.n, id) {
+		return nil, errLinkLost
+	}
 	return link{from: l.n, to: l.n.simulation.nodes[id]}, nil
 }
 
@@ -177,20 +188,29 @@
 	defer stop()
 	out := n.dispatch.Call(ctx, dispatch.Params{
 		RequestID: n.simulation.nextID(), Operation: op, Importance: req.Importance, Deadline: deadline,
-		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1,
+		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, RunID: r.task.ID, Slots: n.slots(),
 		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
-	n.used(r, c.Service, out)
+	n.used(r, c, out)
 	n.simulation.report.callEnded(c.Service, out)
 	return out.Verdict == verdict.Ran && out.Status == statusOK
 }
 
+// slots returns the number of slots that the node fills.
+func (n *node) slots() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.callee.SlotsToShare()
+}
+
 // used records the services that a call of the backend server reached and used.
-func (n *node) used(r *run, service string, out call.Outcome) {
+func (n *node) used(r *run, c *Class, out call.Outcome) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	r.used = out.AddSlotTimes(r.used, service)
+	r.used = out.AddSlotTimes(r.used, c.Service)
+	r.targets = outage.Add(r.targets, outage.Target{Service: c.Service, Operation: c.Name}, out.Succeeded())
 	r.callsFailed = r.callsFailed || !out.Succeeded()
+	r.dependencyLost = r.dependencyLost || out.LacksDependency()
 	if n.callReach.Record(time.Now(), "", call.SlotTimeServices(r.used)) {
 		n.dispatch.SetForwarded(n.callReach.Reach(""))
 	}
@@ -271,7 +291,9 @@
 	n.mu.Lock()
 	delete(n.running, r.task.ID)
 	result.SlotTimeUsed = r.used
+	result.Calls = r.targets
 	result.CallsFailed = r.callsFailed
+	result.DependencyLost = r.dependencyLost
 	n.mu.Unlock()
 	n.apply(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
--- a/node/outages.go
+++ b/node/outages.go
@@ -12,3 +12,10 @@
 			Dur("after_ms", c.Lasted).Msg("dependency back")
 	}
 }
+
+// probeLostServices tries to reach the lost services, without waiting for the results.
+func (n *Node) probeLostServices() {
+	for _, service := range n.dispatch.ServicesToProbe() {
+		n.background(func() { n.dispatch.Probe(n.ctx, service) })
+	}
+}
--- a/node/run.go
+++ b/node/run.go
@@ -93,7 +93,6 @@
 // result combines the answer of the backend server with what the calls made by the
 // run have used.
 func (n *Node) result(r *run, res backend.Result, callMayHaveRun bool) serve.Result {
-	callUse, callsFailed := n.server.callUse(r)
 	result := serve.Result{
 		Verdict:        res.Verdict,
 		Reason:         res.Reason,
@@ -107,11 +106,9 @@
 		ReachedBackend: res.ReachedBackend,
 		Answered:       res.Answered,
 		Limit:          limit.Statement{Named: res.Notice.Limit == backend.Limited, PerSecond: res.Notice.PerSecond},
-		SlotTimeUsed:   callUse,
-		Calls:          n.server.calledTargets(r),
-		CallsFailed:    callsFailed,
 		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
 	}
+	n.server.addCallResults(r, &result)
 	result.LimitUnreadable = res.Notice.Limit == backend.UnreadableLimit
 	// If a call made for the task may have run, the request as a whole may have
 	// run, even if the backend server declined the task itself.
--- a/node/server.go
+++ b/node/server.go
@@ -53,6 +53,9 @@
 	callMayHaveRun bool
 	// callsFailed is set when a call made by the task has failed.
 	callsFailed bool
+	// dependencyLost is set when a call made by the task failed because a service can't be
+	// reached.
+	dependencyLost bool
 	// callUse is the slot time that the calls made by the task took at each service.
 	callUse []call.SlotTime
 	// targets tells for each target that the task has called whether a call succeeded.
@@ -173,34 +176,27 @@
 	defer s.mu.Unlock()
 	r.callUse = out.AddSlotTimes(r.callUse, op.Service)
 	r.callsFailed = r.callsFailed || !out.Succeeded()
+	r.dependencyLost = r.dependencyLost || out.LacksDependency()
 	target := outage.Target{Service: op.Service, Operation: op.Name}
 	r.targets = outage.Add(r.targets, target, out.Succeeded())
 }
 
-// calledTargets returns the targets that a run has called.
-func (s *server) calledTargets(r *run) []outage.Call {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return slices.Clone(r.targets)
-}
-
 // slotsToShare returns the number of slots that the node fills, zero if it starts no further
 // runs.
 func (s *server) slotsToShare() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.serve.Draining() {
-		return 0
-	}
-	return s.serve.Concurrency()
+	return s.serve.SlotsToShare()
 }
 
-// callUse returns the slot time that the calls made by a run took at each service, and
-// whether any of them failed.
-func (s *server) callUse(r *run) (uses []call.SlotTime, callsFailed bool) {
+// addCallResults adds what the calls made by a run have shown to its result.
+func (s *server) addCallResults(r *run, result *serve.Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(r.callUse), r.callsFailed
+	result.SlotTimeUsed = slices.Clone(r.callUse)
+	result.CallsFailed = r.callsFailed
+	result.DependencyLost = r.dependencyLost
+	result.Calls = slices.Clone(r.targets)
 }
 
 // runByToken returns the run with a token, or false if there is none.
--- a/outage/tracker.go
+++ b/outage/tracker.go
@@ -43,10 +43,19 @@
 	// service of more nodes to count as lost.
 	MaxNodes int
 	// ProbeInterval is the time between two requests that are let through to a lost target.
-	ProbeInterval time.Duration
-	// RetryMin and RetryMax bound the Retry-After of refusals. RetryMax is short, since the
-	// refusals are cheap and the return can't be predicted.
+	// ActionProbeInterval is the same for those that are not idempotent: they fail after
+	// work was done, and their callers can't send them again.
+	ProbeInterval, ActionProbeInterval time.Duration
+	// RefuseAfter is how long a service must have been lost for requests to be refused
+	// although runs may still wait for it. Most losses are shorter; in a longer one
+	// another node may be able to reach it.
+	RefuseAfter time.Duration
+	// RetryMin and RetryMax bound the Retry-After of refusals by the time that has passed.
+	// RetryMax is short, since the refusals are cheap and the return can't be predicted.
 	RetryMin, RetryMax time.Duration
+	// RetryShareMin and RetryShareMax bound it as shares of the caller's remaining deadline:
+	// callers retry only a few times, which must span most of it.
+	RetryShareMin, RetryShareMax float64
 	// Targets bounds the number of targets remembered.
 	Targets int
 }
@@ -54,12 +63,16 @@
 // DefaultConfig returns the settings of a node.
 func DefaultConfig() Config {
 	return Config{
-		FailureTTL:    2 * time.Second,
-		MaxNodes:      8,
-		ProbeInterval: 200 * time.Millisecond,
-		RetryMin:      200 * time.Millisecond,
-		RetryMax:      time.Second,
-		Targets:       4096, // as many routes as reach.Tracker knows
+		FailureTTL:          2 * time.Second,
+		MaxNodes:            8,
+		ProbeInterval:       200 * time.Millisecond,
+		ActionProbeInterval: time.Second,
+		RefuseAfter:         500 * time.Millisecond,
+		RetryMin:            200 * time.Millisecond,
+		RetryMax:            time.Second,
+		RetryShareMin:       0.2,
+		RetryShareMax:       1.0 / 3, // callers on the platform wait no longer
+		Targets:             4096,    // as many routes as reach.Tracker knows
 	}
 }
 
@@ -235,32 +248,74 @@
 	return true
 }
 
-// Refuse reports whether a new request that needs a lost target must be refused, and when its
-// caller should retry. Every ProbeInterval one request is let through, unless waiting says
-// that a run at this node waits for the target and will notice its return.
-func (t *Tracker) Refuse(now time.Time, target Target, nodes []wire.NodeID, waiting bool) (retryAfter time.Duration, refused bool) {
+// Request is a request that needs operations of other services.
+type Request struct {
+	// Runs says that the request is about to run at this node, whose Slots it shares: the
+	// slots that the node fills, zero if it starts no further runs.
+	Runs     bool
+	Slots    int
+	Priority uint16
+	// Idempotent says that its caller may send it again after a failure.
+	Idempotent bool
+	// Remaining is the remaining deadline of its caller, zero if unknown.
+	Remaining time.Duration
+}
+
+// Need is what a request that needs a target can do if it is lost.
+type Need struct {
+	// MayWait says that its run may wait for the target at this node.
+	MayWait bool
+	// Idempotent is that of the Request.
+	Idempotent bool
+	// Noticed says that the return of the target is noticed without this request.
+	Noticed bool
+}
+
+// Refuses reports whether a request that needs a lost target must be refused. From time to time
+// one is let through, unless the return will be noticed anyway.
+func (t *Tracker) Refuses(now time.Time, target Target, nodes []wire.NodeID, need Need) bool {
 	if !t.Lost(now, target, nodes) {
-		return 0, false
+		return false
 	}
 	s := t.targets[target]
-	if !waiting && now.Sub(s.probed) >= t.cfg.ProbeInterval {
+	if need.MayWait && !t.LostForLong(now, target) {
+		return false
+	}
+	interval := t.cfg.ActionProbeInterval
+	if need.Idempotent {
+		interval = t.cfg.ProbeInterval
+	}
+	if !need.Noticed && now.Sub(s.probed) >= interval {
 		s.probed = now
 		t.counts.Probes++
-		return 0, false
+		return false
 	}
 	t.counts.Refused++
-	return t.RetryAfter(now, target), true
+	return true
+}
+
+// LostForLong reports whether the target has been lost for RefuseAfter or more.
+func (t *Tracker) LostForLong(now time.Time, target Target) bool {
+	s, ok := t.targets[target]
+	return ok && s.lost && now.Sub(s.began) >= t.cfg.RefuseAfter
 }
 
 // RetryAfter returns the Retry-After for a caller that needs the target: half of the time for
-// which it has been lost. Jitter keeps refused callers from retrying together.
-func (t *Tracker) RetryAfter(now time.Time, target Target) time.Duration {
+// which it has been lost, within bounds, and after RefuseAfter at least a share of the caller's
+// remaining deadline, which is zero if it is not known. Jitter keeps refused callers from
+// retrying together.
+func (t *Tracker) RetryAfter(now time.Time, target Target, remaining time.Duration) time.Duration {
 	elapsed := time.Duration(0)
 	if s, ok := t.targets[target]; ok {
 		elapsed = now.Sub(s.began)
 	}
 	mean := min(max(elapsed/2, t.cfg.RetryMin), t.cfg.RetryMax)
-	return mean/2 + time.Duration(t.random.Int64N(int64(mean)))
+	after := mean/2 + time.Duration(t.random.Int64N(int64(mean)))
+	if !t.LostForLong(now, target) {
+		return after
+	}
+	share := t.cfg.RetryShareMin + (t.cfg.RetryShareMax-t.cfg.RetryShareMin)*t.random.Float64()
+	return max(after, time.Duration(share*float64(remaining)))
 }
 
 // Ended reports whether the target is lost because all of its nodes are known to have ended. A
@@ -278,6 +333,18 @@
 	return true
 }
 
+// LostServices returns the names of the lost services, sorted.
+func (t *Tracker) LostServices() []string {
+	var names []string
+	for target, s := range t.targets {
+		if s.lost && target.Operation == "" {
+			names = append(names, target.Service)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // TakeChanges returns the changes since the last call, oldest first.
 func (t *Tracker) TakeChanges() []Change {
 	changes := t.changes
--- a/outage/waits.go
+++ b/outage/waits.go
@@ -4,7 +4,8 @@
 // server.
 type WaitsConfig struct {
 	// NodeShare bounds the slots of all runs that wait, ServiceShare those of the runs that
-	// wait for one service. The other slots keep serving requests that don't need it.
+	// wait for one service that has been lost for long. The other slots keep serving
+	// requests that don't need it.
 	NodeShare, ServiceShare float64
 }
 
@@ -37,15 +38,27 @@
 // NewWaits returns a Waits without runs.
 func NewWaits(cfg WaitsConfig) *Waits { return &Waits{cfg: cfg} }
 
-// Begin begins a wait of a run. slots is the number of slots that the node fills, zero if it
-// starts no further runs and so needs none. It returns nil if the run may not wait. The caller must end the
+// Seeker is a run that may wait for a service.
+type Seeker struct {
+	Service string
+	// Run names the run among those of the node; zero for one that has not begun.
+	Run      uint64
+	Priority uint16
+	// Slots is the number of slots that the node fills, zero if it starts no further runs and
+	// so needs none.
+	Slots int
+	// Long says that the service has been lost for long.
+	Long bool
+}
+
+// Begin begins a wait of a run. It returns nil if the run may not wait. The caller must end the
 // wait with End, also if it is over.
-func (w *Waits) Begin(service string, run uint64, priority uint16, slots int) *Wait {
-	wait := &Wait{service: service, run: run, priority: priority, over: make(chan struct{})}
-	if slots > 0 && !w.makeRoom(wait, slots) {
+func (w *Waits) Begin(s Seeker) *Wait {
+	if s.Slots > 0 && !w.makeRoom(s) {
 		w.givenUp++
 		return nil
 	}
+	wait := &Wait{service: s.Service, run: s.Run, priority: s.Priority, over: make(chan struct{})}
 	w.waiting = append(w.waiting, wait)
 	return wait
 }
@@ -60,33 +73,65 @@
 	}
 }
 
-// makeRoom reports whether wait may begin, after less important ones were ended for it.
-func (w *Waits) makeRoom(wait *Wait, slots int) bool {
-	ofService := func(other *Wait) bool { return other.service == wait.service }
-	ofNode := func(*Wait) bool { return true }
-	return w.makeRoomAmong(wait, ofService, limit(w.cfg.ServiceShare, slots)) &&
-		w.makeRoomAmong(wait, ofNode, limit(w.cfg.NodeShare, slots))
+// HasRoom reports whether a run may wait.
+func (w *Waits) HasRoom(s Seeker) bool {
+	if s.Slots == 0 {
+		return true
+	}
+	for _, b := range w.bounds(s) {
+		if _, ok := w.roomWithin(s, b); !ok {
+			return false
+		}
+	}
+	return true
 }
 
-func limit(share float64, slots int) int { return max(1, int(share*float64(slots))) }
+// makeRoom reports whether a run may wait, after less important ones were ended for it.
+func (w *Waits) makeRoom(s Seeker) bool {
+	for _, b := range w.bounds(s) {
+		least, ok := w.roomWithin(s, b)
+		if !ok {
+			return false
+		}
+		if least != 0 {
+			w.endRun(least)
+		}
+	}
+	return true
+}
+
+// bound is a bound on the number of waiting runs, of those for one service if it is not empty.
+type bound struct {
+	service string
+	runs    int
+}
 
-// makeRoomAmong keeps the number of waiting runs that match below limit.
-func (w *Waits) makeRoomAmong(wait *Wait, match func(*Wait) bool, limit int) bool {
+// bounds returns the bounds that apply to a run.
+func (w *Waits) bounds(s Seeker) []bound {
+	node := bound{runs: max(1, int(w.cfg.NodeShare*float64(s.Slots)))}
+	if !s.Long {
+		return []bound{node}
+	}
+	return []bound{{service: s.Service, runs: max(1, int(w.cfg.ServiceShare*float64(s.Slots)))}, node}
+}
+
+// roomWithin reports whether a run may wait within a bound. If another run must end for it,
+// least is that run, otherwise zero.
+func (w *Waits) roomWithin(s Seeker, b bound) (least uint64, ok bool) {
 	priorities := make(map[uint64]uint16) // the highest of each run
 	for _, other := range w.waiting {
-		if match(other) {
+		if b.service == "" || other.service == b.service {
 			priorities[other.run] = w.priorityOf(other.run)
 		}
 	}
-	if _, waits := priorities[wait.run]; waits || len(priorities) < limit {
-		return true // a run holds one slot, whatever its number of calls
+	if _, waits := priorities[s.Run]; waits || len(priorities) < b.runs {
+		return 0, true // a run holds one slot, whatever its number of calls
 	}
-	least := leastImportant(priorities)
-	if priorities[least] >= wait.priority {
-		return false
+	least = leastImportant(priorities)
+	if priorities[least] >= s.Priority {
+		return 0, false
 	}
-	w.endRun(least)
-	return true
+	return least, true
 }
 
 // priorityOf returns the highest priority of the waits of a run.
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -67,7 +67,7 @@
 		FaultsPercent: s.faults.percent(),
 
 		Running:     len(s.running),
-		Concurrency: s.Concurrency(),
+		Concurrency: s.concurrency(),
 		Parked:      len(s.parked),
 		Isolated:    s.isolated != nil,
 		Counts:      s.counts,
--- a/serve/rate.go
+++ b/serve/rate.go
@@ -80,9 +80,9 @@
 	}
 	n, limited := s.rate.Within(runTime + targetRateWait)
 	if !limited {
-		return s.Concurrency()
+		return s.concurrency()
 	}
-	return max(1, int(min(math.Ceil(n), float64(s.Concurrency()))))
+	return max(1, int(min(math.Ceil(n), float64(s.concurrency()))))
 }
 
 // reportedInFlight returns the number of tasks in flight to report to the callers' nodes. Under
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -78,6 +78,7 @@
 	reply.Body = a.result.Body
 	reply.ReachedBackend = a.result.ReachedBackend
 	reply.SlotTimeUsed = a.result.SlotTimeUsed
+	reply.DependencyLost = a.result.DependencyLost
 	reply.RanFor = a.result.Latency
 	reply.KeySafeFor = a.safeFor(now)
 	return reply
--- a/serve/run.go
+++ b/serve/run.go
@@ -26,7 +26,7 @@
 
 // mayStart reports whether a waiting task may start now.
 func (s *Server) mayStart(now time.Time) bool {
-	return s.ready && s.isolated == nil && len(s.running) < s.Concurrency() && s.rate.Ready(now)
+	return s.ready && s.isolated == nil && len(s.running) < s.concurrency() && s.rate.Ready(now)
 }
 
 // startDequeued starts a task that left the queue, unless it has become a suspect while
@@ -124,8 +124,7 @@
 	s.finishUnstarted(t, err, e)
 }
 
-// Concurrency returns the number of tasks that may run at once.
-func (s *Server) Concurrency() int {
+func (s *Server) concurrency() int {
 	switch s.cfg.Policy {
 	case PolicyNone:
 		return maxConcurrency
--- a/serve/task.go
+++ b/serve/task.go
@@ -96,6 +96,9 @@
 	// CallsFailed reports that an outgoing call of the task failed, which may
 	// have caused a failure answered by the backend server.
 	CallsFailed bool
+	// DependencyLost reports that one of them could not be sent, or was refused for that
+	// reason.
+	DependencyLost bool
 	// Calls tells for each target that the task has called whether a call succeeded.
 	Calls []outage.Call
 	// SlotTimeUsed is the slot time that the calls made for the task used at each
