--- a/transport/transport_test.go
+++ b/transport/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -337,6 +338,38 @@
 	is.True(!usable)
 }
 
+// Guards against "not run" for a call whose reply did not fit into the queue to its caller before
+// the announcement.
+func TestCallAtAFullQueueMayHaveArrived(t *testing.T) {
+	is := is.New(t)
+	a := startPeer(t, "c")
+	b := startPeerWith(t, "c", func(cfg *Config) { cfg.MaxQueuedMessages = 4 })
+	c, err := a.Connect(context.Background(), b.id, b.addr)
+	is.NoErr(err)
+	d, err := c.Send(wire.KindCall, call.Request{Seq: 7})
+	is.NoErr(err)
+	<-b.frames
+
+	// Nothing takes the frames of a, so that its connection is no longer read.
+	back, ok := b.Lookup(a.id)
+	is.True(ok)
+	body := make([]byte, 1<<20)
+	for err == nil {
+		_, err = back.Send(wire.KindReply, call.Reply{Seq: 1, Body: body})
+	}
+	is.True(errors.Is(err, ErrBusy))
+	back.Close() // as a node does whose reply can't be queued
+	b.AnnounceClosing()
+	go func() {
+		for range a.frames {
+		}
+	}()
+	b.Transport.Close()
+	<-c.Done()
+	is.True(d.MayHaveArrived())
+	close(a.frames)
+}
+
 // Guards against "not run" for a call at a node that ended without announcing it.
 func TestCallBeforeAnUnannouncedEndMayHaveArrived(t *testing.T) {
 	is := is.New(t)
