outage: an operation is lost after four nodes, few requests are let through for one

Change: four nodes, as many as one call tries, and a request is let through after four were refused, or after a second. The list of changes for the log is bounded, and a wait that ends beside its pause can't be looked at after its end (by reading).

--- a/dispatch/run_wait.go
+++ b/dispatch/run_wait.go
@@ -32,14 +32,15 @@
 	return now.Add(time.Duration(share * float64(p.Deadline.Sub(now))))
 }
 
-// begin reports whether the call may wait, or waits already.
-func (w *runWait) begin() bool {
+// begin returns the wait of the call, which begins unless it has. It returns nil if the call may
+// not wait.
+func (w *runWait) begin() *outage.Wait {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.wait == nil {
 		w.wait = w.d.outages.beginWait(w.p)
 	}
-	return w.wait != nil
+	return w.wait
 }
 
 // end ends the wait, if there is one.
@@ -52,17 +53,10 @@
 	}
 }
 
-// over is closed when a more important run takes the place of this one.
-func (w *runWait) over() <-chan struct{} {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.wait.Over()
-}
-
 // mayTry reports whether an attempt may be made. While the service is lost only the calls that
 // may wait for it try to reach it, since that can take as long as the wait itself.
 func (w *runWait) mayTry() bool {
-	return !w.p.ForRun || !w.d.outages.lost(w.p.Operation.Service) || w.begin()
+	return !w.p.ForRun || !w.d.outages.lost(w.p.Operation.Service) || w.begin() != nil
 }
 
 // pause waits for a time. It returns false if the call must give up: at until, earlier if the
@@ -77,13 +71,14 @@
 	if !w.p.ForRun {
 		return pause.For(ctx, d)
 	}
-	if !w.begin() {
+	wait := w.begin()
+	if wait == nil {
 		return false
 	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
-	case <-w.over():
+	case <-wait.Over():
 		return false
 	case <-ctx.Done():
 		return false
--- a/outage/tracker.go
+++ b/outage/tracker.go
@@ -40,12 +40,15 @@
 	// all nodes, of which each may take the timeout of a dial.
 	FailureTTL time.Duration
 	// MaxNodes is the number of nodes that must have failed, without an answer since, for a
-	// service of more nodes to count as lost.
-	MaxNodes int
-	// ProbeInterval is the time between two requests that are let through to a lost target.
-	// ActionProbeInterval is the same for those that are not idempotent: they fail after
-	// work was done, and their callers can't send them again.
-	ProbeInterval, ActionProbeInterval time.Duration
+	// service of more nodes to count as lost, MaxOperationNodes the same for an operation:
+	// as many as one call tries, since a node may make few calls.
+	MaxNodes, MaxOperationNodes int
+	// ProbeInterval is the least time between two requests that are let through to a lost
+	// operation, ProbeRefusals the number of requests that are refused between them. After
+	// MaxProbeInterval one is let through in any case, also if it isn't idempotent: such
+	// a request fails after work was done, and its caller can't send it again.
+	ProbeInterval, MaxProbeInterval time.Duration
+	ProbeRefusals                   int
 	// RefuseAfter is how long a service must have been lost for requests to be refused
 	// although runs may still wait for it. Most losses are shorter; in a longer one
 	// another node may be able to reach it.
@@ -63,16 +66,18 @@
 // DefaultConfig returns the settings of a node.
 func DefaultConfig() Config {
 	return Config{
-		FailureTTL:          2 * time.Second,
-		MaxNodes:            8,
-		ProbeInterval:       200 * time.Millisecond,
-		ActionProbeInterval: time.Second,
-		RefuseAfter:         500 * time.Millisecond,
-		RetryMin:            200 * time.Millisecond,
-		RetryMax:            time.Second,
-		RetryShareMin:       0.2,
-		RetryShareMax:       1.0 / 3, // callers on the platform wait no longer
-		Targets:             4096,    // as many routes as reach.Tracker knows
+		FailureTTL:        2 * time.Second,
+		MaxNodes:          8,
+		MaxOperationNodes: 4,
+		ProbeInterval:     200 * time.Millisecond,
+		MaxProbeInterval:  time.Second,
+		ProbeRefusals:     4,
+		RefuseAfter:       500 * time.Millisecond,
+		RetryMin:          200 * time.Millisecond,
+		RetryMax:          time.Second,
+		RetryShareMin:     0.2,
+		RetryShareMax:     1.0 / 3, // callers on the platform wait no longer
+		Targets:           4096,    // as many routes as reach.Tracker knows
 	}
 }
 
@@ -94,6 +99,8 @@
 	// let through although the target is lost.
 	began, probed time.Time
 	lost          bool
+	// refused is the number of requests refused since probed.
+	refused int
 	// none is set if no node accepted calls at the last attempt.
 	none bool
 }
@@ -157,7 +164,7 @@
 	}
 	delete(t.targets, target)
 	if s.lost {
-		t.changes = append(t.changes, Change{Target: target, Lasted: now.Sub(s.began)})
+		t.note(Change{Target: target, Lasted: now.Sub(s.began)})
 	}
 }
 
@@ -193,7 +200,7 @@
 		return
 	}
 	maps.DeleteFunc(s.failures, func(_ wire.NodeID, f failure) bool { return now.Sub(f.at) > t.cfg.FailureTTL })
-	if !s.none && !t.allFailed(s, nodes) {
+	if !s.none && !t.allFailed(target, s, nodes) {
 		return
 	}
 	s.lost = true
@@ -207,12 +214,22 @@
 		}
 	}
 	t.counts.Lost++
-	t.changes = append(t.changes, Change{Target: target, Lost: true})
+	t.note(Change{Target: target, Lost: true})
 }
 
-// allFailed reports whether attempts at all nodes, or at MaxNodes of them, have failed.
-func (t *Tracker) allFailed(s *state, nodes []wire.NodeID) bool {
-	if len(s.failures) >= t.cfg.MaxNodes {
+// maxNodes returns the number of nodes that must have failed for a target of more nodes to be
+// lost.
+func (t *Tracker) maxNodes(target Target) int {
+	if target.Operation == "" {
+		return t.cfg.MaxNodes
+	}
+	return t.cfg.MaxOperationNodes
+}
+
+// allFailed reports whether attempts at all nodes of the target, or at maxNodes of them, have
+// failed.
+func (t *Tracker) allFailed(target Target, s *state, nodes []wire.NodeID) bool {
+	if len(s.failures) >= t.maxNodes(target) {
 		return true
 	}
 	for _, id := range nodes {
@@ -241,7 +258,7 @@
 		_, failed := s.failures[id]
 		return !failed
 	}
-	if len(s.failures) < t.cfg.MaxNodes && slices.ContainsFunc(nodes, started) {
+	if len(s.failures) < t.maxNodes(target) && slices.ContainsFunc(nodes, started) {
 		t.Reached(now, target)
 		return false
 	}
@@ -281,19 +298,25 @@
 	if need.MayWait && !t.LostForLong(now, target) {
 		return false
 	}
-	interval := t.cfg.ActionProbeInterval
-	if need.Idempotent {
-		interval = t.cfg.ProbeInterval
-	}
-	if !need.Noticed && now.Sub(s.probed) >= interval {
-		s.probed = now
+	if !need.Noticed && t.probeDue(now, s, need.Idempotent) {
+		s.probed, s.refused = now, 0
 		t.counts.Probes++
 		return false
 	}
+	s.refused++
 	t.counts.Refused++
 	return true
 }
 
+// probeDue reports whether a request may be let through to a lost target.
+func (t *Tracker) probeDue(now time.Time, s *state, idempotent bool) bool {
+	since := now.Sub(s.probed)
+	if since >= t.cfg.MaxProbeInterval {
+		return true
+	}
+	return idempotent && since >= t.cfg.ProbeInterval && s.refused >= t.cfg.ProbeRefusals
+}
+
 // LostForLong reports whether the target has been lost for RefuseAfter or more.
 func (t *Tracker) LostForLong(now time.Time, target Target) bool {
 	s, ok := t.targets[target]
@@ -345,6 +368,16 @@
 	return names
 }
 
+// maxChanges bounds the changes that are kept for TakeChanges.
+const maxChanges = 64
+
+// note keeps a change for TakeChanges, unless nobody takes them.
+func (t *Tracker) note(c Change) {
+	if len(t.changes) < maxChanges {
+		t.changes = append(t.changes, c)
+	}
+}
+
 // TakeChanges returns the changes since the last call, oldest first.
 func (t *Tracker) TakeChanges() []Change {
 	changes := t.changes
--- a/outage/tracker_test.go
+++ b/outage/tracker_test.go
@@ -85,6 +85,13 @@
 		tr.Failed(startTime, deep, nodes[i], false, nodes)
 	}
 	is.True(tr.Lost(startTime, deep, nodes))
+
+	read := Target{Service: "deep", Operation: "read"}
+	for i := range DefaultConfig().MaxOperationNodes {
+		is.True(!tr.Lost(startTime, read, nodes))
+		tr.Failed(startTime, read, nodes[i], false, nodes)
+	}
+	is.True(tr.Lost(startTime, read, nodes))
 }
 
 // Guards against a lost service that is never asked again, and against many requests that fail
@@ -92,7 +99,7 @@
 func TestProbesAreFew(t *testing.T) {
 	is := is.New(t)
 	var tr *Tracker
-	for idempotent, interval := range map[bool]time.Duration{true: DefaultConfig().ProbeInterval, false: DefaultConfig().ActionProbeInterval} {
+	for idempotent, interval := range map[bool]time.Duration{true: DefaultConfig().ProbeInterval, false: DefaultConfig().MaxProbeInterval} {
 		tr = lostTracker()
 		probes := 0
 		for i := range 3000 {
@@ -105,6 +112,12 @@
 		is.Equal(probes, int(3*time.Second/interval)-1)
 	}
 	is.True(tr.Refuses(at(time.Minute), deep, both, Need{Noticed: true}))
+
+	tr = lostTracker()
+	for i := range 10 { // few requests: most would be let through by time alone
+		refused := tr.Refuses(at(time.Duration(i)*250*time.Millisecond), deep, both, Need{Idempotent: true})
+		is.Equal(refused, i%4 != 0 || i == 0)
+	}
 }
 
 // Guards against refusals in a short loss, which runs can wait out.
