internal/soak: the requests that await the service draw new IDs each time

What was seen: soak seeds 450004 and 450005 (6 machines, 12 s of faults, load 35 to 40) report that a machine sent a request 12 to 18 s after it had passed on an answer that says that the backend server leaves. The requests named reached it seconds before that answer.

Cause: a fault of the check's data, not of the product. awaitServing runs at the start and at the end with one seed, so it sends the same 40 request IDs twice, and the second sending replaces the first one as the origin. An arrival of the first at a backend server that leaves later is taken for an arrival of the second. It takes a machine that sent one of these and got one of the few answers with the notice.

Evidence: all three IDs are among those (2zdhb1e0nw06e and 2v0m4hh16tix5 sent twice in a run that prints repeated origins, 80 in all; 3p41owvyb3h7i is the 79th of its seed); the nodes' logs have their runs at 12.5 and 12.9 s, the notices came at 17.0 s.

Change: each call draws from a stream of its own. The check is as it was, and as strict: it now gets the origin that it asks for. Test: TestRequestIDsOfAwaitServingAreNotRepeated; with one stream it fails at the second call.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -129,7 +129,7 @@
 // awaitServing waits until nearly all requests through each machine are served and
 // reports whether that happened in time. The caller injects no faults meanwhile.
 func (e *env) awaitServing(ctx context.Context, within time.Duration) bool {
-	c := &client{e: e, http: newHTTP(), rng: rand.New(rand.NewPCG(e.cfg.Seed, 3))}
+	c := &client{e: e, http: newHTTP(), rng: e.awaitRand()}
 	defer c.http.CloseIdleConnections()
 	const requests = 40
 	for end := time.Now().Add(within); time.Now().Before(end) && ctx.Err() == nil; {
@@ -153,6 +153,13 @@
 	return false
 }
 
+// awaitRand returns the generator of the next awaitServing. Request IDs are drawn from it, and the
+// checks rest on their being sent once.
+func (e *env) awaitRand() *rand.Rand {
+	n := e.awaits.Add(1)
+	return rand.New(rand.NewPCG(e.cfg.Seed, 3+n<<32))
+}
+
 // client sends requests to the node of its machine.
 type client struct {
 	e    *env
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,6 +95,22 @@
 	is.Equal(len(checkQuota(append(all, exchange{ID: "more", Credential: credential{key: hotKey}}), j)), 1)
 }
 
+// Guards against a request ID that is sent twice: the second sending would be taken for the origin
+// of what arrived before a backend server said that it leaves.
+func TestRequestIDsOfAwaitServingAreNotRepeated(t *testing.T) {
+	is := is.New(t)
+	e := &env{cfg: Config{Seed: 450004}}
+	sent := make(map[uint64]bool)
+	for range 3 {
+		rng := e.awaitRand()
+		for range 400 {
+			id := rng.Uint64()
+			is.True(!sent[id])
+			sent[id] = true
+		}
+	}
+}
+
 // Guards against a seed that plays different faults each time.
 func TestTimelineIsRepeatable(t *testing.T) {
 	is := is.New(t)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -82,6 +83,7 @@
 	journal *standin.RunLog
 	record  record
 	hosts   []*host
+	awaits  atomic.Uint64 // calls of awaitRand
 
 	mu          sync.Mutex
 	lastVersion publishedVersion
