--- a/outage/waits.go
+++ b/outage/waits.go
@@ -19,7 +19,7 @@
 type Waits struct {
 	cfg     WaitsConfig
 	waiting []*Wait
-	// GivenUp counts the waits that were not begun or were ended for a more important one.
+	// givenUp counts the waits that were not begun or were ended for a more important one.
 	givenUp uint64
 }
 
