--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -104,7 +104,7 @@
 	now := time.Now()
 	need := outage.Need{
 		Idempotent: r.Idempotent,
-		MayWait:    service && r.Runs && o.waits.HasRoom(o.seeker(now, target.Service, 0, r.Priority, r.Slots)),
+		MayWait:    service && r.Runs && o.waits.HasRoom(o.waiter(now, target.Service, 0, r.Priority, r.Slots)),
 		Noticed:    service,
 	}
 	if !o.tracker.Refuses(now, target, nodes, need) {
@@ -124,13 +124,13 @@
 func (o *outages) beginWait(p *Params) *outage.Wait {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.waits.Begin(o.seeker(time.Now(), p.Operation.Service, p.RunID, p.priority(), p.Slots))
+	return o.waits.Begin(o.waiter(time.Now(), p.Operation.Service, p.RunID, p.priority(), p.Slots))
 }
 
-// seeker returns a run that may wait for a service. The caller holds the lock.
-func (o *outages) seeker(now time.Time, service string, run uint64, priority uint16, slots int) outage.Seeker {
+// waiter returns a run that may wait for a service. The caller holds the lock.
+func (o *outages) waiter(now time.Time, service string, run uint64, priority uint16, slots int) outage.Waiter {
 	long := o.tracker.LostForLong(now, outage.Target{Service: service})
-	return outage.Seeker{Service: service, Run: run, Priority: priority, Slots: slots, Long: long}
+	return outage.Waiter{Service: service, Run: run, Priority: priority, Slots: slots, Long: long}
 }
 
 func (o *outages) endWait(w *outage.Wait) {
--- a/outage/waits.go
+++ b/outage/waits.go
@@ -38,8 +38,8 @@
 // NewWaits returns a Waits without runs.
 func NewWaits(cfg WaitsConfig) *Waits { return &Waits{cfg: cfg} }
 
-// Seeker is a run that may wait for a service.
-type Seeker struct {
+// Waiter is a run that may wait for a service.
+type Waiter struct {
 	Service string
 	// Run names the run among those of the node; zero for one that has not begun.
 	Run      uint64
@@ -53,7 +53,7 @@
 
 // Begin begins a wait of a run. It returns nil if the run may not wait. The caller must end the
 // wait with End, also if it is over.
-func (w *Waits) Begin(s Seeker) *Wait {
+func (w *Waits) Begin(s Waiter) *Wait {
 	if s.Slots > 0 && !w.makeRoom(s) {
 		w.givenUp++
 		return nil
@@ -74,7 +74,7 @@
 }
 
 // HasRoom reports whether a run may wait.
-func (w *Waits) HasRoom(s Seeker) bool {
+func (w *Waits) HasRoom(s Waiter) bool {
 	if s.Slots == 0 {
 		return true
 	}
@@ -87,7 +87,7 @@
 }
 
 // makeRoom reports whether a run may wait, after less important ones were ended for it.
-func (w *Waits) makeRoom(s Seeker) bool {
+func (w *Waits) makeRoom(s Waiter) bool {
 	for _, b := range w.bounds(s) {
 		least, ok := w.roomWithin(s, b)
 		if !ok {
@@ -107,7 +107,7 @@
 }
 
 // bounds returns the bounds that apply to a run.
-func (w *Waits) bounds(s Seeker) []bound {
+func (w *Waits) bounds(s Waiter) []bound {
 	node := bound{runs: max(1, int(w.cfg.NodeShare*float64(s.Slots)))}
 	if !s.Long {
 		return []bound{node}
@@ -117,7 +117,7 @@
 
 // roomWithin reports whether a run may wait within a bound. If another run must end for it,
 // least is that run, otherwise zero.
-func (w *Waits) roomWithin(s Seeker, b bound) (least uint64, ok bool) {
+func (w *Waits) roomWithin(s Waiter, b bound) (least uint64, ok bool) {
 	priorities := make(map[uint64]uint16) // the highest of each run
 	for _, other := range w.waiting {
 		if b.service == "" || other.service == b.service {
--- a/outage/waits_test.go
+++ b/outage/waits_test.go
@@ -18,7 +18,7 @@
 
 // begin begins a wait in a long loss.
 func begin(w *Waits, service string, run uint64, priority uint16, slots int) *Wait {
-	return w.Begin(Seeker{Service: service, Run: run, Priority: priority, Slots: slots, Long: true})
+	return w.Begin(Waiter{Service: service, Run: run, Priority: priority, Slots: slots, Long: true})
 }
 
 // Guards against runs that wait for a lost service in all slots, and against less important
@@ -28,8 +28,8 @@
 	w := NewWaits(DefaultWaitsConfig())
 	first, second := begin(w, "a", 1, 10, 8), begin(w, "a", 2, 20, 8)
 	is.True(begin(w, "a", 3, 10, 8) == nil) // two of eight slots are taken
-	is.True(!w.HasRoom(Seeker{Service: "a", Priority: 10, Slots: 8, Long: true}))
-	is.True(w.HasRoom(Seeker{Service: "a", Priority: 30, Slots: 8, Long: true}) && w.HasRoom(Seeker{Service: "b", Priority: 10, Slots: 8, Long: true}) && w.HasRoom(Seeker{Service: "a", Priority: 10, Slots: 0, Long: true}))
+	is.True(!w.HasRoom(Waiter{Service: "a", Priority: 10, Slots: 8, Long: true}))
+	is.True(w.HasRoom(Waiter{Service: "a", Priority: 30, Slots: 8, Long: true}) && w.HasRoom(Waiter{Service: "b", Priority: 10, Slots: 8, Long: true}) && w.HasRoom(Waiter{Service: "a", Priority: 10, Slots: 0, Long: true}))
 	is.True(!isOver(first))
 	is.True(begin(w, "a", 4, 30, 8) != nil)
 	is.True(isOver(first))
@@ -39,7 +39,7 @@
 	w.End(first)
 	w.End(second)
 	is.Equal(w.Len(), 2)
-	is.True(w.Begin(Seeker{Service: "a", Run: 6, Priority: 5, Slots: 8}) != nil) // a short loss
+	is.True(w.Begin(Waiter{Service: "a", Run: 6, Priority: 5, Slots: 8}) != nil) // a short loss
 }
 
 // Guards against a run whose two calls count as two slots.
