--- a/internal/replay/loss_test.go
+++ b/internal/replay/loss_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/verdict"
 )
 
 // allServers exceeds the number of backend servers of any service.
@@ -62,6 +63,20 @@
 	}
 }
 
+// Guards against a service that counts as lost because some of its nodes take calls and answer
+// none: their calls may have run.
+func TestSilentNodesAreNoLoss(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	scenario := linkLoss(threeCentres(), 0.3, 4*time.Second, Loss{})
+	scenario.Phases[1].FaultyServers, scenario.Phases[1].SilentShare = 1, 1
+	r := runScenario(t, scenario, Production())
+	t.Log(r.Details())
+	for f := range r.failures {
+		is.True(f.reason != verdict.DependencyLost)
+	}
+}
+
 // threeCentres is Savukartta with its backend servers in three data centres in turn.
 func threeCentres() Deployment {
 	d := Savukartta()
