outage, call, serve: one test of success, one count of refusals, dead code goes

Cause: the change had written Outcome.Succeeded again for replies and results, counted refusals for a lost service in two of three places, kept Waits.WaitsFor after its last use had gone, and split a refusal in two functions with a constant reason.

Change: call.Succeeded serves the three; checkDependencies counts what it refuses, so that requests with a caller's key count as well (the one change that shows, in a counter whose meaning says so); refuse takes a service or an operation; WaitsFor is deleted.

--- a/call/outcome.go
+++ b/call/outcome.go
@@ -52,8 +52,11 @@
 
 // Succeeded reports whether the backend server answered, with a status below
 // MinServerError.
-func (o *Outcome) Succeeded() bool {
-	return o.Verdict == verdict.Ran && o.Reason == verdict.None && o.Status < MinServerError
+func (o *Outcome) Succeeded() bool { return Succeeded(o.Verdict, o.Reason, o.Status) }
+
+// Succeeded is Outcome.Succeeded for the parts of a reply or result.
+func Succeeded(v verdict.Verdict, reason verdict.Reason, status int) bool {
+	return v == verdict.Ran && reason == verdict.None && status < MinServerError
 }
 
 // AddSlotTimes adds the slot time of a call to list and returns it: the time at the
--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -36,14 +36,14 @@
 	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", entry.BlockedBy, p.priority()).WithRetryAfter(entry.RetryAfter)
 }
 
-// refuseIfLost refuses a request whose operation is lost. A call of a run waits instead, and a
+// refuseIfLost refuses a request whose service is lost. A call of a run waits instead, and a
 // request whose key names a node asks that node.
 func (d *Dispatcher) refuseIfLost(p *Params) *verdict.Error {
 	if p.ForRun || !p.KeyHolder.IsZero() {
 		return nil
 	}
 	service := outage.Target{Service: p.Operation.Service}
-	return d.outages.refuseTarget(verdict.NoBackend, service, outage.Request{Remaining: p.CallerDeadline})
+	return d.outages.refuse(verdict.NoBackend, service, outage.Request{Remaining: p.CallerDeadline})
 }
 
 // deferIfUnhealthy refuses an entering request whose route fails at present, and asks the
--- a/dispatch/outage.go
+++ b/dispatch/outage.go
@@ -76,24 +76,15 @@
 	switch {
 	case r.Reason == verdict.DependencyLost:
 		o.tracker.Failed(now, target, r.From, false, nodes)
-	case r.Verdict == verdict.Ran && r.Reason == verdict.None && r.Status < call.MinServerError:
+	case call.Succeeded(r.Verdict, r.Reason, r.Status):
 		o.tracker.Reached(now, target)
 	}
 }
 
-// refuse returns the refusal of a request that needs an operation of another service, nil if it
-// can be reached.
-func (o *outages) refuse(reason verdict.Reason, operation outage.Target, r outage.Request) *verdict.Error {
-	service := outage.Target{Service: operation.Service}
-	if err := o.refuseTarget(reason, service, r); err != nil {
-		return err
-	}
-	return o.refuseTarget(reason, operation, r)
-}
-
-// refuseTarget is refuse for a service or an operation. A run can wait only for a service, whose
-// return is noticed by Probe; that of an operation only by a request.
-func (o *outages) refuseTarget(reason verdict.Reason, target outage.Target, r outage.Request) *verdict.Error {
+// refuse returns the refusal of a request that needs a service or an operation, nil if it can be
+// reached. A run can wait only for a service, whose return is noticed by Probe; that of an
+// operation only by a request.
+func (o *outages) refuse(reason verdict.Reason, target outage.Target, r outage.Request) *verdict.Error {
 	if !o.mayBeLost(target) {
 		return nil
 	}
@@ -188,8 +179,10 @@
 // reached or waited for.
 func (d *Dispatcher) RefuseFor(needed []outage.Target, r outage.Request) *verdict.Error {
 	for _, operation := range needed {
-		if err := d.outages.refuse(verdict.DependencyLost, operation, r); err != nil {
-			return err
+		for _, target := range []outage.Target{{Service: operation.Service}, operation} {
+			if err := d.outages.refuse(verdict.DependencyLost, target, r); err != nil {
+				return err
+			}
 		}
 	}
 	return nil
--- a/outage/tracker.go
+++ b/outage/tracker.go
@@ -11,6 +11,7 @@
 package outage
 
 import (
+	"cmp"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -405,11 +406,6 @@
 			out = append(out, LostState{Target: target.String(), LostMs: now.Sub(s.began).Milliseconds(), FailedNodes: len(s.failures)})
 		}
 	}
-	slices.SortFunc(out, func(a, b LostState) int {
-		if a.Target < b.Target {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b LostState) int { return cmp.Compare(a.Target, b.Target) })
 	return out
 }
--- a/outage/waits.go
+++ b/outage/waits.go
@@ -41,7 +41,7 @@
 // Waiter is a run that may wait for a service.
 type Waiter struct {
 	Service string
-	// Run names the run among those of the node; zero for one that has not begun.
+	// Run names the run among those of the node, never zero but for one that has not begun.
 	Run      uint64
 	Priority uint16
 	// Slots is the number of slots that the node fills, zero if it starts no further runs and
@@ -171,16 +171,6 @@
 	w.waiting = kept
 }
 
-// WaitsFor reports whether a run waits for the service.
-func (w *Waits) WaitsFor(service string) bool {
-	for _, wait := range w.waiting {
-		if wait.service == service {
-			return true
-		}
-	}
-	return false
-}
-
 // Len returns the number of calls that wait.
 func (w *Waits) Len() int { return len(w.waiting) }
 
--- a/serve/dependencies.go
+++ b/serve/dependencies.go
@@ -18,7 +18,7 @@
 // SetDependencies sets what tells of lost services. Without it nothing is lost.
 func (s *Server) SetDependencies(d Dependencies) { s.dependencies = d }
 
-// checkDependencies returns the refusal of a task that can't succeed because a service that it
+// checkDependencies returns, and counts, the refusal of a task that can't succeed because a service that it
 // is sure to call is lost, nil if there is none. A task that was let through to notice the
 // return of the service is not checked again.
 func (s *Server) checkDependencies(now time.Time, t *Task) *verdict.Error {
@@ -36,6 +36,9 @@
 		Idempotent: t.Request.Idempotent,
 	})
 	t.dependenciesChecked = err == nil
+	if err != nil {
+		s.counts.DependencyLost++
+	}
 	return err
 }
 
@@ -58,7 +61,6 @@
 	if err == nil {
 		return false
 	}
-	s.counts.DependencyLost++
 	s.finishUnstarted(t, err, e)
 	return true
 }
@@ -69,7 +71,7 @@
 // recordCalls records the calls of a successful task. An answer that the backend server marks as
 // a failure of its own tells nothing.
 func (s *Server) recordCalls(now time.Time, t *Task, r Result) {
-	if r.Verdict == verdict.Ran && r.Reason == verdict.None && r.Status < call.MinServerError {
+	if call.Succeeded(r.Verdict, r.Reason, r.Status) {
 		s.needs.Record(now, t.Request.Operation, r.Calls)
 	}
 }
--- a/serve/server.go
+++ b/serve/server.go
@@ -297,11 +297,7 @@
 		s.observe(now, admission.Shed)
 		return s.rateRefusal(now)
 	}
-	err := s.checkDependencies(now, t)
-	if err != nil {
-		s.counts.DependencyLost++
-	}
-	return err
+	return s.checkDependencies(now, t)
 }
 
 // noWorkRefusal returns why this node takes no new work, or nil.
