backend, platform: a load report is decoded whole; its third figure is the slots

What callers saw: a node that restarts beside a server whose load report has a fourth figure began with 100 slots in place of 65 or 473, so a small server was sent more than it has room for until the first heartbeat. Cause: the adapter took the last figure of X-Server-Load. With four figures that is how long work takes now, in percent.

--- a/backend/dialect.go
+++ b/backend/dialect.go
@@ -95,7 +95,7 @@
 }
 
 func (nativeDialect) Notice(h http.Header) (Notice, error) {
-	return ParseNotice(h.Values(headers.RateLimit), h.Values(headers.Leaving))
+	return ParseNotice(h.Values(headers.RateLimit), h.Values(headers.Leaving), "")
 }
 
 func (nativeDialect) AllowsCloseDelimited() bool { return false }
--- a/backend/notice.go
+++ b/backend/notice.go
@@ -28,6 +28,8 @@
 	PerSecond float64
 	// Leaving says that the backend server is leaving.
 	Leaving bool
+	// Load is its load.
+	Load Load
 }
 
 const (
@@ -43,22 +45,29 @@
 	errLeaving = errors.New("leaving: want 0 or 1")
 )
 
-// ParseNotice parses the values of the fields that hold the rate limit and the leaving.
-// The lowest limit counts if there are several, and one that says leaving counts whatever
-// the others say. The error names the malformed values; the notice holds what the others say.
-func ParseNotice(limits, leaving []string) (Notice, error) {
+// ParseNotice parses the values of the fields that hold the rate limit, the leaving and
+// the load. The lowest limit counts if there are several, and one that says leaving counts
+// whatever the others say. The error names the malformed values; the notice holds what the
+// others say.
+func ParseNotice(limits, leaving []string, load string) (Notice, error) {
 	var n Notice
 	var errs []error
+	var err error
+	if n.Load, err = ParseLoad(load); err != nil {
+		errs = append(errs, err)
+	}
+	unreadable := false
 	for _, text := range splitList(limits) {
 		perSecond, err := parseLimit(text)
 		switch {
 		case err != nil:
+			unreadable = true
 			errs = append(errs, err)
 		case n.Limit != Limited || perSecond < n.PerSecond:
 			n.Limit, n.PerSecond = Limited, perSecond
 		}
 	}
-	if len(errs) > 0 && n.Limit != Limited {
+	if unreadable && n.Limit != Limited {
 		n.Limit = UnreadableLimit
 	}
 	for _, text := range splitList(leaving) {
--- a/backend/notice_test.go
+++ b/backend/notice_test.go
@@ -42,7 +42,7 @@
 		{limits: []string{"3"}, leaving: []string{"1"}, want: Notice{Limit: Limited, PerSecond: 3, Leaving: true}},
 	} {
 		is := is.New(t)
-		got, err := ParseNotice(c.limits, c.leaving)
+		got, err := ParseNotice(c.limits, c.leaving, "")
 		is.Equal(got, c.want)
 		is.Equal(err != nil, c.malformed)
 		is.True(err == nil || len(err.Error()) < 400) // the line in the log is bounded
@@ -55,7 +55,7 @@
 		f.Add(s, "1")
 	}
 	f.Fuzz(func(t *testing.T, limit, leaving string) {
-		n, err := ParseNotice([]string{limit}, []string{leaving})
+		n, err := ParseNotice([]string{limit}, []string{leaving}, "")
 		if math.IsNaN(n.PerSecond) || n.PerSecond < 0 || n.PerSecond > MaxRateLimit {
 			t.Fatalf("limit %q: %v", limit, n.PerSecond)
 		}
