pipeline, entry: requests sent ahead on one connection run side by side

What callers saw: each request waited for the one before it on its connection while its deadline ran; four of 300 ms sent at once were answered after 0.3, 0.6, 0.9 and 1.2 s. Change: a connection is taken over from net/http once a further request arrives before the answer. Requests that may be repeated run side by side; the others start once all before them are answered; answers are whole and in order; what is read and held is bounded in number and bytes; a caller that leaves cancels all; a stop answers what was read. Other connections stay with net/http's server. Weighed: an own server loop for all connections (replaces what has been proved), splitting the bytes before net/http (a second parser).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -105,7 +105,8 @@
 
 // servers holds the node's HTTP servers and their listeners.
 type servers struct {
-	callers, local, peers, ops *http.Server
+	callers, local *entry.Server
+	peers, ops     *http.Server
 	listening                  *listeners
 	callerConns                *entry.CountingListener
 }
@@ -113,6 +114,7 @@
 func newServers(cfg node.Config, n *node.Node, c *ops.Counters, listening *listeners) *servers {
 	opsConfig := ops.DefaultConfig()
 	cfg.Entry.Draining = n.Draining
+	cfg.Entry.Repeatable = entry.RepeatableCalls(n.Idempotent)
 	return &servers{
 		callers:     entry.NewServer(cfg.Entry, entry.New(cfg.Entry, n)),
 		local:       entry.NewServer(cfg.Entry, local.New(cfg.Entry, n, n)),
@@ -126,7 +128,7 @@
 // serve starts to serve at all listeners and returns at once.
 func (s *servers) serve(log zerolog.Logger) {
 	for _, w := range []struct {
-		srv *http.Server
+		srv httpServer
 		ln  net.Listener
 	}{
 		{s.callers, s.callerConns},
--- a/daemon/listen.go
+++ b/daemon/listen.go
@@ -31,9 +31,15 @@
 	return nil
 }
 
+// httpServer is the part of http.Server and entry.Server that the daemon uses.
+type httpServer interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
 // serveUntilClosed serves until the server or its listener is closed, and logs any
 // other error.
-func serveUntilClosed(srv *http.Server, ln net.Listener, log zerolog.Logger) {
+func serveUntilClosed(srv httpServer, ln net.Listener, log zerolog.Logger) {
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		log.Error().Err(err).Str("addr", ln.Addr().String()).Msg("server ended")
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -88,12 +88,13 @@
 	c *ops.Counters, listening *platformListeners, log zerolog.Logger) {
 	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryShare))
 	cfg.Entry.Draining = n.Draining
+	cfg.Entry.Repeatable = platform.Repeatable(n)
 	callers := entry.NewServer(cfg.Entry, platform.NewCallers(cfg.Entry, n))
-	servers := map[*http.Server]net.Listener{
+	servers := map[httpServer]net.Listener{
 		callers: entry.Listener(listening.callers),
-		{Handler: platform.NewHeartbeatHandler(s.Service, s.BackendAddr, n), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}:               listening.heartbeats,
-		{Handler: platform.NewReadyHandler(func() bool { ok, _ := n.Ready(); return ok }), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}: listening.ready,
-		{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout}:                                                             listening.peers,
+		&http.Server{Handler: platform.NewHeartbeatHandler(s.Service, s.BackendAddr, n), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}:               listening.heartbeats,
+		&http.Server{Handler: platform.NewReadyHandler(func() bool { ok, _ := n.Ready(); return ok }), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}: listening.ready,
+		&http.Server{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout}:                                                             listening.peers,
 		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                                              listening.ops,
 	}
 	loopCtx, stopLoops := context.WithCancel(context.Background())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -48,6 +49,9 @@
 	Parent string
 }
 
+// callPath is the prefix of the paths of calls.
+const callPath = "/call/"
+
 // Doer runs requests and mints idempotency keys. It must be safe for concurrent
 // use. The context ends when the caller disconnects. Mint returns a key and how
 // long it is held.
@@ -62,7 +66,7 @@
 //	POST                        /key/{service}/{operation}
 func New(cfg Config, d Doer) http.Handler {
 	r := NewRouter(cfg)
-	r.HandleFunc("/call/{service}/{operation}", func(w http.ResponseWriter, req *http.Request) {
+	r.HandleFunc(callPath+"{service}/{operation}", func(w http.ResponseWriter, req *http.Request) {
 		HandleCall(cfg, w, req, d.Do)
 	}).Methods(http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete)
 	r.HandleFunc("/key/{service}/{operation}", func(w http.ResponseWriter, req *http.Request) {
@@ -71,6 +75,16 @@
 	return r
 }
 
+// RepeatableCalls returns a function that reports whether a request is a call of an
+// operation that may run again. idempotent looks up its declaration.
+func RepeatableCalls(idempotent func(service, operation string) bool) func(*http.Request) bool {
+	return func(r *http.Request) bool {
+		names, isCall := strings.CutPrefix(r.URL.Path, callPath)
+		service, operation, found := strings.Cut(names, "/")
+		return isCall && found && idempotent(service, operation)
+	}
+}
+
 // NewRouter returns a router whose own refusals carry a verdict. It does not
 // clean paths, because a redirect would be an answer without a verdict.
 func NewRouter(cfg Config) *mux.Router {
@@ -89,7 +103,7 @@
 
 // HandleCall reads one call, runs it with do and writes its outcome.
 func HandleCall(cfg Config, w http.ResponseWriter, r *http.Request, do func(context.Context, Incoming) call.Outcome) {
-	in, refusal := read(cfg, w, r, time.Now())
+	in, refusal := read(cfg, w, r, Received(r))
 	if refusal != nil {
 		DiscardBody(w, r)
 		write(cfg, w, in.RequestID, call.OutcomeOf(refusal))
--- a/entry/fuzz_test.go
+++ b/entry/fuzz_test.go
@@ -52,12 +52,21 @@
 		"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
 		"OPTIONS * HTTP/1.1\r\nHost: x\r\n\r\n",
 		"\x16\x03\x01\x00\x00",
+		get + get + get,
+		get + call + "Content-Length: 3\r\n\r\nabc" + get,
+		get + get + "GET / HTTP/9.1\r\n\r\n" + get,
+		get + call + "Expect: 100-continue\r\nContent-Length: 3\r\n\r\nabc" + get,
+		get + call + "Transfer-Encoding: chunked\r\n\r\nzz\r\n" + get,
+		get + "GET /call/s/o HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + get,
 	} {
 		f.Add([]byte(seed))
 	}
 	cfg := DefaultConfig()
+	pipelined := cfg
+	pipelined.Repeatable = func(r *http.Request) bool { return r.Method == http.MethodGet }
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		checkAnswers(t, serveBytes(t, cfg, raw))
+		checkAnswers(t, serveBytes(t, pipelined, raw))
 	})
 }
 
--- a/entry/listener.go
+++ b/entry/listener.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/entry/headers"
+	"github.com/cassialoom/cassialoom/pipeline"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -78,6 +79,8 @@
 	handled  atomic.Bool
 	// receiving is set when a part of the next request has arrived.
 	receiving atomic.Bool
+	// ahead notices requests that arrive before the one before them is answered.
+	ahead pipeline.Detector
 }
 
 var (
@@ -92,6 +95,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.receiving.Store(true)
+		c.ahead.Read(p[:n], len(p))
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.receiving.Load() && !c.handled.Load() {
 		c.Write(headTimeoutAnswer) // the server closes the connection in any case
@@ -135,7 +139,7 @@
 
 func withConn(ctx context.Context, c net.Conn) context.Context {
 	if own, ok := c.(*conn); ok {
-		return context.WithValue(ctx, connKey{}, own)
+		return pipeline.WithDetector(context.WithValue(ctx, connKey{}, own), &own.ahead)
 	}
 	return ctx
 }
--- a/entry/read.go
+++ b/entry/read.go
@@ -13,6 +13,7 @@
 
 	"github.com/cassialoom/cassialoom/entry/headers"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/pipeline"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -185,6 +186,15 @@
 	return hex.EncodeToString(b[:])
 }
 
+// Received returns when r was received: now, or before it waited for the requests before
+// it on its connection.
+func Received(r *http.Request) time.Time {
+	if t, ok := pipeline.Received(r.Context()); ok {
+		return t
+	}
+	return time.Now()
+}
+
 // ReadBody reads the complete body into in.Body, within MaxBody and before the
 // deadline of the request.
 func ReadBody(cfg Config, w http.ResponseWriter, r *http.Request, in *Incoming) *verdict.Error {
--- a/internal/bench/pair.go
+++ b/internal/bench/pair.go
@@ -53,7 +53,7 @@
 	Forwarded string
 
 	nodes   []*node.Node
-	servers []*http.Server
+	servers []server
 }
 
 const pairStartTimeout = 10 * time.Second
@@ -134,7 +134,13 @@
 	return ln.Addr().String(), nil
 }
 
-func (p *Pair) serveOn(ln net.Listener, srv *http.Server) {
+// server is the part of http.Server and entry.Server that a pair uses.
+type server interface {
+	Serve(net.Listener) error
+	Close() error
+}
+
+func (p *Pair) serveOn(ln net.Listener, srv server) {
 	p.servers = append(p.servers, srv)
 	go srv.Serve(ln) // returns after Close
 }
--- a/internal/testnode/instance.go
+++ b/internal/testnode/instance.go
@@ -73,6 +73,7 @@
 
 func (i *Instance) serve(cfg node.Config, callers, localLn, peers net.Listener) {
 	cfg.Entry.Draining = i.Node.Draining
+	cfg.Entry.Repeatable = entry.RepeatableCalls(i.Node.Idempotent)
 	i.servers = []*server{
 		serve(entry.NewServer(cfg.Entry, entry.New(cfg.Entry, i.Node)), entry.Listener(callers)),
 		serve(entry.NewServer(cfg.Entry, local.New(cfg.Entry, i.Node, i.Node)), entry.Listener(localLn)),
@@ -80,15 +81,22 @@
 	}
 }
 
+// httpServer is the part of http.Server and entry.Server that an instance uses.
+type httpServer interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
+}
+
 // server is an HTTP server whose close waits for its goroutine.
 type server struct {
-	*http.Server
+	httpServer
 	done      chan struct{}
 	closeOnce sync.Once
 }
 
-func serve(srv *http.Server, ln net.Listener) *server {
-	s := &server{Server: srv, done: make(chan struct{})}
+func serve(srv httpServer, ln net.Listener) *server {
+	s := &server{httpServer: srv, done: make(chan struct{})}
 	go func() {
 		defer close(s.done)
 		_ = srv.Serve(ln) // returns when the server is closed
--- a/node/entry.go
+++ b/node/entry.go
@@ -68,6 +68,12 @@
 	return op, nil
 }
 
+// Idempotent reports whether an operation is declared and may run again.
+func (n *Node) Idempotent(service, operation string) bool {
+	op, err := n.lookup(service, operation)
+	return err == nil && op.Idempotent
+}
+
 // keyHolder returns the incarnation that an idempotency key names, zero for none.
 func keyHolder(key string) (wire.NodeID, *verdict.Error) {
 	if key == "" {
