limit, balancer: a call goes where it is expected to end first

Where backend servers tell how much slower than usual their machine is, the node beside one measures how long it works on a call at the usual speed, and replies carry that and the present slowdown (about 8 bytes). Callers' nodes compare two candidates by work x slowdown x crowding in place of load; another data centre must gain a fifth. Without such reports nothing changes. Before: at equal load a server at 0.6 of the usual speed got calls like one at 1.4. Weighed: C3's cubic rank (needs queue lengths of all replicas), the least of all candidates (many callers meet at one).

--- a/balancer/choose.go
+++ b/balancer/choose.go
@@ -20,11 +20,12 @@
 	numClasses
 )
 
-// pool holds the candidates of one class during one Pick, with their shares and loads.
+// pool holds the candidates of one class during one Pick, with their shares and costs; a
+// call goes to the one of lower cost.
 type pool struct {
 	members []*member
 	shares  []float64
-	loads   []float64
+	costs   []float64
 	total   float64
 }
 
@@ -32,21 +33,21 @@
 	return pool{
 		members: make([]*member, 0, size),
 		shares:  make([]float64, 0, size),
-		loads:   make([]float64, 0, size),
+		costs:   make([]float64, 0, size),
 	}
 }
 
 func (p *pool) reset() {
 	p.members = p.members[:0]
 	p.shares = p.shares[:0]
-	p.loads = p.loads[:0]
+	p.costs = p.costs[:0]
 	p.total = 0
 }
 
-func (p *pool) add(m *member, share, load float64) {
+func (p *pool) add(m *member, share, cost float64) {
 	p.members = append(p.members, m)
 	p.shares = append(p.shares, share)
-	p.loads = append(p.loads, load)
+	p.costs = append(p.costs, cost)
 	p.total += share
 }
 
@@ -79,6 +80,9 @@
 func (p *Picker) choose(now time.Time, exclude []wire.NodeID) *member {
 	p.classify(now, exclude)
 	free, ok := p.localOrRemote(freeLocal, freeRemote)
+	if remote := &p.pools[freeRemote]; ok && free != remote && p.medianWork > 0 && len(remote.members) > 0 {
+		return p.soonest(free, remote)
+	}
 	if ok {
 		return p.betterOfTwo(free)
 	}
@@ -101,7 +105,7 @@
 			continue
 		}
 		load := m.load(p.medianLimit)
-		p.pools[m.class(now, load)].add(m, m.share, load)
+		p.pools[m.class(now, load)].add(m, m.share, p.cost(now, m, load))
 	}
 }
 
@@ -145,22 +149,29 @@
 // another data centre.
 func (p *Picker) mergeFull() *pool {
 	all, remote := &p.pools[fullLocal], &p.pools[fullRemote]
+	penalty := p.cfg.RemotePenalty * max(p.medianWork, 1)
 	for i, m := range remote.members {
-		all.add(m, remote.shares[i], remote.loads[i]+p.cfg.RemotePenalty)
+		all.add(m, remote.shares[i], remote.costs[i]+penalty)
 	}
 	return all
 }
 
 func (p *Picker) betterOfTwo(from *pool) *member {
+	m, _ := p.drawTwo(from)
+	return m
+}
+
+// drawTwo returns the candidate of lower cost among two random ones, and its cost.
+func (p *Picker) drawTwo(from *pool) (*member, float64) {
 	if len(from.members) == 1 {
-		return from.members[0]
+		return from.members[0], from.costs[0]
 	}
 	a := from.draw(p.rng.Float64(), -1)
 	b := from.draw(p.rng.Float64(), a)
-	if from.loads[b] < from.loads[a] {
-		return from.members[b]
+	if from.costs[b] < from.costs[a] {
+		a = b
 	}
-	return from.members[a]
+	return from.members[a], from.costs[a]
 }
 
 // earliestEjectionEnd returns the candidate whose ejection ends first. When all
--- a/balancer/config.go
+++ b/balancer/config.go
@@ -79,6 +79,12 @@
 	// fraction of their limit. It keeps calls in the local data centre unless its
 	// queues are longer by more than that.
 	RemotePenalty float64
+	// SlowdownTTL is how long a reported slowdown counts; its weight falls to zero linearly
+	// over this time. It is short because the speed of a shared machine changes often.
+	SlowdownTTL time.Duration
+	// RemoteGain is the share of its time by which a call must end sooner in another data
+	// centre to be sent there, where backend servers tell how fast they are.
+	RemoteGain float64
 	// DefaultLimit is the concurrency limit assumed until a candidate reports one.
 	DefaultLimit int
 }
@@ -110,6 +116,8 @@
 		RefusalBackoff:     100 * time.Millisecond,
 		ReportTTL:          time.Second,
 		RemotePenalty:      0.5,
+		SlowdownTTL:        500 * time.Millisecond,
+		RemoteGain:         0.2,
 		DefaultLimit:       32,
 	}
 }
--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -32,6 +32,10 @@
 	Latency    time.Duration `json:"latency_ns"`
 	Samples    int           `json:"samples"`
 	Faults     float64       `json:"faults,omitempty"`
+	// Work is how long the backend server usually works on a call, and Slowdown how many
+	// times as long at the last report.
+	Work      time.Duration `json:"work_ns,omitempty"`
+	Slowdown  float64       `json:"slowdown,omitempty"`
 	Straggler  bool          `json:"straggler,omitempty"`
 	Ejected    bool          `json:"ejected,omitempty"`
 	Full       bool          `json:"full,omitempty"`
@@ -68,6 +72,8 @@
 		Share:      m.share,
 		Samples:    m.samples,
 		Faults:     m.errorRate,
+		Work:       time.Duration(m.work),
+		Slowdown:   m.slowdown,
 		Straggler:  m.straggler,
 		Ejected:    c == ejected,
 		Full:       c == fullLocal || c == fullRemote,
--- a/balancer/member.go
+++ b/balancer/member.go
@@ -29,6 +29,9 @@
 	othersInFlight float64
 	reportedAt     time.Time
 	errorRate      float64
+	// work is how long the backend server itself usually works on a call, in nanoseconds,
+	// and slowdown how many times as long it did at reportedAt; zero if unknown.
+	work, slowdown float64
 	refused        bool
 	fullUntil      time.Time
 
@@ -77,6 +80,7 @@
 	m.limit = float64(r.Limit)
 	m.othersInFlight = max(0, float64(r.InFlight-m.inFlight))
 	m.errorRate = r.Faults
+	m.work, m.slowdown = float64(r.Work), r.Slowdown
 	m.reportedAt = now
 	m.reportWeight = 1
 }
--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -21,7 +21,10 @@
 	slots   int
 	service time.Duration
 	outcome Outcome
-	running int
+	// slowdown is how many times as long as usual a call takes now, zero for a server
+	// that does not tell how fast it is.
+	slowdown float64
+	running  int
 	queue   []*job
 	calls   int
 }
@@ -107,7 +110,7 @@
 		j := s.queue[0]
 		s.queue = s.queue[1:]
 		s.running++
-		j.endsAt = m.now.Add(time.Duration((0.5 + m.rng.Float64()) * float64(s.service)))
+		j.endsAt = m.now.Add(time.Duration((0.5 + m.rng.Float64()) * max(s.slowdown, 1) * float64(s.service)))
 		at, _ := slices.BinarySearchFunc(m.running, j, func(a, b *job) int { return a.endsAt.Compare(b.endsAt) })
 		m.running = slices.Insert(m.running, at, j)
 	}
@@ -123,7 +126,11 @@
 		m.completed++
 		m.start(j.target)
 		load := j.target.running + len(j.target.queue)
-		j.from.Done(m.now, j.target.id, Result{Latency: m.now.Sub(j.arrived), Outcome: j.target.outcome, InFlight: load, Limit: j.target.slots})
+		r := Result{Latency: m.now.Sub(j.arrived), Outcome: j.target.outcome, InFlight: load, Limit: j.target.slots}
+		if j.target.slowdown > 0 {
+			r.Work, r.Slowdown = j.target.service, j.target.slowdown
+		}
+		j.from.Done(m.now, j.target.id, r)
 	}
 	m.now = t
 }
--- a/balancer/picker.go
+++ b/balancer/picker.go
@@ -40,6 +40,10 @@
 	// Faults is the failure rate of the backend server's recent requests, from 0 to
 	// 1, as measured by its node. It is valid only if Limit is set.
 	Faults float64
+	// Work is how long the backend server itself usually works on a call, and Slowdown
+	// how many times as long at present; zero if the reply does not tell.
+	Work     time.Duration
+	Slowdown float64
 }
 
 // Picker chooses among the candidates of one service. It is not safe for
@@ -58,6 +62,8 @@
 	medianLatency   float64
 	medianLimit     float64
 	medianErrorRate float64
+	// medianWork is zero if no member has told how long it works on a call.
+	medianWork      float64
 	evaluatedAt     time.Time
 	stragglers      int
 	picksSinceProbe int
--- a/balancer/straggler.go
+++ b/balancer/straggler.go
@@ -10,6 +10,7 @@
 	p.evaluatedAt = now
 	p.medianLimit = p.computeMedianLimit()
 	p.medianLatency = p.computeMedianLatency()
+	p.medianWork = p.medianOf(func(m *member) (float64, bool) { return m.work, m.work > 0 })
 	p.medianErrorRate = p.medianOf(func(m *member) (float64, bool) { return m.errorRate, m.limit > 0 })
 	p.recover(now)
 	p.markStragglers(now)
--- a/call/message.go
+++ b/call/message.go
@@ -131,6 +131,11 @@
 	// and its concurrency limit.
 	InFlight uint32 `cbor:"13,keyasint,omitempty"`
 	Limit    uint32 `cbor:"14,keyasint,omitempty"`
+	// WorkMicros is how long the backend server itself usually works on a call, in
+	// microseconds, and SlowdownPercent how long it takes at present, in percent of that.
+	// Both are zero where backend servers do not tell their slowdown.
+	WorkMicros      uint32 `cbor:"31,keyasint,omitempty"`
+	SlowdownPercent uint32 `cbor:"32,keyasint,omitempty"`
 	// Faults is the percentage of the backend server's recent requests that got
 	// no answer or a server error.
 	Faults uint8 `cbor:"25,keyasint,omitempty"`
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -194,6 +194,8 @@
 		InFlight: int(r.InFlight),
 		Limit:    int(r.Limit),
 		Faults:   float64(r.Faults) / 100,
+		Work:     time.Duration(r.WorkMicros) * time.Microsecond,
+		Slowdown: float64(r.SlowdownPercent) / 100,
 	})
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -105,6 +105,7 @@
 		Crashed:        res.Crashed,
 		ReachedBackend: res.ReachedBackend,
 		Answered:       res.Answered,
+		Slowdown:       res.Notice.Load.Slowdown,
 		Limit:          limit.Statement{Named: res.Notice.Limit == backend.Limited, PerSecond: res.Notice.PerSecond},
 		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
 	}
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"math"
 	"time"
 
 	"github.com/cassialoom/cassialoom/admission"
@@ -101,6 +102,7 @@
 }
 
 func (s *Server) newReply(to recipient) call.Reply {
+	work, slowdown := s.pace.Work()
 	return call.Reply{
 		From:       s.cfg.Self,
 		To:         to.from,
@@ -109,6 +111,9 @@
 		InFlight:   uint32(s.reportedInFlight()),
 		Limit:      uint32(min(s.effectiveConcurrency(), maxConcurrency)),
 		Faults:     s.faults.percent(),
+
+		WorkMicros:      uint32(min(work.Microseconds(), math.MaxUint32)),
+		SlowdownPercent: uint32(min(slowdown*100, math.MaxUint32)),
 	}
 }
 
--- a/serve/run.go
+++ b/serve/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/admission"
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/limit"
 	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -186,6 +187,7 @@
 	default:
 		s.reportFinished(now, t, r, &e)
 		s.faults.record(r.Latency-t.callTime, r)
+		s.recordPace(r.Latency-t.callTime, r)
 	}
 	s.learnRateLimit(now, t, r)
 	s.recordRunTime(r)
@@ -206,6 +208,13 @@
 	return e
 }
 
+// recordPace records how long the backend server worked on a task that it has answered.
+func (s *Server) recordPace(own time.Duration, r Result) {
+	if r.Verdict == verdict.Ran && r.Reason == verdict.None && r.Status < call.MinServerError {
+		s.pace.Record(own, r.Slowdown)
+	}
+}
+
 func outcome(r Result) limit.Outcome {
 	switch {
 	case r.Reason == verdict.Shed, r.Reason == verdict.Deadline:
@@ -234,6 +243,7 @@
 func (s *Server) BackendRestarted(now time.Time) Effects {
 	var e Effects
 	s.faults = faults{}
+	s.pace = limit.Pace{}
 	s.forgetRateLimit()
 	if len(s.running) > 0 {
 		s.crash(now, &e)
--- a/serve/server.go
+++ b/serve/server.go
@@ -35,6 +35,7 @@
 	guard   *poison.Guard
 	random  *rand.Rand
 	faults  faults
+	pace    limit.Pace
 	// needs are the calls that runs make, dependencies tells which of them can't be sent.
 	needs        *outage.Needs
 	dependencies Dependencies
--- a/serve/task.go
+++ b/serve/task.go
@@ -90,7 +90,10 @@
 	ReachedBackend bool
 	// Answered reports that the backend server sent an answer. Limit is then what the
 	// answer says about its rate limit; LimitUnreadable reports that it can't be parsed.
-	Answered        bool
+	Answered bool
+	// Slowdown is how many times as long as usual work takes at present, as the answer
+	// says; zero if it does not say so.
+	Slowdown        float64
 	Limit           limit.Statement
 	LimitUnreadable bool
 	// CallsFailed reports that an outgoing call of the task failed, which may
