--- a/balancer/dump.go
+++ b/balancer/dump.go
@@ -36,10 +36,10 @@
 	// times as long at the last report.
 	Work      time.Duration `json:"work_ns,omitempty"`
 	Slowdown  float64       `json:"slowdown,omitempty"`
-	Straggler  bool          `json:"straggler,omitempty"`
-	Ejected    bool          `json:"ejected,omitempty"`
-	Full       bool          `json:"full,omitempty"`
-	Failures   int           `json:"failures,omitempty"`
+	Straggler bool          `json:"straggler,omitempty"`
+	Ejected   bool          `json:"ejected,omitempty"`
+	Full      bool          `json:"full,omitempty"`
+	Failures  int           `json:"failures,omitempty"`
 }
 
 // Dump is the state of a Picker.
--- a/balancer/model_test.go
+++ b/balancer/model_test.go
@@ -25,8 +25,8 @@
 	// that does not tell how fast it is.
 	slowdown float64
 	running  int
-	queue   []*job
-	calls   int
+	queue    []*job
+	calls    int
 }
 
 type job struct {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -107,8 +107,8 @@
 type servers struct {
 	callers, local *entry.Server
 	peers, ops     *http.Server
-	listening                  *listeners
-	callerConns                *entry.CountingListener
+	listening      *listeners
+	callerConns    *entry.CountingListener
 }
 
 func newServers(cfg node.Config, n *node.Node, c *ops.Counters, listening *listeners) *servers {
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -95,7 +95,7 @@
 		&http.Server{Handler: platform.NewHeartbeatHandler(s.Service, s.BackendAddr, n), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}:               listening.heartbeats,
 		&http.Server{Handler: platform.NewReadyHandler(func() bool { ok, _ := n.Ready(); return ok }), ReadHeaderTimeout: cfg.Entry.HeaderTimeout}: listening.ready,
 		&http.Server{Handler: n.Peers(), ReadHeaderTimeout: cfg.Transport.DialTimeout}:                                                             listening.peers,
-		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                                              listening.ops,
+		ops.NewServer(ops.DefaultConfig(), ops.New(n, c)):                                                                                          listening.ops,
 	}
 	loopCtx, stopLoops := context.WithCancel(context.Background())
 	reload := newReloader(string(path), s, hup, restartRequired(s), log)
