--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -115,6 +115,7 @@
 	opsConfig := ops.DefaultConfig()
 	cfg.Entry.Draining = n.Draining
 	cfg.Entry.Repeatable = entry.RepeatableCalls(n.Idempotent)
+	cfg.Entry.OnPipelined = func() { c.PipelinedConns.Add(1) }
 	return &servers{
 		callers:     entry.NewServer(cfg.Entry, entry.New(cfg.Entry, n)),
 		local:       entry.NewServer(cfg.Entry, local.New(cfg.Entry, n, n)),
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -89,6 +89,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryShare))
 	cfg.Entry.Draining = n.Draining
 	cfg.Entry.Repeatable = platform.Repeatable(n)
+	cfg.Entry.OnPipelined = func() { c.PipelinedConns.Add(1) }
 	callers := entry.NewServer(cfg.Entry, platform.NewCallers(cfg.Entry, n))
 	servers := map[httpServer]net.Listener{
 		callers: entry.Listener(listening.callers),
--- a/entry/config.go
+++ b/entry/config.go
@@ -37,6 +37,9 @@
 	// side by side when they are sent on one connection; without it each waits for the
 	// one before it.
 	Repeatable func(*http.Request) bool
+	// OnPipelined, if set, is called for each connection on which a caller has sent a
+	// request before the one before it was answered.
+	OnPipelined func()
 	// MaxAhead is the number of requests on one connection that are read and not
 	// answered yet.
 	MaxAhead int
@@ -101,6 +104,7 @@
 		WriteTimeout: c.WriteTimeout,
 		Repeatable:   c.Repeatable,
 		Draining:     c.Draining,
+		TakenOver:    c.OnPipelined,
 		Malformed: func(w http.ResponseWriter, status int) {
 			writeError(c, w, status, "", verdict.Refuse(verdict.BadRequest, "the request can't be read"))
 		},
@@ -119,6 +123,3 @@
 	s.pipelines.Close()
 	return s.Server.Close()
 }
-
-// Pipelined returns how many connections had several requests at once.
-func (s *Server) Pipelined() int64 { return s.pipelines.Taken() }
--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -132,7 +132,10 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			d := newHeldDoer()
-			srv, addr := startPipelined(t, DefaultConfig(), d)
+			var taken atomic.Int64
+			cfg := DefaultConfig()
+			cfg.OnPipelined = func() { taken.Add(1) }
+			_, addr := startPipelined(t, cfg, d)
 			c, r := dial(t, addr)
 			ids := []string{"a", "b", "c", "d"}
 			all := ""
@@ -157,7 +160,7 @@
 				is.Equal(body, id)
 				is.True(!resp.Close)
 			}
-			is.Equal(srv.Pipelined(), int64(1))
+			is.Equal(taken.Load(), int64(1))
 			// The connection goes on with requests of any kind.
 			close(d.gate("e"))
 			io.WriteString(c, request("write", "e", "", "12345"))
@@ -315,7 +318,10 @@
 func TestStandardClientIsServedByTheStandardServer(t *testing.T) {
 	is := is.New(t)
 	d := newHeldDoer()
-	srv, addr := startPipelined(t, DefaultConfig(), d)
+	var taken atomic.Int64
+	cfg := DefaultConfig()
+	cfg.OnPipelined = func() { taken.Add(1) }
+	_, addr := startPipelined(t, cfg, d)
 	client := http.Client{Transport: &http.Transport{MaxConnsPerHost: 2}}
 	defer client.CloseIdleConnections()
 	var wg sync.WaitGroup
@@ -338,5 +344,5 @@
 		})
 	}
 	wg.Wait()
-	is.Equal(srv.Pipelined(), int64(0))
+	is.Equal(taken.Load(), int64(0))
 }
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -26,8 +26,10 @@
 	// BackendConnsBroken counts connections to the backend server that broke during
 	// a request, BackendCrashes the ends of its process.
 	BackendConnsBroken, BackendCrashes expvar.Int
-	// MalformedNotices counts answers of the backend server in which its rate limit or
-	// its leaving can't be parsed.
+	// PipelinedConns counts connections of callers that had several requests at once.
+	PipelinedConns expvar.Int
+	// MalformedNotices counts answers of the backend server in which its rate limit, its
+	// leaving or its load can't be parsed.
 	MalformedNotices expvar.Int
 	// RateLimited counts attempts of other nodes and this one that were refused here because
 	// of the backend server's rate limit. RateLimitedElsewhere counts attempts of this node
@@ -143,6 +145,7 @@
 		{name: "runs", value: &c.Runs},
 		{name: "backend_broken", value: &c.BackendConnsBroken},
 		{name: "backend_crashes", value: &c.BackendCrashes},
+		{name: "pipelined_connections", value: &c.PipelinedConns},
 		{name: "backend_malformed_notices", value: &c.MalformedNotices},
 		{name: "rate_limited", value: &c.RateLimited},
 		{name: "rate_limited_elsewhere", value: &c.RateLimitedElsewhere},
--- a/pipeline/config.go
+++ b/pipeline/config.go
@@ -35,6 +35,8 @@
 	// Draining, if set, reports whether the node is leaving. Connections then close after
 	// the answers to what has been read.
 	Draining func() bool
+	// TakenOver, if set, is called for each connection on which a caller has sent ahead.
+	TakenOver func()
 	// Malformed writes the answer to a request that can't be parsed, with the given
 	// status.
 	Malformed func(w http.ResponseWriter, status int)
--- a/pipeline/server.go
+++ b/pipeline/server.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -20,7 +19,6 @@
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
-	taken atomic.Int64
 }
 
 // NewServer returns a server that handles each request with h.
@@ -28,9 +26,6 @@
 	return &Server{cfg: cfg, handler: h, conns: make(map[*conn]struct{})}
 }
 
-// Taken returns how many connections had several requests at once.
-func (s *Server) Taken() int64 { return s.taken.Load() }
-
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	detector, ok := r.Context().Value(detectorKey{}).(*Detector)
@@ -63,7 +58,9 @@
 
 // serve serves a connection until it ends.
 func (s *Server) serve(c *conn) {
-	s.taken.Add(1)
+	if s.cfg.TakenOver != nil {
+		s.cfg.TakenOver()
+	}
 	s.mu.Lock()
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
