logs: the time format is set once

What was seen: the race detector reports TestPlatformQuota when a second node in one process opens its log while the first writes (go test -race ./daemon, once). Cause: each Open wrote zerolog's global time format. A process of the product has one node, so no caller was affected. Now the first call sets it.

--- a/logs/logs.go
+++ b/logs/logs.go
@@ -47,16 +47,19 @@
 // that writes the remaining lines and stops the writer. It doesn't close out, so that
 // a stopping process can still report errors there.
 //
-// It sets zerolog's time format for the whole process, since the default has a
+// The first call sets zerolog's time format for the whole process, since the default has a
 // resolution of a second, which doesn't order the steps of a request.
 func Open(cfg Config, out io.Writer) (zerolog.Logger, io.Closer) {
-	zerolog.TimeFieldFormat = time.RFC3339Nano
+	setTimeFormat()
 	lost := &lostLines{}
 	ring := diode.NewWriter(writeOnly{out}, cfg.RingLines, 0, lost.add)
 	lost.log = zerolog.New(ring).With().Timestamp().Logger()
 	return lost.log, ring
 }
 
+// setTimeFormat runs once: loggers that are open already read the format.
+var setTimeFormat = sync.OnceFunc(func() { zerolog.TimeFieldFormat = time.RFC3339Nano })
+
 // writeOnly hides the Close method of a writer.
 type writeOnly struct{ io.Writer }
 
