--- a/daemon/latestop_test.go
+++ b/daemon/latestop_test.go
@@ -33,6 +33,7 @@
 
 		reportLateStop(time.Second, stuck{}, log)
 		time.Sleep(1100 * time.Millisecond)
+		synctest.Wait()
 		is.True(strings.Contains(out.String(), `"entered":2,"tasks":0,"replying":0,"unflushed":true,"goroutines":"goroutine profile`))
 	})
 }
