limit, serve: a node leaves room for what its backend server still works on

What callers saw: a node that restarts alone knows nothing of the requests that its predecessor sent, and starts as many again as the backend server has slots. One that never answers what it can't queue keeps the rest without an answer. Change: where load reports tell the slowdown, each answer and the health check at the start tell how much runs and waits there; what is beyond the node's own takes room from it, for a second after the last report. One task may always run. Test: TestRestartedNodeLeavesRoomForEarlierWork (without the change 40 of 40 start beside 80 in 100 slots; now 15).

--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -97,6 +97,9 @@
 	if b.Notice.Limit == backend.Limited {
 		n.server.learnRateLimit(now, b.Notice.PerSecond)
 	}
+	if load := b.Notice.Load; load.Slowdown > 0 {
+		n.server.learnLoad(now, load.Running+load.Waiting)
+	}
 	n.setReady(true, "found at the start")
 }
 
--- a/node/run.go
+++ b/node/run.go
@@ -106,6 +106,7 @@
 		ReachedBackend: res.ReachedBackend,
 		Answered:       res.Answered,
 		Slowdown:       res.Notice.Load.Slowdown,
+		Busy:           res.Notice.Load.Running + res.Notice.Load.Waiting,
 		Limit:          limit.Statement{Named: res.Notice.Limit == backend.Limited, PerSecond: res.Notice.PerSecond},
 		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
 	}
--- a/node/server.go
+++ b/node/server.go
@@ -243,6 +243,13 @@
 	s.serve.LearnRateLimit(now, perSecond)
 }
 
+// learnLoad applies what the backend server says about its load at the start of the node.
+func (s *server) learnLoad(now time.Time, busy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serve.LearnLoad(now, busy)
+}
+
 // rateLimitChanges returns how often the rate limit has changed.
 func (s *server) rateLimitChanges() int {
 	s.mu.Lock()
--- a/serve/run.go
+++ b/serve/run.go
@@ -27,7 +27,7 @@
 
 // mayStart reports whether a waiting task may start now.
 func (s *Server) mayStart(now time.Time) bool {
-	return s.ready && s.isolated == nil && len(s.running) < s.concurrency() && s.rate.Ready(now)
+	return s.ready && s.isolated == nil && len(s.running) < s.roomNow(now) && s.rate.Ready(now)
 }
 
 // startDequeued starts a task that left the queue, unless it has become a suspect while
@@ -125,6 +125,18 @@
 	s.finishUnstarted(t, err, e)
 }
 
+// roomNow returns how many tasks may run now: the concurrency less the slots in which the
+// backend server still works for others. One task may always run, to learn of their end.
+func (s *Server) roomNow(now time.Time) int {
+	return max(1, s.concurrency()-s.occupancy.Others(now))
+}
+
+// LearnLoad applies what the backend server says about its load without a task of this
+// node. busy is the number of requests that it runs or queues.
+func (s *Server) LearnLoad(now time.Time, busy int) {
+	s.occupancy.Report(now, busy, len(s.running))
+}
+
 func (s *Server) concurrency() int {
 	switch s.cfg.Policy {
 	case PolicyNone:
@@ -191,6 +203,9 @@
 	}
 	s.learnRateLimit(now, t, r)
 	s.recordRunTime(r)
+	if r.Slowdown > 0 {
+		s.LearnLoad(now, r.Busy)
+	}
 	s.recordCalls(now, t, r)
 	delete(s.running, id)
 	if s.isolated == t {
@@ -244,6 +259,7 @@
 	var e Effects
 	s.faults = faults{}
 	s.pace = limit.Pace{}
+	s.occupancy = limit.Occupancy{}
 	s.forgetRateLimit()
 	if len(s.running) > 0 {
 		s.crash(now, &e)
--- a/serve/server.go
+++ b/serve/server.go
@@ -36,6 +36,8 @@
 	random  *rand.Rand
 	faults  faults
 	pace    limit.Pace
+	// occupancy is the work of others at the backend server.
+	occupancy limit.Occupancy
 	// needs are the calls that runs make, dependencies tells which of them can't be sent.
 	needs        *outage.Needs
 	dependencies Dependencies
--- a/serve/slots_test.go
+++ b/serve/slots_test.go
@@ -145,3 +145,27 @@
 	is.Equal(e.Replies[0].Limit, uint32(2))
 	is.True(e.Replies[0].InFlight >= 5) // two run, three or four wait
 }
+
+// Guards against requests beyond its slots at a backend server that still works on what the
+// node sent before it restarted.
+func TestRestartedNodeLeavesRoomForEarlierWork(t *testing.T) {
+	is := is.New(t)
+	c := newCallee(100)
+	c.LearnLoad(c.now, 80)
+	var started []uint64
+	for range 40 {
+		for _, task := range c.arrive(importance.Normal, time.Minute).Start {
+			started = append(started, task.ID)
+		}
+	}
+	is.Equal(len(started), 15) // of the 95 that the node uses
+	// The earlier work ends; each answer tells what is left of it.
+	c.now = c.now.Add(100 * time.Millisecond)
+	e := c.Done(c.now, started[0], Result{Verdict: verdict.Ran, Status: 200, Latency: 100 * time.Millisecond, Slowdown: 1, Busy: 50})
+	is.Equal(len(e.Start), 25) // all that wait: 35 are left
+	// Without reports it counts for a short time only.
+	c.LearnLoad(c.now, 200)
+	is.Equal(len(c.arrive(importance.Normal, time.Minute).Start), 0)
+	c.now = c.now.Add(time.Second)
+	is.Equal(len(c.Tick(c.now).Start), 1)
+}
--- a/serve/task.go
+++ b/serve/task.go
@@ -93,7 +93,10 @@
 	Answered bool
 	// Slowdown is how many times as long as usual work takes at present, as the answer
 	// says; zero if it does not say so.
-	Slowdown        float64
+	Slowdown float64
+	// Busy is the number of requests that the backend server runs or queues, as the answer
+	// says. It is valid if Slowdown is.
+	Busy            int
 	Limit           limit.Statement
 	LimitUnreadable bool
 	// CallsFailed reports that an outgoing call of the task failed, which may
