--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -382,3 +382,29 @@
 	is.Equal(len(client.pool.idle), 1) // both were replaced by a new one
 	is.Equal(client.pool.reuseIdleLimit(time.Now().Add(reuseIdleGrowInterval)), 2*time.Second)
 }
+
+// Guards against requests on a connection of a backend server that is full and answers
+// nothing more there.
+func TestConnectionWithoutAnswerIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	silent := make(map[net.Conn]bool)
+	s := serve(t, func(_ *rawServer, c net.Conn, r *http.Request) bool {
+		mu.Lock()
+		defer mu.Unlock()
+		silent[c] = silent[c] || r.Header.Get("Cassialoom-Request-Id") == "full"
+		if !silent[c] {
+			io.WriteString(c, completeAnswer)
+		}
+		return false
+	})
+	client := newClient(t)
+	is.Equal(client.Run(t.Context(), s.url, run("before")).Status, 200)
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	res := client.Run(ctx, s.url, run("full"))
+	is.Equal(res.Verdict, verdict.MayHaveRun) // the server may have queued it after all
+	is.Equal(res.Reason, verdict.Deadline)
+	is.Equal(client.Run(t.Context(), s.url, run("after")).Status, 200)
+	is.Equal(s.timesSeen("full"), 1)
+}
