soak: clients that send several requests at once on a connection

They mix idempotent requests with others, beside the clients that were there; all promises are checked for theirs, too, and one more: nothing that must not be repeated runs behind an answer that closes its connection. A build whose answers overtake those before them is found (PROVE=1).

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -94,6 +94,12 @@
 		faults:  []string{"publish routes"},
 		promise: "revoked key",
 	},
+	{
+		name:    "answers overtake those before them on their connection",
+		edits:   []edit{{"pipeline/line.go", "for n < len(l.waiting) && l.waiting[n].finished {", "for n < len(l.waiting) {"}},
+		faults:  []string{"kill the node"},
+		promise: "whole answer",
+	},
 	{
 		name:    "nodes do not enforce a quota",
 		edits:   []edit{{"node/authorize.go", "if !u.workspace.Quota.Limited() ||", "if true ||"}},
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -17,6 +17,8 @@
 	Idempotent bool
 	Credential credential
 	Sent       time.Time
+	// Unread is set if the request was sent behind an answer that closed its connection.
+	Unread bool
 	standin.Answer
 }
 
@@ -46,7 +48,7 @@
 	var out []Broken
 	for _, t := range exchanges {
 		runs := j.Runs(t.ID)
-		for _, check := range []func(exchange, []string) (promise, what string){checkSuccess, checkAtMostOnce, checkNotRun} {
+		for _, check := range []func(exchange, []string) (promise, what string){checkSuccess, checkAtMostOnce, checkNotRun, checkUnread} {
 			if promise, what := check(t, runs); what != "" {
 				out = append(out, Broken{Promise: promise, What: what, ID: t.ID})
 			}
@@ -88,3 +90,13 @@
 	}
 	return promise, ""
 }
+
+// checkUnread checks that a non-idempotent request behind an answer that closed its
+// connection didn't run: its caller sends it again.
+func checkUnread(t exchange, runs []string) (promise, what string) {
+	promise = "nothing runs behind an answer that closes its connection"
+	if t.Unread && !t.Idempotent && len(runs) > 0 {
+		return promise, fmt.Sprintf("ran at %v", runs)
+	}
+	return promise, ""
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -25,6 +25,8 @@
 	clientTimeout = 2 * time.Second
 	// clientPause is the mean pause between two requests of a client.
 	clientPause = 40 * time.Millisecond
+	// aheadPause is the mean pause of a client that sends several requests at once.
+	aheadPause = 300 * time.Millisecond
 )
 
 // Result is the outcome of a run: the numbers of requests, served requests and injected
@@ -185,6 +187,13 @@
 				}
 			})
 		}
+		c := &client{e: e, host: h, rng: rand.New(rand.NewPCG(e.cfg.Seed, uint64(2000+i)))}
+		all.Go(func() {
+			for ctx.Err() == nil {
+				c.sendAhead(ctx)
+				pause.For(ctx, time.Duration(c.rng.ExpFloat64()*float64(aheadPause)))
+			}
+		})
 	}
 }
 
@@ -194,14 +203,47 @@
 // send sends one request and returns it with its answer. It uses POST, which net/http
 // doesn't send again by itself.
 func (c *client) send(ctx context.Context, with credential) exchange {
+	t := c.next(with)
+	t.Answer = standin.SendRequest(ctx, c.http, c.host.Machine, t.request())
+	c.e.journal.RecordForwarded(c.host.Name, t.Header)
+	return t
+}
+
+// next draws the next request.
+func (c *client) next(with credential) exchange {
 	c.sent++
 	prefix := paths[c.rng.IntN(len(paths))]
 	t := exchange{ID: strconv.FormatUint(c.rng.Uint64(), 36), Machine: c.host.Name, Path: prefix + strconv.Itoa(c.sent),
 		Idempotent: prefix != "/once/", Credential: with, Sent: time.Now()}
 	c.e.journal.RecordOrigin(t.ID, c.host.Name)
-	t.Answer = standin.SendRequest(ctx, c.http, c.host.Machine, standin.Request{
-		Method: http.MethodPost, Host: routeHost, Path: t.Path, ID: t.ID, Key: with.key, Timeout: clientTimeout,
-	})
-	c.e.journal.RecordForwarded(c.host.Name, t.Header)
 	return t
 }
+
+func (t *exchange) request() standin.Request {
+	return standin.Request{
+		Method: http.MethodPost, Host: routeHost, Path: t.Path, ID: t.ID, Key: t.Credential.key, Timeout: clientTimeout,
+	}
+}
+
+// maxAhead is the largest number of requests that a client sends at once on a connection.
+const maxAhead = 6
+
+// sendAhead sends several requests on one connection and records them with their answers.
+func (c *client) sendAhead(ctx context.Context) {
+	var exchanges []exchange
+	var requests []standin.Request
+	for range 2 + c.rng.IntN(maxAhead-1) {
+		t := c.next(credential{key: calmKey})
+		exchanges = append(exchanges, t)
+		requests = append(requests, t.request())
+	}
+	answers, closed := standin.SendAhead(ctx, c.host.Machine, requests, clientTimeout)
+	for i, t := range exchanges {
+		if i < len(answers) {
+			t.Answer = answers[i]
+			c.e.journal.RecordForwarded(c.host.Name, t.Header)
+		}
+		t.Unread = closed && i >= len(answers)
+		c.e.record.add(t)
+	}
+}
