--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -50,6 +50,13 @@
 func start(t *testing.T, cfg Config, d *fakeDoer) string {
 	t.Helper()
 	d.seen = make(chan Incoming, 8)
+	_, addr := serveOnLoopback(t, cfg, d)
+	return addr
+}
+
+// serveOnLoopback serves d until the test ends.
+func serveOnLoopback(t *testing.T, cfg Config, d Doer) (*Server, string) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -64,7 +71,7 @@
 		srv.Close()
 		<-done
 	})
-	return ln.Addr().String()
+	return srv, ln.Addr().String()
 }
 
 // exchange sends raw bytes, closes the sending side if hangUp is set, and
--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -58,21 +58,7 @@
 func startPipelined(t *testing.T, cfg Config, d Doer) (*Server, string) {
 	t.Helper()
 	cfg.Repeatable = RepeatableCalls(func(_, operation string) bool { return operation == "read" })
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	srv := NewServer(cfg, New(cfg, d))
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		srv.Serve(Listener(ln))
-	}()
-	t.Cleanup(func() {
-		srv.Close()
-		<-done
-	})
-	return srv, ln.Addr().String()
+	return serveOnLoopback(t, cfg, d)
 }
 
 func request(operation, id, fields, body string) string {
