pipeline: a connection is closed after its last answer

What callers saw: with requests sent ahead, a connection whose last answer announced its end (a node that leaves) stayed open until the caller closed it; the planned stop then cut it at its end. Cause: the reader waits for the next request, and nothing ended that read. Found by reading; TestConnectionIsClosedAfterItsLastAnswer failed before (no end within 5 s). Also, the deadline of the last wait could be taken back by the goroutine that watches for the caller's end: it is reset before that goroutine starts.

--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -332,3 +332,27 @@
 	wg.Wait()
 	is.Equal(taken.Load(), int64(0))
 }
+
+// Guards against a connection that stays open after its last answer because its caller
+// does not close it.
+func TestConnectionIsClosedAfterItsLastAnswer(t *testing.T) {
+	is := is.New(t)
+	d := newHeldDoer()
+	var draining atomic.Bool
+	cfg := DefaultConfig()
+	cfg.Draining = draining.Load
+	srv, addr := startPipelined(t, cfg, d)
+	c, r := dial(t, addr)
+	io.WriteString(c, request("read", "a", "", "")+request("read", "b", "", ""))
+	awaitStarts(t, d, "a", "b")
+	draining.Store(true)
+	close(d.gate("a"))
+	close(d.gate("b"))
+	readAnswer(t, r)
+	resp, _ := readAnswer(t, r)
+	is.True(resp.Close)
+	c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	_, err := r.ReadByte()
+	is.Equal(err, io.EOF)
+	is.NoErr(srv.Shutdown(t.Context()))
+}
--- a/pipeline/conn.go
+++ b/pipeline/conn.go
@@ -72,6 +72,7 @@
 		}
 	}
 	read := make(chan struct{})
+	c.net.SetReadDeadline(time.Time{}) // close sets another
 	go c.watch(read)
 	c.awaitEnd()
 	c.close(read)
@@ -183,9 +184,12 @@
 	err := c.write(batch, ended)
 	c.mu.Lock()
 	c.writing = false
-	if err != nil {
+	switch {
+	case err != nil:
 		c.fail()
-	} else if len(c.line.waiting) == 0 && !ended {
+	case ended:
+		c.net.SetReadDeadline(time.Now().Add(lingerTimeout)) // ends a read of the next request
+	case len(c.line.waiting) == 0:
 		c.net.SetReadDeadline(time.Now().Add(c.cfg.IdleTimeout))
 	}
 	return true
@@ -234,7 +238,6 @@
 // answers are awaited.
 func (c *conn) watch(done chan<- struct{}) {
 	defer close(done)
-	c.net.SetReadDeadline(time.Time{})
 	io.Copy(io.Discard, c.limited.R) // any end is the end of the caller's sending
 	c.hangUp()
 }
