--- a/backend/load.go
+++ b/backend/load.go
@@ -48,21 +48,23 @@
 	if len(text) > maxLoadLength {
 		return Load{}, fmt.Errorf("%w, not %d bytes", errLoad, len(text))
 	}
-	parts := strings.Split(text, ",")
-	if len(parts) != loadFigures && len(parts) != loadFigures+1 {
-		return Load{}, fmt.Errorf("%w, not %q", errLoad, text)
-	}
 	var counts [loadFigures]int
+	rest, more := text, true
 	for i := range counts {
-		n, err := strconv.Atoi(strings.TrimSpace(parts[i]))
+		if !more {
+			return Load{}, fmt.Errorf("%w, not %q", errLoad, text)
+		}
+		var figure string
+		figure, rest, more = strings.Cut(rest, ",")
+		n, err := strconv.Atoi(strings.TrimSpace(figure))
 		if err != nil || n < 0 || n > maxLoad {
 			return Load{}, fmt.Errorf("%w, not %q", errLoad, text)
 		}
 		counts[i] = n
 	}
 	l := Load{Running: counts[0], Waiting: counts[1], Slots: counts[2]}
-	if len(parts) > loadFigures {
-		slow, err := strconv.ParseFloat(strings.TrimSpace(parts[loadFigures]), 64)
+	if more {
+		slow, err := strconv.ParseFloat(strings.TrimSpace(rest), 64)
 		if err != nil || !(slow > 0) || math.IsInf(slow, 0) {
 			return Load{}, fmt.Errorf("%w, not %q", errLoad, text)
 		}
--- a/backend/load_test.go
+++ b/backend/load_test.go
@@ -37,3 +37,12 @@
 		}
 	})
 }
+
+func BenchmarkParseLoad(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := ParseLoad("120,3,163,100"); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
