--- a/dispatch/outage_test.go
+++ b/dispatch/outage_test.go
@@ -13,7 +13,6 @@
 	"github.com/cassialoom/cassialoom/importance"
 	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/verdict"
-	"github.com/cassialoom/cassialoom/wire"
 )
 
 // callOfRun returns the parameters of a call of a run of a node with 8 slots.
@@ -159,13 +158,3 @@
 		is.Equal(n.d.Outages(time.Now()).Waiting, 0)
 	})
 }
-
-// Guards against a lost service whose other nodes are found silent only one after the other.
-func TestSilentNodeNamesTheOthersOfItsServices(t *testing.T) {
-	is := is.New(t)
-	n := newNetwork(&network{script: func() event { return answered }, forge: func(call.Request) []forgery { return nil }})
-	is.Equal(len(n.d.Unreachable(n.nodes[0])), 0) // of no service that is called
-	n.d.Call(t.Context(), params(t, "safe", 0))
-	is.Equal(n.d.Unreachable(n.nodes[0]), n.nodes[1:])
-	is.Equal(len(n.d.Unreachable(wire.NodeID{77})), 0)
-}
--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -123,34 +123,23 @@
 }
 
 // Unreachable records that the connection to a node has gone silent. The pickers of all
-// services eject the node for a while. It returns the other candidates of these services:
-// what has silenced one may have silenced them, too.
-func (d *Dispatcher) Unreachable(id wire.NodeID) (others []wire.NodeID) {
+// services eject the node for a while.
+func (d *Dispatcher) Unreachable(id wire.NodeID) {
 	now := time.Now()
 	var services []string
 	d.mu.Lock()
 	for service, pk := range d.pickers {
 		pk.balancer.Unreachable(now, id)
-		if !slices.ContainsFunc(pk.candidates, func(c balancer.Candidate) bool { return c.ID == id }) {
-			continue
-		}
-		services = append(services, service)
-		for _, c := range pk.candidates {
-			if c.ID != id && len(others) < maxProbes {
-				others = append(others, c.ID)
-			}
+		if slices.ContainsFunc(pk.candidates, func(c balancer.Candidate) bool { return c.ID == id }) {
+			services = append(services, service)
 		}
 	}
 	d.mu.Unlock()
 	for _, service := range services {
 		d.outages.failed(service, id, errSilent)
 	}
-	return others
 }
 
-// maxProbes bounds the nodes that are probed because another one has gone silent.
-const maxProbes = 32
-
 var errSilent = errors.New("the connection has gone silent")
 
 // Choose returns a random node of the service, except for those tried, for something other
--- a/node/peers.go
+++ b/node/peers.go
@@ -47,14 +47,11 @@
 }
 
 // Suspended implements transport.Handler. The membership probes the peer through other
-// nodes at once, so that calls soon avoid it if it has failed. The connections to the other
-// nodes of its services are probed, too: a service counts as lost only once all are silent.
+// nodes at once, so that calls soon avoid it if it has failed.
 func (h *peerHandler) Suspended(c *transport.Conn) {
 	n := (*Node)(h)
 	n.counts.QuarantinedPeerConns.Add(1)
-	for _, other := range n.dispatch.Unreachable(c.Peer().ID) {
-		n.peers.Probe(other)
-	}
+	n.dispatch.Unreachable(c.Peer().ID)
 	now := time.Now()
 	n.members.with(func(m *membership.Members) { m.PeerUnreachable(now, c.Peer().ID) })
 }
--- a/transport/stall.go
+++ b/transport/stall.go
@@ -4,8 +4,6 @@
 	"context"
 	"sync"
 	"time"
-
-	"github.com/cassialoom/cassialoom/wire"
 )
 
 // After an interruption, TCP retransmits unacknowledged data with waits that
@@ -85,17 +83,6 @@
 	}
 }
 
-// Probe pings the active connection to a peer now, if there is one that is not being probed.
-// A node calls it if the connection to another node of the same service has gone silent.
-func (t *Transport) Probe(id wire.NodeID) {
-	t.mu.Lock()
-	c := t.active[id]
-	t.mu.Unlock()
-	if c != nil && c.probing.CompareAndSwap(false, true) {
-		t.probe(c)
-	}
-}
-
 // suspects returns the active connections whose calls have been unconfirmed for
 // longer than ProbeAfter and that are not being probed, and marks them as being
 // probed.
--- a/transport/stall_test.go
+++ b/transport/stall_test.go
@@ -168,22 +168,3 @@
 	r.acked(at(3))
 	is.Equal(r.unackedFor(at(9)), time.Duration(0))
 }
-
-// Guards against a silent connection that is found only once a call waits on it.
-func TestProbeFindsASilentConnectionWithoutCalls(t *testing.T) {
-	is := is.New(t)
-	a, b := startPeerWith(t, "c", func(cfg *Config) {
-		cfg.ProbeTimeout = 20 * time.Millisecond
-		cfg.WriteTimeout = time.Minute // must not end the connection here
-	}), startPeer(t, "c")
-	l := startProxy(t, b.addr)
-	_, err := a.Connect(t.Context(), b.id, l.addr)
-	is.NoErr(err)
-	a.Probe(wire.NodeID{99}) // has no connection
-	a.Probe(b.id)
-	a.awaitActive(t, b.id, func(c *Conn) bool { return c != nil })
-	release := l.pause()
-	defer release()
-	a.Probe(b.id)
-	a.awaitActive(t, b.id, func(c *Conn) bool { return c == nil })
-}
