pipeline: the time for a body starts when it is asked for; two wrappers of one call go

Cause: by reading, the deadline of a body was set before the wait to ask for it. No caller was affected: the writer of the last answer sets a later one, and the new test passes before, too. Change: the order no longer rests on that, and setIdleDeadline and setHeadDeadline were names for one call.

--- a/entry/pipeline_test.go
+++ b/entry/pipeline_test.go
@@ -356,3 +356,28 @@
 	is.Equal(err, io.EOF)
 	is.NoErr(srv.Shutdown(t.Context()))
 }
+
+// Guards against a body that is given up while its caller waits to be asked for it.
+func TestBodyTimeoutCountsFromTheRequestForTheBody(t *testing.T) {
+	is := is.New(t)
+	d := newHeldDoer()
+	cfg := DefaultConfig()
+	cfg.BodyTimeout = 100 * time.Millisecond
+	_, addr := startPipelined(t, cfg, d)
+	c, r := dial(t, addr)
+	head := strings.TrimSuffix(request("write", "w", "Expect: 100-continue\r\n", "xyz"), "xyz")
+	io.WriteString(c, request("read", "a", "", "")+request("read", "b", "", "")+head)
+	awaitStarts(t, d, "a", "b")
+	time.Sleep(2 * cfg.BodyTimeout)
+	close(d.gate("a"))
+	close(d.gate("b"))
+	close(d.gate("w"))
+	readAnswer(t, r)
+	readAnswer(t, r)
+	resp, err := http.ReadResponse(r, nil)
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusContinue)
+	io.WriteString(c, "xyz")
+	_, body := readAnswer(t, r)
+	is.Equal(body, "w...")
+}
--- a/pipeline/read.go
+++ b/pipeline/read.go
@@ -15,11 +15,11 @@
 // lost, idle for too long or closed by the caller.
 func (c *conn) read() (*request, error) {
 	c.limited.N = c.cfg.MaxHead
-	c.setIdleDeadline()
+	c.setReadDeadline(c.cfg.IdleTimeout)
 	if _, err := c.r.Peek(1); err != nil {
 		return nil, err
 	}
-	c.setHeadDeadline()
+	c.setReadDeadline(c.cfg.HeadTimeout)
 	req, err := http.ReadRequest(c.r)
 	switch {
 	case isTimeout(err):
@@ -46,13 +46,6 @@
 	return &request{exchange: exchange{malformed: status, http: &http.Request{Method: http.MethodGet, Close: true}}}
 }
 
-// setIdleDeadline bounds the wait for the next request. While an answer is awaited the
-// caller may be silent.
-func (c *conn) setIdleDeadline() { c.setReadDeadline(c.cfg.IdleTimeout) }
-
-// setHeadDeadline bounds the arrival of a head.
-func (c *conn) setHeadDeadline() { c.setReadDeadline(c.cfg.HeadTimeout) }
-
 // setReadDeadline sets the read deadline if no answer is awaited: a timeout ends the
 // connection, and the requests on it would lose their answers.
 func (c *conn) setReadDeadline(d time.Duration) {
@@ -73,10 +66,10 @@
 		return r, nil
 	}
 	c.limited.N = c.cfg.MaxBody + c.cfg.MaxHead // chunks have heads, too
-	c.net.SetReadDeadline(time.Now().Add(c.cfg.BodyTimeout))
 	if err := c.sendContinue(req); err != nil {
 		return nil, err
 	}
+	c.net.SetReadDeadline(time.Now().Add(c.cfg.BodyTimeout))
 	body, err := io.ReadAll(io.LimitReader(req.Body, c.cfg.MaxBody+1))
 	c.net.SetReadDeadline(time.Time{})
 	r.bytes = int64(len(body))
