Review, case 2: two nodes issue the tokens of one tenant

The store reassigns all partitions at once while the holder is cut off; both the old and the new holder issue tokens.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -59,4 +59,5 @@
 
 var cases = map[string]func(rec *record, dir string, trouble bool) (int, error){
 	"doubled-rejections": doubledRejections,
+	"two-holders":        twoHolders,
 }
