--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -59,6 +59,6 @@
 
 var cases = map[string]func(rec *record, dir string, trouble bool) (int, error){
 	"doubled-rejections": doubledRejections,
-	"leaving-forgotten":  leavingForgotten,
 	"two-holders":        twoHolders,
+	"foreign-heartbeat":  foreignHeartbeat,
 }
