--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -60,5 +60,5 @@
 var cases = map[string]func(rec *record, dir string, trouble bool) (int, error){
 	"doubled-rejections": doubledRejections,
 	"two-holders":        twoHolders,
-	"foreign-heartbeat":  foreignHeartbeat,
+	"silent-connections": silentConnections,
 }
