--- a/review/standin/doubled.go
+++ b/review/standin/doubled.go
@@ -18,8 +18,8 @@
 		host     = "charges.example"
 		targets  = 8
 		clients  = 6 // on each machine
-		interval = 90 * time.Millisecond
-		length   = 75 * time.Second
+		interval = 45 * time.Millisecond
+		length   = 85 * time.Second
 	)
 	zones := []string{"z-a", "z-b", "z-c"}
 	services := make([]string, targets)
