backend, explain: a request's line names the connection to the backend server

When an answer is taken for that of another request, the lines of the two did not say whether they shared a connection. The number of the connection is in the result, the state dump and the line of a run (conn), and the connections opened are counted (backend_connections). No decision changes.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -61,6 +61,8 @@
 	Header     []call.Field
 	Body       []byte
 	Latency    time.Duration
+	// Conn is the number of the connection that carried the request, zero for none.
+	Conn uint64
 	// Notice is what the backend server said about itself in its answer, and NoticeError
 	// names the fields of it that are malformed. Answered says that it sent one.
 	Notice      Notice
@@ -103,6 +105,9 @@
 // requests sent on them would get the verdict MayHaveRun.
 func (c *Client) CloseIdle() { c.pool.closeIdle() }
 
+// ConnectionsOpened returns the number of connections opened so far.
+func (c *Client) ConnectionsOpened() int64 { return int64(c.pool.opened.Load()) }
+
 // StrayAnswers returns the number of answers received that belonged to other
 // requests.
 func (c *Client) StrayAnswers() int64 { return c.strays.Load() }
@@ -150,6 +155,7 @@
 		x := &exchange{client: c, conn: conn, run: r, msg: msg, reused: reused}
 		res, unsent := x.do(ctx, head)
 		if !unsent {
+			res.Conn = conn.number
 			return res
 		}
 		if !reused {
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -14,6 +15,8 @@
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
+	// number identifies the connection among those of its pool, from 1 on.
+	number    uint64
 	readLimit *io.LimitedReader
 	r         *bufio.Reader
 	// sent counts the bytes written. NotRun may only be claimed for a request
@@ -89,6 +92,7 @@
 type pool struct {
 	cfg    Config
 	dialer net.Dialer
+	opened atomic.Uint64 // connections so far
 
 	mu     sync.Mutex
 	addr   string
@@ -149,7 +153,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return newConn(raw, p.cfg.IdleTimeout), nil
+	c := newConn(raw, p.cfg.IdleTimeout)
+	c.number = p.opened.Add(1)
+	return c, nil
 }
 
 // reuseIdleLimit returns how long a connection may have been idle to be reused,
--- a/explain/recorder.go
+++ b/explain/recorder.go
@@ -57,6 +57,9 @@
 	RootRequestID string `json:"root,omitempty"`
 	// Target is the node or backend incarnation that the request was sent to.
 	Target string `json:"target,omitempty"`
+	// Conn is the number of the connection to the backend server that carried the
+	// request, zero for none.
+	Conn uint64 `json:"conn,omitempty"`
 	// Attempt is the number of attempts of the call up to this decision.
 	Attempt int `json:"attempt,omitempty"`
 	// Version is the version of the routes or graph used for the decision.
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -125,6 +125,9 @@
 	if e.Status > 0 {
 		line.Int("status", e.Status)
 	}
+	if e.Conn > 0 {
+		line.Uint64("conn", e.Conn)
+	}
 	if e.Attempt > 0 {
 		line.Int("attempt", e.Attempt)
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -86,7 +86,7 @@
 	if res.Crashed {
 		n.backendCrashed(inst.start)
 	}
-	n.recordRun(r.task, inst, result)
+	n.recordRun(r.task, inst, res.Conn, result)
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
 
@@ -120,8 +120,8 @@
 	return result
 }
 
-// recordRun records the latencies and the result of a task.
-func (n *Node) recordRun(t *serve.Task, inst instance, r serve.Result) {
+// recordRun records the latencies and the result of a task, which the connection conn carried.
+func (n *Node) recordRun(t *serve.Task, inst instance, conn uint64, r serve.Result) {
 	step := explain.Ran
 	if r.Reason != verdict.None {
 		step = explain.Lost
@@ -140,6 +140,7 @@
 		Status:        r.Status,
 		Detail:        r.Detail,
 		Target:        inst.start.ID,
+		Conn:          conn,
 		Waited:        t.Waited(),
 		Duration:      r.Latency,
 		Remaining:     t.Deadline.Sub(now),
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -26,6 +26,8 @@
 	// BackendConnsBroken counts connections to the backend server that broke during
 	// a request, BackendCrashes the ends of its process.
 	BackendConnsBroken, BackendCrashes expvar.Int
+	// BackendConnsOpened counts the connections opened to the backend server.
+	BackendConnsOpened expvar.Int
 	// PipelinedConns counts connections of callers that had several requests at once.
 	PipelinedConns expvar.Int
 	// MalformedNotices counts answers of the backend server in which its rate limit, its
@@ -144,6 +146,7 @@
 		{name: "extra_refused", value: &c.ExtraRefused},
 		{name: "runs", value: &c.Runs},
 		{name: "backend_broken", value: &c.BackendConnsBroken},
+		{name: "backend_connections", value: &c.BackendConnsOpened},
 		{name: "backend_crashes", value: &c.BackendCrashes},
 		{name: "pipelined_connections", value: &c.PipelinedConns},
 		{name: "backend_malformed_notices", value: &c.MalformedNotices},
