backend: a connection carries each request id at most once

Cause: a backend server declines a request and sends the decline a second time, late. The pool gives the next offer of the request the connection used last, where the id does not tell the late copy from the answer to that offer: the node concludes "not run" while the request runs, answers 503 or offers again.

Ruled out: unread bytes on an idle connection (the copy is sent after the next request was read), other nodes, hedges, resends.

Change: a connection remembers the ids that it carried and is passed over for a request that it carried before; after 1,024 requests it is replaced. So an answer with the id of a request on a connection is the answer to the one sending of it there, whoever sends an id twice.

The stand-in backend server declines and repeats its declines, and serves the request behind a second answer; the soak draws it, and a build without the rule is among the faulty ones.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -148,7 +148,7 @@
 		if reason := contextReason(ctx); reason != verdict.None {
 			return failed(verdict.Refuse(reason, "not handed to the backend server in time"))
 		}
-		conn, reused, err := c.pool.get(ctx, r.address, !r.Idempotent)
+		conn, reused, err := c.pool.get(ctx, r.address, r.RequestID, !r.Idempotent)
 		if err != nil {
 			return failed(notHandedOver(ctx, err))
 		}
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -344,7 +345,8 @@
 	r.Body = []byte("body")
 	r.Header = []call.Field{{Name: "Content-Type", Value: "text/plain"}}
 	b.ReportAllocs()
-	for b.Loop() {
+	for n := 0; b.Loop(); n++ {
+		r.RequestID = strconv.Itoa(n)
 		client.Run(context.Background(), srv.URL, r)
 	}
 }
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -6,10 +6,13 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // conn is one connection to a backend server. It carries one request at a time.
@@ -31,6 +34,24 @@
 	idleFor time.Duration
 	// idleSince is when the last answer was read.
 	idleSince time.Time
+	// carried holds the hashes of the ids of all requests sent on the connection.
+	carried []uint64
+}
+
+// maxCarried is the number of requests after which a connection is replaced. It bounds
+// conn.carried.
+const maxCarried = 1024
+
+// noteCarried records that the request with the id is sent on the connection.
+func (c *conn) noteCarried(requestID string) {
+	c.carried = append(c.carried, xxhash.Sum64String(requestID))
+}
+
+// mayCarry reports whether the request with the id may be sent on the connection. None is
+// sent there twice: the backend server may repeat its answer to the first, and the id does
+// not tell it from the answer to the second.
+func (c *conn) mayCarry(requestID string) bool {
+	return !slices.Contains(c.carried, xxhash.Sum64String(requestID))
 }
 
 // readBuffer is the size of a connection's buffer in bytes. Most answers fit.
@@ -123,29 +144,42 @@
 	return &pool{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout}, maxReuseIdle: cfg.IdleTimeout}
 }
 
-// get returns a connection to addr; reused says that it carried a request
-// before. nonIdempotent asks for one that is new or has been idle for less than
-// maxNonIdempotentIdle.
-func (p *pool) get(ctx context.Context, addr string, nonIdempotent bool) (c *conn, reused bool, err error) {
+// get returns a connection to addr that has not carried the request with the id; reused says
+// that it carried another one before. nonIdempotent asks for one that is new or has been idle
+// for less than maxNonIdempotentIdle.
+func (p *pool) get(ctx context.Context, addr, requestID string, nonIdempotent bool) (c *conn, reused bool, err error) {
+	if c := p.getIdle(addr, requestID, nonIdempotent); c != nil {
+		return c, true, nil
+	}
+	c, err = p.dial(ctx, addr)
+	return c, false, err
+}
+
+// getIdle returns an idle connection as get does, nil if there is none. It closes those
+// that can't be used any more.
+func (p *pool) getIdle(addr, requestID string, nonIdempotent bool) *conn {
 	now := time.Now()
 	limit := p.reuseIdleLimit(now)
+	var passedOver []*conn
+	defer func() { p.putBack(addr, passedOver) }()
 	for {
 		c := p.pop(addr)
 		if c == nil {
-			break
+			return nil
 		}
 		idle := now.Sub(c.idleSince)
-		if nonIdempotent && idle >= maxNonIdempotentIdle && idle < limit {
-			p.putBack(c) // the other connections have been idle for longer
-			break
+		switch {
+		case nonIdempotent && idle >= maxNonIdempotentIdle && idle < limit:
+			passedOver = append(passedOver, c)
+			return nil // the other connections have been idle for longer
+		case idle >= min(c.idleFor, limit) || !c.openAndQuiet():
+			c.Close()
+		case !c.mayCarry(requestID):
+			passedOver = append(passedOver, c)
+		default:
+			return c
 		}
-		if idle < min(c.idleFor, limit) && c.openAndQuiet() {
-			return c, true, nil
-		}
-		c.Close()
 	}
-	c, err = p.dial(ctx, addr)
-	return c, false, err
 }
 
 func (p *pool) dial(ctx context.Context, addr string) (*conn, error) {
@@ -183,15 +217,21 @@
 	p.reuseIdleChanged = now
 }
 
-// putBack returns an unused connection to the pool.
-func (p *pool) putBack(c *conn) {
+// putBack returns connections to addr that were not used, given in the order in which pop
+// returned them.
+func (p *pool) putBack(addr string, conns []*conn) {
+	if len(conns) == 0 {
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
-		c.Close()
-		return
+	for _, c := range slices.Backward(conns) {
+		if p.closed || p.addr != addr {
+			c.Close()
+			continue
+		}
+		p.idle = append(p.idle, c)
 	}
-	p.idle = append(p.idle, c)
 }
 
 // pop removes the most recently used idle connection and returns it, nil if
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -74,6 +74,7 @@
 // written.
 func (x *exchange) do(ctx context.Context, head []byte) (res Result, unsent bool) {
 	x.sentBefore, x.sentAt = x.conn.sent, time.Now()
+	x.conn.noteCarried(x.run.RequestID)
 	// The end of the context aborts reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
 	err := x.conn.write(head)
@@ -225,7 +226,7 @@
 // reusableAfter reports whether the connection may carry another request after
 // resp, and applies its Keep-Alive timeout.
 func (x *exchange) reusableAfter(resp *http.Response) bool {
-	if resp.Close || x.conn.desynchronized || x.conn.r.Buffered() > 0 {
+	if resp.Close || x.conn.desynchronized || x.conn.r.Buffered() > 0 || len(x.conn.carried) >= maxCarried {
 		return false
 	}
 	if idle, ok := keepAlive(resp.Header); ok {
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -44,6 +44,12 @@
 		faults:  []string{"send second answers"},
 		promise: "whole answer",
 	},
+	{
+		name:    "a connection carries a request that was declined on it once more",
+		edits:   []edit{{"backend/conn.go", "return !slices.Contains(c.carried, xxhash.Sum64String(requestID))", "return true"}},
+		faults:  []string{"backend server declines and sends second answers"},
+		promise: "at most once",
+	},
 	{
 		name:    "a leaving backend server stays in use",
 		edits:   []edit{{"node/incarnations.go", "ready:       !b.Draining,", "ready: true,"}},
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -68,15 +68,15 @@
 		return e.startTarget(h)
 	}},
 	{"lose answers", func(ctx context.Context, _ *env, h *host, d time.Duration) error {
-		h.target.Faults(0.3, 0)
+		h.target.SetFaults(standin.TargetFaults{Lose: 0.3})
 		pause.For(ctx, d)
-		h.target.Faults(0, 0)
+		h.target.SetFaults(standin.TargetFaults{})
 		return nil
 	}},
 	{"send second answers", func(ctx context.Context, _ *env, h *host, d time.Duration) error {
-		h.target.Faults(0, 0.3)
+		h.target.SetFaults(standin.TargetFaults{Duplicate: 0.3})
 		pause.For(ctx, d)
-		h.target.Faults(0, 0)
+		h.target.SetFaults(standin.TargetFaults{})
 		return nil
 	}},
 	{"publish routes", func(_ context.Context, e *env, _ *host, _ time.Duration) error { return e.publish() }},
@@ -115,6 +115,12 @@
 		h.target.SetMalformedNotices(false)
 		return nil
 	}},
+	{"backend server declines and sends second answers", func(ctx context.Context, _ *env, h *host, d time.Duration) error {
+		h.target.SetFaults(standin.TargetFaults{Decline: 0.5, Duplicate: 0.3})
+		pause.For(ctx, d)
+		h.target.SetFaults(standin.TargetFaults{})
+		return nil
+	}},
 }
 
 // maxRateLimit is the largest rate limit of a backend server, in requests a second.
