quota, platform: no quota is used twice when the store reassigns its partitions

Cause: the store may assign a partition to another node without a word to its owner. A new owner issued tokens from its join on, the former one until its lease ended by its own clock, up to 2.85 s later; both at the full rate. The same with leases that expire in an outage of the store, and with a partition that goes to another node and back between two renewals of its owner.

Change: a quota is leased in two halves, one for 0.6 s, one for 3 s. A new owner uses a half only when any lease on it that another node may have has ended, and a former one stops using a half when its lease on it ends. Owners note in a register in the store (keyed.quota, conditional writes) when they begin to use a partition and when they have stopped, so that a change in order needs no wait, whatever else changed meanwhile; a user that could not be sure passes on how long its successor must wait. Renewals come each 0.3 s in place of 0.7 s (a tenth of a call each). The rule for restores (LostLeasesExpireAt) is gone: they are one case of the general one.

The simulated store now reassigns in order and at once, has outages in which leases expire, slow, late and lost answers; its nodes can reach themselves while they are cut off. TestIgnoringRestoresExceedsTheQuota becomes TestTrustInAssignmentsExceedsTheQuota: a fleet that trusts assignments exceeds a window by 53, 124 and 72 requests (restores, reassignments, outages). TestNewOwnerWaitsForLeasesLostByTheStore held that a continuous owner need not wait for a restore; it must, since it may have lost the partition meanwhile: replaced by TestOwnersWaitForLeasesLostByTheStore, which also asks that of it.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -121,6 +121,15 @@
 		h.target.SetFaults(standin.TargetFaults{})
 		return nil
 	}},
+	{"store reassigns all partitions beside a cut", func(ctx context.Context, e *env, h *host, d time.Duration) error {
+		h.toStore.set(linkSilent)
+		h.fromPeers.set(linkSilent)
+		e.store.ReassignPartitions()
+		pause.For(ctx, d)
+		h.toStore.set(linkOpen)
+		h.fromPeers.set(linkOpen)
+		return nil
+	}},
 }
 
 // maxRateLimit is the largest rate limit of a backend server, in requests a second.
--- a/node/fleet_view.go
+++ b/node/fleet_view.go
@@ -73,4 +73,4 @@
 
 // peakDecay is the factor applied to the peak at each lease renewal. It lets a node accept
 // within minutes that the fleet has become smaller.
-const peakDecay = 0.99
+const peakDecay = 0.996
--- a/node/ops.go
+++ b/node/ops.go
@@ -165,9 +165,23 @@
 		{Name: "admission_level", Value: float64(s.Gate.Level)},
 		{Name: "backend_ready", Value: boolGauge(n.backendInstance().ready)},
 	}
+	gauges = append(gauges, n.quotaGauges()...)
 	return append(gauges, n.budgetGauge(now))
 }
 
+// quotaGauges returns the numbers of parts of the quotas that this node owns.
+func (n *Node) quotaGauges() []ops.Gauge {
+	owned, shared := 0, 0
+	n.quotas.with(func(now time.Time) {
+		owned = len(n.quotas.leaseTerm.Parts(now))
+		shared = len(n.quotas.leaseTerm.SharedParts(now))
+	})
+	return []ops.Gauge{
+		{Name: "quota_parts", Value: float64(owned)},
+		{Name: "quota_parts_shared", Value: float64(shared)},
+	}
+}
+
 // budgetGauge returns the number of retry tokens in the budget that has the fewest.
 func (n *Node) budgetGauge(now time.Time) ops.Gauge {
 	g := ops.Gauge{Name: "retry_tokens_least", Value: n.cfg.Dispatch.Budget.Burst}
--- a/node/quota_dump.go
+++ b/node/quota_dump.go
@@ -16,9 +16,11 @@
 	// Proved says that the node has a freshness proof, which is ProofAgeMs old.
 	Proved     bool  `json:"proved"`
 	ProofAgeMs int64 `json:"proof_age_ms,omitempty"`
-	// Generation and Parts describe the lease of this node.
-	Generation uint64 `json:"lease_generation,omitempty"`
-	Parts      []int  `json:"owned_parts,omitempty"`
+	// Generation and Parts describe the lease of this node. SharedParts are those of Parts
+	// that another node may still use.
+	Generation  uint64 `json:"lease_generation,omitempty"`
+	Parts       []int  `json:"owned_parts,omitempty"`
+	SharedParts []int  `json:"shared_parts,omitempty"`
 	// Accounts are those of the workspaces that it owns, fewest tokens first.
 	Accounts []quota.AccountState `json:"accounts,omitempty"`
 	// Owners are the ownership claims that it knows.
@@ -40,7 +42,7 @@
 		if age, proved := q.proof.Age(now); proved {
 			s.Proved, s.ProofAgeMs = true, age.Milliseconds()
 		}
-		s.Generation, s.Parts = q.leaseTerm.Generation(), q.leaseTerm.Parts(now)
+		s.Generation, s.Parts, s.SharedParts = q.leaseTerm.Generation(), q.leaseTerm.Parts(now), q.leaseTerm.SharedParts(now)
 		s.Accounts = q.issuer.Dump()
 		s.Owners = q.owners.Claims()
 		s.PendingRequests = len(q.requests)
--- a/node/quota_owner.go
+++ b/node/quota_owner.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/membership"
@@ -43,32 +44,34 @@
 	return reachable
 }
 
-// LeaseMember returns the name of this node among the owners. A restarted node has the same
-// name, so it gets its leases back at once. Its earlier incarnation cannot use them any more:
-// it has released the address at which this one listens.
-func (n *Node) LeaseMember() string { return n.cfg.PeerAddr }
+// Registrant returns the identity of this node among the owners. A restarted node has the same
+// member name, so it gets its leases back at once. Its earlier process cannot use them any
+// more: it has released the address at which this one listens.
+func (n *Node) Registrant() quota.Registrant {
+	return quota.Registrant{Member: n.cfg.PeerAddr, Process: n.id}
+}
 
 // LeaseClock returns the present time of the clock that lease times and proofs use.
 func (n *Node) LeaseClock() time.Time { return n.quotas.clock() }
 
-// LeaseRenewed applies the store's answer to a renewal, and reports whether the parts that
-// this node owns changed.
-func (n *Node) LeaseRenewed(lease quota.LeaseReply) (changed bool) {
+// UpdateLease calls f with the lease of this node.
+func (n *Node) UpdateLease(f func(now time.Time, lease *quota.LeaseTerm)) {
+	n.quotas.with(func(now time.Time) { f(now, &n.quotas.leaseTerm) })
+}
+
+// LeaseChanged publishes which parts this node owns.
+func (n *Node) LeaseChanged() {
 	var claim quota.Claim
+	var shared []int
 	n.quotas.with(func(now time.Time) {
 		q := n.quotas
-		changed = q.leaseTerm.ApplyRenewal(lease)
-		q.issuer.Retain(func(name string) bool { _, owned := q.leaseTerm.Owns(now, q.cfg.PartitionOf(name)); return owned })
-		claim = q.claim(now, n.id)
+		claim, shared = q.claim(now, n.id), q.leaseTerm.SharedParts(now)
+		q.issuer.Retain(func(name string) bool { return slices.Contains(claim.Parts, q.cfg.PartitionOf(name)) })
 		q.owners.Receive(claim)
 	})
-	if !changed {
-		return false
-	}
-	n.log.Info().Uint64("generation", lease.Generation).Ints("parts", lease.Parts).Msg("owns quotas")
+	n.log.Info().Uint64("generation", claim.Generation).Ints("parts", claim.Parts).Ints("shared", shared).Msg("owns quotas")
 	n.publishClaim(claim)
 	n.quotas.wakeLoop()
-	return true
 }
 
 // publishClaim sends a claim to all members, and to connected nodes that are not known as
@@ -92,9 +95,3 @@
 func (q *quotas) claim(now time.Time, id wire.NodeID) quota.Claim {
 	return quota.Claim{Owner: id, Generation: q.leaseTerm.Generation(), Parts: q.leaseTerm.Parts(now)}
 }
-
-// LeaseEnded gives up the ownership of quotas.
-func (n *Node) LeaseEnded() {
-	n.quotas.with(func(time.Time) { n.quotas.leaseTerm.Release() })
-	n.log.Info().Msg("owns no quotas any more")
-}
--- a/node/quota_requests.go
+++ b/node/quota_requests.go
@@ -222,12 +222,12 @@
 		if table != nil && q.issuer.Accept(from, m.Number) {
 			for _, w := range m.TokenRequests {
 				space, known := table.Workspaces.ByName(w.Workspace)
-				since, owned := q.leaseTerm.Owns(now, q.cfg.PartitionOf(w.Workspace))
+				tenure, owned := q.leaseTerm.Owns(now, q.cfg.PartitionOf(w.Workspace))
 				if !known || !owned {
 					answer.NotOwner = true
 					continue
 				}
-				answer.Grants = append(answer.Grants, q.issuer.GrantTokens(now, since, from, w, space.Quota))
+				answer.Grants = append(answer.Grants, q.issuer.GrantTokens(now, tenure, from, w, space.Quota))
 			}
 		}
 		if answer.NotOwner || m.Claims {
--- a/node/quotas.go
+++ b/node/quotas.go
@@ -68,6 +68,7 @@
 		clock:        clock,
 		tokenClient:  quota.NewTokenClient(cfg),
 		issuer:       quota.NewTokenIssuer(cfg),
+		leaseTerm:    quota.NewLeaseTerm(cfg),
 		owners:       quota.NewOwners(),
 		requests:     make(map[wire.NodeID]openRequest),
 		changed:      make(chan struct{}),
--- a/quota/bank.go
+++ b/quota/bank.go
@@ -24,7 +24,7 @@
 
 // bucket is the token bucket of one workspace.
 type bucket struct {
-	// termStart is the start of the lease term in which the bucket was created.
+	// termStart is the start of the tenure in which the bucket was created.
 	termStart  time.Time
 	refilledAt time.Time
 	tokens     float64
@@ -52,15 +52,15 @@
 	return true
 }
 
-// GrantTokens answers a node's token request for a workspace with a limited quota. termStart is
-// the start of this node's lease term: the bucket of an earlier term is discarded,
-// because another node may have owned the workspace in between.
-func (b *TokenIssuer) GrantTokens(now, termStart time.Time, node wire.NodeID, w TokenRequest, q workspace.Quota) Grant {
-	a := b.bucket(now, termStart, w.Workspace)
+// GrantTokens answers a node's token request for a workspace with a limited quota. The bucket
+// of an earlier tenure is discarded, because another node may have owned the workspace in
+// between.
+func (b *TokenIssuer) GrantTokens(now time.Time, t Tenure, node wire.NodeID, w TokenRequest, q workspace.Quota) Grant {
+	a := b.bucket(t, w.Workspace)
 	a.dropExpiredLoans(now)
 	delete(a.loans, node)
-	bucketDepth := b.bucketDepth(now, a, q)
-	a.refill(now, bucketDepth-float64(w.Held), b.cfg.refillRate(q))
+	bucketDepth := b.bucketDepth(now, t, q)
+	a.refill(now, t, bucketDepth-float64(w.Held), b.cfg.refillRate(q))
 	g := Grant{Workspace: w.Workspace, ForWaiting: min(w.Waiting, wholeTokens(a.tokens))}
 	g.Short = g.ForWaiting < w.Waiting
 	a.tokens -= float64(g.ForWaiting)
@@ -75,21 +75,22 @@
 
 func wholeTokens(tokens float64) uint32 { return uint32(max(0, tokens)) }
 
-// bucketDepth returns the current depth of a bucket. The previous owner may have lent a
-// full bucket; until those tokens have expired the depth is halved.
-func (b *TokenIssuer) bucketDepth(now time.Time, a *bucket, q workspace.Quota) float64 {
-	bucketDepth := b.cfg.bucketDepth(q)
-	if now.Sub(a.termStart) < b.cfg.TokenTTL {
-		bucketDepth = max(1, bucketDepth/2)
+// bucketDepth returns the current depth of a bucket, in proportion to the share of the quota.
+// The previous owner may have lent a full bucket; until those tokens have expired the depth
+// is halved.
+func (b *TokenIssuer) bucketDepth(now time.Time, t Tenure, q workspace.Quota) float64 {
+	bucketDepth := b.cfg.bucketDepth(q) * t.Share(now)
+	if now.Sub(t.long.from) < b.cfg.TokenTTL {
+		bucketDepth /= 2
 	}
-	return bucketDepth
+	return max(1, bucketDepth)
 }
 
-// bucket returns the bucket of a workspace in the current lease term, empty if it is new.
-func (b *TokenIssuer) bucket(now, termStart time.Time, name string) *bucket {
+// bucket returns the bucket of a workspace in the current tenure, empty if it is new.
+func (b *TokenIssuer) bucket(t Tenure, name string) *bucket {
 	a, ok := b.buckets[name]
-	if !ok || !a.termStart.Equal(termStart) {
-		a = &bucket{termStart: termStart, refilledAt: termStart, loans: make(map[wire.NodeID]loan)}
+	if !ok || !a.termStart.Equal(t.Start) {
+		a = &bucket{termStart: t.Start, refilledAt: t.Start, loans: make(map[wire.NodeID]loan)}
 		b.buckets[name] = a
 	}
 	return a
@@ -105,9 +106,9 @@
 
 // refill adds the tokens for the time since the last refill, up to the depth minus the
 // outstanding loans.
-func (a *bucket) refill(now time.Time, depth, rate float64) {
-	if passed := now.Sub(a.refilledAt); passed > 0 {
-		a.tokens += passed.Seconds() * rate
+func (a *bucket) refill(now time.Time, t Tenure, depth, rate float64) {
+	if now.After(a.refilledAt) {
+		a.tokens += t.accrued(a.refilledAt, now).Seconds() * rate
 		a.refilledAt = now
 	}
 	for _, l := range a.loans {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -10,11 +10,11 @@
 // tokens that are not used count against the size of the bucket until they expire, so
 // that the tokens of a crashed node become available again.
 //
-// The store decides which node owns which workspaces and grants it a lease (LeaseTerm). A
-// node that cannot renew its lease stops issuing tokens when the lease expires by its
-// own clock, which is before the store grants it to another node. The next owner starts
-// with an empty bucket: the tokens of its predecessor were issued at the same rate, so
-// both stay within the quota without exchanging state.
+// The store decides which node owns which workspaces and grants it a lease (LeaseTerm). It
+// may assign a workspace to another node while the lease of its owner lasts. Nodes with
+// overlapping leases each issue tokens of another half of the quota, so all stay within it
+// without exchanging state. The next owner starts with an empty bucket: the tokens of its
+// predecessor were issued at the same rate.
 //
 // Two load patterns are handled: one workspace exceeds its usual load many times over
 // at all nodes, and many workspaces send a few requests per second each, spread over so
@@ -66,9 +66,13 @@
 	// RetryDelay is the delay before a node asks again for a workspace that the answer
 	// left out: the asked node does not own it any more, or does not know it yet.
 	RetryDelay time.Duration
-	// LeaseTTL is the TTL of an owner's lease at the store, RenewInterval the interval
-	// between renewals.
-	LeaseTTL, RenewInterval time.Duration
+	// LeaseTTL is the TTL of an owner's lease at the store, and of one half of the quota.
+	// ShortLeaseTTL is the TTL of the other half: a new owner of which it is unknown whether the
+	// previous one has let go waits that long before it issues tokens.
+	LeaseTTL, ShortLeaseTTL time.Duration
+	// RenewInterval is the interval between renewals. It must be shorter than ShortLeaseTTL
+	// by more than a round trip to the store.
+	RenewInterval time.Duration
 	// RequestTimeout is the timeout of a token request. It allows for several round trips
 	// between data centres.
 	RequestTimeout time.Duration
@@ -92,7 +96,8 @@
 		ShortagePause:     100 * time.Millisecond,
 		RetryDelay:        40 * time.Millisecond,
 		LeaseTTL:          3 * time.Second,
-		RenewInterval:     700 * time.Millisecond,
+		ShortLeaseTTL:     600 * time.Millisecond, // prefetched tokens cover it
+		RenewInterval:     300 * time.Millisecond,
 		RequestTimeout:    250 * time.Millisecond,
 		MaxWait:           120 * time.Millisecond,
 		RetryAfter:        time.Second,
