quota: an owner looks whether the previous one lets go before it takes its place in the register

With the commit before, a next owner registered at once and then waited in full, also when the previous one let go a moment later: its release found no entry of its own any more.

Entries name the long wait alone. The bucket is halved once, not twice, while another node may use a half.

--- a/quota/bank.go
+++ b/quota/bank.go
@@ -75,15 +75,15 @@
 
 func wholeTokens(tokens float64) uint32 { return uint32(max(0, tokens)) }
 
-// bucketDepth returns the current depth of a bucket, in proportion to the share of the quota.
-// The previous owner may have lent a full bucket; until those tokens have expired the depth
-// is halved.
+// bucketDepth returns the current depth of a bucket. The previous owner may have lent a full
+// bucket; until those tokens have expired the depth is halved. So it is while another node may
+// use a half of the quota.
 func (b *TokenIssuer) bucketDepth(now time.Time, t Tenure, q workspace.Quota) float64 {
-	bucketDepth := b.cfg.bucketDepth(q) * t.Share(now)
-	if now.Sub(t.long.from) < b.cfg.TokenTTL {
-		bucketDepth /= 2
+	bucketDepth := b.cfg.bucketDepth(q)
+	if t.Share(now) < 1 || now.Sub(t.long.from) < b.cfg.TokenTTL {
+		bucketDepth = max(1, bucketDepth/2)
 	}
-	return max(1, bucketDepth)
+	return bucketDepth
 }
 
 // bucket returns the bucket of a workspace in the current tenure, empty if it is new.
--- a/quota/tenure.go
+++ b/quota/tenure.go
@@ -7,9 +7,9 @@
 
 // A quota is leased in two halves. The short half lasts Config.ShortLeaseTTL, the long one
 // Config.LeaseTTL. A node stops using a half when its lease ends by the node's own clock, counted
-// from the time at which the last renewal was sent. A node that gets a partition registers that
-// (RegisterEntry). Unless the register shows that the last user has let go, it then waits for
-// the TTL of a half before it uses that half.
+// from the time at which the last renewal was sent. A node that gets a partition looks at the
+// register (RegisterEntry). Unless that shows that the last user has let go, it waits for the
+// TTL of a half before it uses that half.
 //
 // So it does not matter whether the store waits until the earlier owner has let go, which
 // it doesn't when it reassigns all partitions, has lost leases in a restore or lets them expire in
@@ -29,15 +29,16 @@
 
 // term is the uninterrupted time for which this node has held a partition.
 type term struct {
-	// registered says that the register names this node as the user, waits that its entry
-	// names a wait for an earlier user.
-	registered, waits bool
-	// resumed says that shortFrom and longFrom are those of an earlier term of this node, which
-	// hold unless another node has registered since.
+	// registered says that the register names this node as the user, entryWaits that its
+	// entry names a wait for an earlier user.
+	registered, entryWaits bool
+	// last is the last entry of the register before this node's own.
+	last lastEntry
+	// resumed says that longFrom is that of an earlier term of this node, which holds unless
+	// another node has registered since.
 	resumed bool
-	// start tells the term from others. shortFrom and longFrom are the starts of the two
-	// halves.
-	start, shortFrom, longFrom time.Time
+	// start is the start of the term and of its short half, longFrom that of its long half.
+	start, longFrom time.Time
 }
 
 // NewLeaseTerm returns a LeaseTerm without partitions.
@@ -89,8 +90,7 @@
 		// To move to another node and back takes two changes.
 		return held
 	case ok && l.Generation == t.generation:
-		held.start = l.Sent
-		held.shortFrom, held.longFrom = laterOf(held.shortFrom, l.Sent), laterOf(held.longFrom, l.Sent)
+		held.start, held.longFrom = l.Sent, laterOf(held.longFrom, l.Sent)
 		return held
 	case ok:
 		return held.resume()
@@ -101,7 +101,7 @@
 
 // resume returns the term that follows a term of this node, until it is registered.
 func (m term) resume() term {
-	return term{resumed: m.registered || m.resumed, shortFrom: m.shortFrom, longFrom: m.longFrom}
+	return term{resumed: m.registered || m.resumed, longFrom: m.longFrom}
 }
 
 // end records the terms of partitions that are not among kept as lost, and the others as held.
@@ -148,7 +148,7 @@
 	}
 	tenure := Tenure{
 		Start: held.start,
-		short: span{from: held.shortFrom, until: t.shortUntil},
+		short: span{from: held.start, until: t.shortUntil},
 		long:  span{from: held.longFrom, until: t.longUntil},
 	}
 	return tenure, tenure.Share(now) > 0
