--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -266,6 +266,9 @@
 			l.Parts = []int{0}
 		}
 		m.leaseTerm.ApplyRenewal(l)
+		if m.leaseTerm.RegistrationDue(f.now) {
+			f.startCall(m, &storeCall{kind: readCall})
+		}
 	case readCall:
 		entries := m.leaseTerm.NewEntries(f.now, m.registrant(), c.era, f.trusted(c.register))
 		if len(entries) > 0 {
@@ -274,12 +277,11 @@
 		}
 		m.leaseTerm.EntriesWritten(f.now, nil)
 	case writeCall:
-		if c.owns {
-			m.leaseTerm.EntriesWritten(f.now, c.entries)
+		if !c.owns { // another node has written since the read
+			f.startCall(m, &storeCall{kind: readCall})
+			return
 		}
-	}
-	if m.leaseTerm.RegistrationDue(f.now) {
-		f.startCall(m, &storeCall{kind: readCall})
+		m.leaseTerm.EntriesWritten(f.now, c.entries)
 	}
 }
 
