--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -121,7 +121,7 @@
 		h.target.SetFaults(standin.TargetFaults{})
 		return nil
 	}},
-	{"store reassigns all partitions beside a cut", func(ctx context.Context, e *env, h *host, d time.Duration) error {
+	{"links from the peers and to the store silent while it reassigns all partitions", func(ctx context.Context, e *env, h *host, d time.Duration) error {
 		h.toStore.set(linkSilent)
 		h.fromPeers.set(linkSilent)
 		e.store.ReassignPartitions()
--- a/quota/fleet_test.go
+++ b/quota/fleet_test.go
@@ -530,28 +530,38 @@
 	}
 }
 
-// injectStoreFault injects a fault of the store, beside node i or the owner cut off for longer in
-// half of the cases. It returns false if the faults don't include the one that was drawn.
+// injectStoreFault injects one of the selected faults of the store, beside node i or the owner cut
+// off for longer in half of the cases. It returns false if none is selected.
 func (f *fleet) injectStoreFault(i int, span time.Duration) bool {
+	kinds := f.storeFaults.kinds(f, span)
+	if len(kinds) == 0 {
+		return false
+	}
 	if f.rng.IntN(2) == 0 {
 		if f.store.owner >= 0 && f.rng.IntN(2) == 0 {
 			i = f.store.owner
 		}
 		f.nodes[i].partitionedUntil = f.now.Add(span + f.cfg.LeaseTTL)
 	}
-	switch kind := f.rng.IntN(3); {
-	case kind == 0 && f.storeFaults.restores:
-		f.store.restore()
-	case kind == 1 && f.storeFaults.reassigns:
-		f.store.reassign()
-	case kind == 2 && f.storeFaults.outages:
-		f.store.fail(f.now, span/4, f.rng.IntN(2) == 0)
-	default:
-		return false
-	}
+	kinds[f.rng.IntN(len(kinds))]()
 	return true
 }
 
+// kinds returns the selected faults; an outage is shorter than the span.
+func (s storeFaults) kinds(f *fleet, span time.Duration) []func() {
+	var kinds []func()
+	if s.restores {
+		kinds = append(kinds, f.store.restore)
+	}
+	if s.reassigns {
+		kinds = append(kinds, f.store.reassign)
+	}
+	if s.outages {
+		kinds = append(kinds, func() { f.store.fail(f.now, span/4, f.rng.IntN(2) == 0) })
+	}
+	return kinds
+}
+
 // Guards against admitting more or much less than the quota of an overloading workspace
 // when there are no faults.
 func TestOverloadingWorkspaceGetsExactlyItsQuota(t *testing.T) {
--- a/quota/owners_test.go
+++ b/quota/owners_test.go
@@ -90,6 +90,8 @@
 func TestExpiredLeaseStartsANewTerm(t *testing.T) {
 	is := is.New(t)
 	var register testRegister
+	fresh := NewLeaseTerm(testConfig())
+	is.True(fresh.ApplyRenewal(renewalAt(startTime, 3, 0, 4)))
 	tenure := register.soleOwner(0, 4)
 	ttl := testConfig().LeaseTTL
 	is.True(!tenure.ApplyRenewal(renewalAt(startTime.Add(ttl/2), 3, 0, 4)))
