--- /dev/null
+++ b/serve/isolation_test.go
@@ -0,0 +1,132 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/call"
+	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/poison"
+	"github.com/cassialoom/cassialoom/verdict"
+	"github.com/cassialoom/cassialoom/wire"
+)
+
+// isolationLoad sends requests to a callee of 20 slots, 19 in use, each of which runs for
+// loadRunTime. Requests below suspects have the fingerprint of a suspect.
+type isolationLoad struct {
+	*callee
+	running  []*Task
+	finished int // requests that are no suspects
+	cleared  int // suspects that ran
+	refused  int // suspects that did not run
+	crashes  int // of the backend server
+	// crasher is the fingerprint that crashes the backend server.
+	crasher  uint64
+	suspects int
+	sent     map[uint64]uint64 // fingerprints by number of the attempt
+	resends  []resend
+}
+
+// resend is a refused suspect that is sent again.
+type resend struct {
+	at          time.Time
+	fingerprint uint64
+}
+
+const (
+	loadRunTime = 100 * time.Millisecond
+	resendAfter = 500 * time.Millisecond
+)
+
+// newIsolationLoad returns a callee that has learned of the crash of another backend server
+// with that many requests in flight.
+func newIsolationLoad(suspects int) *isolationLoad {
+	l := &isolationLoad{callee: newCallee(20), suspects: suspects, sent: make(map[uint64]uint64)}
+	l.SetPeers([]wire.NodeID{{1}})
+	var inFlight []uint64
+	for i := range suspects {
+		inFlight = append(inFlight, uint64(i+1))
+	}
+	other := poison.New(poison.DefaultConfig(), wire.NodeID{3})
+	for _, n := range other.Crashed(l.now, inFlight, false) {
+		l.ReceiveNotice(l.now, n)
+	}
+	return l
+}
+
+func (l *isolationLoad) send(fp uint64) {
+	l.seq++
+	l.sent[l.seq] = fp
+	l.apply(l.Arrive(l.now, call.Request{
+		From: wire.NodeID{2}, To: wire.NodeID{1}, Seq: l.seq, Service: "s", Operation: "o",
+		Importance: importance.Normal, Budget: 700 * time.Millisecond, Fingerprint: fp,
+	}, l.op, true))
+}
+
+// apply records what was started. The senders of refused suspects try again after resendAfter.
+func (l *isolationLoad) apply(e Effects) {
+	l.running = append(l.running, e.Start...)
+	for _, r := range e.Replies {
+		if fp := l.sent[r.Seq]; r.Verdict == verdict.NotRun && l.isSuspect(fp) {
+			l.refused++
+			l.resends = append(l.resends, resend{l.now.Add(resendAfter), fp})
+		}
+	}
+}
+
+// resendDue sends the refused suspects whose time has come.
+func (l *isolationLoad) resendDue() {
+	for len(l.resends) > 0 && !l.now.Before(l.resends[0].at) {
+		fp := l.resends[0].fingerprint
+		l.resends = l.resends[1:]
+		l.send(fp)
+	}
+}
+
+func (l *isolationLoad) isSuspect(fp uint64) bool { return fp <= uint64(l.suspects) }
+
+// step advances the time by a millisecond and ends the runs that are over.
+func (l *isolationLoad) step() {
+	l.now = l.now.Add(time.Millisecond)
+	l.apply(l.Tick(l.now))
+	for len(l.running) > 0 && l.now.Sub(l.running[0].started) >= loadRunTime {
+		t := l.running[0]
+		l.running = l.running[1:]
+		if t.Request.Fingerprint == l.crasher {
+			l.crashes++
+			l.apply(l.Done(l.now, t.ID, Result{Verdict: verdict.MayHaveRun, Reason: verdict.ConnectionLost, Crashed: true}))
+			l.apply(l.BackendRestarted(l.now))
+			l.running = nil
+			l.apply(l.SetReady(l.now, true))
+			continue
+		}
+		if l.isSuspect(t.Request.Fingerprint) {
+			l.cleared++
+		} else {
+			l.finished++
+		}
+		l.apply(l.Done(l.now, t.ID, Result{Verdict: verdict.Ran, Status: 200, Latency: l.now.Sub(t.started)}))
+	}
+}
+
+// Guards against a backend server whose slots stay empty while the requests that another one
+// had in flight when it crashed run there alone, one after the other.
+func TestIsolatedRunsLeaveTheSlotsToOthers(t *testing.T) {
+	is := is.New(t)
+	l := newIsolationLoad(300)
+	for ms := range 5000 {
+		if ms < 300 { // the retries of what was in flight
+			l.send(uint64(ms + 1))
+		}
+		if ms%6 == 0 { // 167 requests a second, of the 190 that the slots serve
+			l.send(uint64(1_000_000 + ms))
+		}
+		l.resendDue()
+		l.step()
+	}
+	t.Log(l.finished, "others finished,", l.cleared, "suspects")
+	is.True(float64(l.finished) > 0.85*5*167)
+	is.True(l.cleared > 0)
+}
