--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -152,6 +152,41 @@
 	}
 }
 
+// HallwylGrown returns the deployment of the second users after it has grown: 83 nodes, of
+// which four serve the five calls that end each deep request. One of these four has almost
+// half of all their slots, by speed.
+func HallwylGrown() Deployment {
+	contact := &Class{Name: "contact-fetch", Service: "history-svc", Work: 76 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
+	compliance := &Class{Name: "compliance-fetch", Service: "mandate-svc", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: repeat(5, contact)}
+	ref := &Class{Name: "ref-fetch", Service: "outreach-svc", Work: 15 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true, Calls: repeat(1, compliance)}
+	return Deployment{
+		Name: "hallwyl-grown",
+		Services: []Service{
+			distribute(Service{Name: "dossier-svc", Slots: 96, Backlog: 192}, []float64{0.7, 0.7, 1.6}, 11, 11, 10, 10),
+			distribute(Service{Name: "outreach-svc", Slots: 96, Backlog: 192}, []float64{0.6, 1, 1.4}, 9, 9, 6, 6),
+			distribute(Service{Name: "mandate-svc", Slots: 396, Backlog: 192}, []float64{0.6, 1, 1.4}, 2, 2, 2, 1),
+			distribute(Service{Name: "history-svc", Slots: 394, Backlog: 192, Knee: 0.95, KneeFactor: 1.3}, []float64{1.6, 0.7, 0.7, 0.7}, 1, 1, 1, 1),
+		},
+		Classes: []*Class{
+			{Name: "dossier-read", Service: "dossier-svc", Importance: importance.Normal, Share: 0.6145, Work: 300 * time.Millisecond, MaxRetries: 1,
+				TargetLatency: 2 * time.Second, LateShare: 0.3,
+				Deadline: 6 * time.Second, Idempotent: true, Calls: repeat(1, ref)},
+			{Name: "approach-send", Service: "outreach-svc", Importance: importance.Critical, Share: 0.2525, Work: 390 * time.Millisecond, MaxRetries: 1,
+				TargetLatency: 2500 * time.Millisecond, LateShare: 0.6, Worth: 3,
+				Deadline: 6 * time.Second, Calls: repeat(1, compliance)},
+			{Name: "mandate-log", Service: "mandate-svc", Importance: importance.Normal, Share: 0.0625, Work: 240 * time.Millisecond, MaxRetries: 1,
+				TargetLatency: 1200 * time.Millisecond, LateShare: 0.3,
+				Deadline: 4 * time.Second, Idempotent: true},
+			{Name: "history-read", Service: "history-svc", Importance: importance.Normal, Share: 0.0705, Work: 240 * time.Millisecond, MaxRetries: 1,
+				TargetLatency: time.Second, LateShare: 0.3,
+				Deadline: 3 * time.Second},
+		},
+		Bottleneck: "history-svc",
+		Delay:      500 * time.Microsecond,
+		LocalDelay: 100 * time.Microsecond,
+	}
+}
+
 // Council returns the deployment of the third users. Long direct reads share digests
 // with the short calls of all deep requests, whose routes have short timeouts.
 func Council() Deployment {
