--- a/node/change_log.go
+++ b/node/change_log.go
@@ -33,6 +33,7 @@
 		Int("running", d.Running).
 		Int("waiting", d.Queue.Waiting).
 		Str("last_wait", d.Queue.Waited).
+		Bool("isolated", d.Isolated).
 		Float64("served_per_interval", d.Gate.Capacity).
 		Floats64("arrivals_per_interval", d.Gate.Arrivals[:]).
 		Msg("admission level")
