--- a/serve/isolation_test.go
+++ b/serve/isolation_test.go
@@ -177,3 +177,28 @@
 	is.True(l.crashes <= 1)
 	is.True(float64(l.finished) > 0.85*20*111)
 }
+
+// Guards against slots that stay empty until a run of seconds has ended, since a suspect waits to
+// run alone.
+func TestIsolatedRunDoesNotWaitForLongRuns(t *testing.T) {
+	is := is.New(t)
+	l := newIsolationLoad(1)
+	l.send(1_000_000)
+	long := l.running[0]
+	l.running = nil // it does not end
+	l.send(1)
+	for ms := range 2000 {
+		if ms%40 == 0 {
+			l.send(uint64(2_000_000 + ms))
+		}
+		l.step()
+	}
+	is.Equal(l.refused, 1)
+	is.True(l.finished > 40) // of 50
+	l.apply(l.Done(l.now, long.ID, Result{Verdict: verdict.Ran, Status: 200, Latency: 2 * time.Second}))
+	l.resendDue()
+	for range 1000 {
+		l.step()
+	}
+	is.Equal(l.cleared, 1)
+}
