--- a/serve/isolation.go
+++ b/serve/isolation.go
@@ -6,6 +6,9 @@
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
+// This file handles suspects, requests that may have crashed a backend server. They run with
+// nothing else in flight, so the slots stay empty for as long as one runs.
+
 const (
 	// isolationShare is the share of the time for which isolated runs may keep the slots from
 	// other requests.
@@ -23,6 +26,7 @@
 // run alone next: at a large backend server that takes longer than all callers wait, and its
 // slots would stay empty for as long.
 type isolationBudget struct {
+	// spent is the time used and not earned again yet.
 	spent     time.Duration
 	updatedAt time.Time
 	// heldSince is when the present hold began, zero if there is none.
@@ -37,7 +41,7 @@
 	b.updatedAt = now
 }
 
-// wait returns the time until a hold may begin, zero if one may begin now.
+// wait returns the time until a hold may begin, zero only if one may begin now.
 func (b *isolationBudget) wait(now time.Time) time.Duration {
 	b.refill(now)
 	over := b.spent - isolationBurst
