--- a/serve/isolation.go
+++ b/serve/isolation.go
@@ -81,7 +81,9 @@
 	if wait > 0 {
 		s.counts.NotIsolated++
 		err := verdict.Refuse(verdict.Shed, "an isolated run would hold back other requests")
-		s.finishUnstarted(t, err.WithRetryAfter(max(wait, s.cfg.RefuseRetryAfter)), e)
+		// The wait can be long after a long run; a copy of the request may clear it earlier.
+		wait = min(max(wait, s.cfg.RefuseRetryAfter), s.cfg.Gate.RetryMax)
+		s.finishUnstarted(t, err.WithRetryAfter(wait), e)
 		return
 	}
 	s.isolated = t
