--- a/serve/isolation_test.go
+++ b/serve/isolation_test.go
@@ -14,7 +14,7 @@
 )
 
 // isolationLoad sends requests to a callee of 20 slots, 19 in use, each of which runs for
-// loadRunTime. Requests below suspects have the fingerprint of a suspect.
+// loadRunTime. The fingerprints from 1 to suspects are those of suspects.
 type isolationLoad struct {
 	*callee
 	running  []*Task
