serve, replay: one way out of a hold, one copy of the demand and of the calls

Nothing that callers see changes. startIsolated ended its hold in three places and does in one. The budget's zero time for "no hold" is gone: its methods are called during a hold only. What is held back is counted without sorting the waiting tasks.

--- a/internal/replay/bound.go
+++ b/internal/replay/bound.go
@@ -1,8 +1,6 @@
 package replay
 
-import (
-	"github.com/cassialoom/cassialoom/importance"
-)
+import "github.com/cassialoom/cassialoom/importance"
 
 // MaxServed returns the largest share of the requests of each importance that the slots of the
 // bottleneck service can serve in a phase, if more important requests go first and no
@@ -10,7 +8,7 @@
 func (d *Deployment) MaxServed(p *Phase, slotShare float64) (share [importance.Count]float64) {
 	var demand [importance.Count]float64 // slots in use at speed one
 	for _, c := range d.Classes {
-		demand[c.Importance] += p.Load * d.capacity() * c.Share * d.slotTime(c).Seconds()
+		demand[c.Importance] += d.demand(p, c)
 	}
 	left := slotShare * d.slots(p)
 	for i := importance.Count - 1; i >= 0; i-- {
--- a/internal/replay/deployment.go
+++ b/internal/replay/deployment.go
@@ -119,12 +119,19 @@
 	}
 }
 
+// hallwylCalls returns the calls that backend servers make for a send and for a read of the
+// second users. contactWork is the work of each of the five calls that they end in.
+func hallwylCalls(contactWork time.Duration) (compliance, ref *Class) {
+	contact := &Class{Name: "contact-fetch", Service: "history-svc", Work: contactWork, Deadline: 700 * time.Millisecond, Idempotent: true}
+	compliance = &Class{Name: "compliance-fetch", Service: "mandate-svc", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: repeat(5, contact)}
+	ref = &Class{Name: "ref-fetch", Service: "outreach-svc", Work: 15 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true, Calls: repeat(1, compliance)}
+	return compliance, ref
+}
+
 // Hallwyl returns the deployment of the second users. Each deep request ends in five
 // calls to history-svc, three services down for a read and two for a send.
 func Hallwyl() Deployment {
-	contact := &Class{Name: "contact-fetch", Service: "history-svc", Work: 30 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
-	compliance := &Class{Name: "compliance-fetch", Service: "mandate-svc", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: repeat(5, contact)}
-	ref := &Class{Name: "ref-fetch", Service: "outreach-svc", Work: 15 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true, Calls: repeat(1, compliance)}
+	compliance, ref := hallwylCalls(30 * time.Millisecond)
 	return Deployment{
 		Name: "hallwyl",
 		Services: []Service{
@@ -156,9 +163,7 @@
 // which four serve the five calls that end each deep request. One of these four has almost
 // half of all their slots, by speed.
 func HallwylGrown() Deployment {
-	contact := &Class{Name: "contact-fetch", Service: "history-svc", Work: 76 * time.Millisecond, Deadline: 700 * time.Millisecond, Idempotent: true}
-	compliance := &Class{Name: "compliance-fetch", Service: "mandate-svc", Work: 15 * time.Millisecond, Deadline: 2500 * time.Millisecond, Idempotent: true, Calls: repeat(5, contact)}
-	ref := &Class{Name: "ref-fetch", Service: "outreach-svc", Work: 15 * time.Millisecond, Deadline: 3 * time.Second, Idempotent: true, Calls: repeat(1, compliance)}
+	compliance, ref := hallwylCalls(76 * time.Millisecond)
 	return Deployment{
 		Name: "hallwyl-grown",
 		Services: []Service{
@@ -299,11 +304,17 @@
 func (d *Deployment) maxUsefulWork(p *Phase) time.Duration {
 	demand := 0.0
 	for _, c := range d.Classes {
-		demand += p.Load * d.capacity() * c.Share * d.slotTime(c).Seconds()
+		demand += d.demand(p, c)
 	}
 	return time.Duration(min(demand, d.slots(p)) * float64(p.Duration-settleTime))
 }
 
+// demand returns the slots of the bottleneck service, at speed one, that the requests of class c
+// need in a phase.
+func (d *Deployment) demand(p *Phase, c *Class) float64 {
+	return p.Load * d.capacity() * c.Share * d.slotTime(c).Seconds()
+}
+
 // capacity returns the rate of requests per second that fills the bottleneck service.
 func (d *Deployment) capacity() float64 {
 	slotSeconds := 0.0
--- a/serve/dump.go
+++ b/serve/dump.go
@@ -25,12 +25,12 @@
 	Canceled       uint64 `json:"canceled"`
 	Duplicates     uint64 `json:"duplicates"`
 	PoisonRequest  uint64 `json:"poison"`
+	Crashes        uint64 `json:"crashes"`
+	Joined         uint64 `json:"joined"`
+	Replayed       uint64 `json:"replayed"`
 	// NotIsolated counts suspects that were refused since their isolated run would hold back
 	// other requests for too long.
 	NotIsolated uint64 `json:"not_isolated"`
-	Crashes     uint64 `json:"crashes"`
-	Joined      uint64 `json:"joined"`
-	Replayed    uint64 `json:"replayed"`
 	// Pauses counts how often this process did not run for a while.
 	Pauses uint64 `json:"pauses"`
 }
--- a/serve/isolation.go
+++ b/serve/isolation.go
@@ -29,7 +29,7 @@
 	// spent is the time used and not earned again yet.
 	spent     time.Duration
 	updatedAt time.Time
-	// heldSince is when the present hold began, zero if there is none.
+	// heldSince is when the latest hold began.
 	heldSince time.Time
 }
 
@@ -53,21 +53,17 @@
 
 func (b *isolationBudget) begin(now time.Time) { b.heldSince = now }
 
-// end ends the present hold, if there is one. heldBack is the number of requests that waited at its
+// end ends the present hold. heldBack is the number of requests that waited at its
 // end as a share of the slots: a hold that keeps few from starting costs little.
 func (b *isolationBudget) end(now time.Time, heldBack float64) {
-	if b.heldSince.IsZero() {
-		return
-	}
 	b.refill(now)
 	b.spent += time.Duration(min(1, heldBack) * float64(now.Sub(b.heldSince)))
-	b.heldSince = time.Time{}
 }
 
 // waitedTooLong reports whether the present hold has waited for the end of other runs for
 // longer than allowed.
 func (b *isolationBudget) waitedTooLong(now time.Time) bool {
-	return !b.heldSince.IsZero() && now.Sub(b.heldSince) >= maxIsolationWait
+	return now.Sub(b.heldSince) >= maxIsolationWait
 }
 
 // holdForIsolation lets nothing else start until the isolated run of t has ended. It refuses t
@@ -98,8 +94,8 @@
 
 // heldBack returns the number of waiting tasks that need no isolated run.
 func (s *Server) heldBack() (n int) {
-	for _, t := range s.waitingTasks() {
-		if !t.mustIsolate {
+	for id, t := range s.tasks {
+		if s.running[id] == nil && !t.mustIsolate {
 			n++
 		}
 	}
@@ -113,24 +109,19 @@
 		return
 	}
 	t := s.isolated
-	if s.checkSuspect(now, t, e) {
-		s.endIsolation(now)
-		s.startQueued(now, e)
-		return
-	}
-	if !t.mustIsolate { // cleared while it waited
-		s.endIsolation(now)
+	answered := s.checkSuspect(now, t, e)
+	switch {
+	case answered:
+	case !t.mustIsolate: // cleared while it waited
+		s.start(now, t, e)
+	case s.guard.StartIsolated(now, t.Request.Fingerprint):
 		s.start(now, t, e)
-		s.startQueued(now, e)
 		return
-	}
-	if !s.guard.StartIsolated(now, t.Request.Fingerprint) {
-		s.endIsolation(now)
+	default:
 		s.finishUnstarted(t, verdict.Refuse(verdict.Shed, "another isolated run is in progress").WithRetryAfter(s.cfg.RefuseRetryAfter), e)
-		s.startQueued(now, e)
-		return
 	}
-	s.start(now, t, e)
+	s.endIsolation(now)
+	s.startQueued(now, e)
 }
 
 // waitsForIsolation reports whether a task waits for its isolated run.
--- a/serve/server.go
+++ b/serve/server.go
@@ -36,6 +36,8 @@
 	random  *rand.Rand
 	faults  faults
 	pace    limit.Pace
+	// isolation bounds the time for which isolated runs hold back others.
+	isolation isolationBudget
 	// occupancy is the work of others at the backend server.
 	occupancy limit.Occupancy
 	// needs are the calls that runs make, dependencies tells which of them can't be sent.
@@ -48,8 +50,7 @@
 	parked  map[string][]*Task // by key; they wait for its binding
 	// parkedBytes is the total size of the bodies of parked requests.
 	parkedBytes    int
-	isolated       *Task // the isolated task, waiting or running
-	isolation      isolationBudget
+	isolated       *Task               // the isolated task, waiting or running
 	peers          []wire.NodeID       // ready nodes of the service, including this one
 	pendingReplies map[wire.NodeID]int // pending replies by sending node
 	nextID         uint64
