--- a/dispatch/targets.go
+++ b/dispatch/targets.go
@@ -263,6 +263,7 @@
 		Service:       p.Operation.Service,
 		Operation:     p.Operation.Name,
 		Step:          step,
+		Content:       explain.Content(p.Fingerprint),
 		Version:       p.Version,
 		Remaining:     p.Deadline.Sub(now),
 	}
--- a/explain/recorder.go
+++ b/explain/recorder.go
@@ -3,6 +3,7 @@
 package explain
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -31,9 +32,15 @@
 	Expired   Step = "expired"
 	Cancelled Step = "cancelled"
 	Replayed  Step = "replayed"
-	Suspected Step = "suspected"
-	Declined  Step = "declined" // this node refused an attempt of another node
-	Stray     Step = "stray"    // the backend server sent an answer that no request waits for
+	// Suspected, Isolated, Cleared and Quarantined are what a node believes of a request that
+	// may crash backend servers; NoticeDropped: it did not take a peer's notice about one.
+	Suspected     Step = "suspected"
+	Isolated      Step = "isolated"
+	Cleared       Step = "cleared"
+	Quarantined   Step = "quarantined"
+	NoticeDropped Step = "notice-dropped"
+	Declined      Step = "declined" // this node refused an attempt of another node
+	Stray         Step = "stray"    // the backend server sent an answer that no request waits for
 	// Contradicted: the backend server answered a request that it had declined before on
 	// the same connection.
 	Contradicted Step = "contradicted"
@@ -41,7 +48,16 @@
 
 // notableSteps lists the steps that changed the caller's result, and those that show that the
 // backend server sends wrong answers.
-var notableSteps = []Step{Shed, Refused, Retried, Lost, Expired, Cancelled, Replayed, Suspected, Declined, Stray, Contradicted}
+var notableSteps = []Step{Shed, Refused, Retried, Lost, Expired, Cancelled, Replayed, Suspected, Isolated, Cleared, Quarantined, NoticeDropped, Declined, Stray, Contradicted}
+
+// Content is the fingerprint of a request's content, zero if unknown.
+type Content uint64
+
+// String returns the name used in logs and dumps.
+func (c Content) String() string { return fmt.Sprintf("%016x", uint64(c)) }
+
+// MarshalText implements encoding.TextMarshaler.
+func (c Content) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
 
 // Event is one decision about one request.
 type Event struct {
@@ -60,6 +76,9 @@
 	// RootRequestID is the id of the request on whose behalf a call was made, as it
 	// entered the first node.
 	RootRequestID string `json:"root,omitempty"`
+	// Content identifies the content of the request: the same for all requests with the same
+	// content at all nodes.
+	Content Content `json:"content,omitempty"`
 	// Target is the node or backend incarnation that the request was sent to.
 	Target string `json:"target,omitempty"`
 	// Conn is the number of the connection to the backend server that carried the
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -136,6 +136,9 @@
 	optional(line, "detail", e.Detail)
 	optional(line, "target", e.Target)
 	optional(line, "root", e.RootRequestID)
+	if e.Content != 0 && e.Notable() {
+		line.Stringer("content", e.Content)
+	}
 	if e.Status > 0 {
 		line.Int("status", e.Status)
 	}
--- a/node/loops.go
+++ b/node/loops.go
@@ -281,8 +281,9 @@
 // handleNotice receives another node's notice about suspects.
 func (n *Node) handleNotice(notice poison.Notice) {
 	n.server.mu.Lock()
-	toForward := n.server.serve.ReceiveNotice(time.Now(), notice)
+	toForward, e := n.server.serve.ReceiveNotice(time.Now(), notice)
 	n.server.mu.Unlock()
+	n.recordSuspicions(time.Now(), e.SuspicionChanges)
 	for _, next := range toForward {
 		n.forwardNotice(next)
 	}
--- a/node/run.go
+++ b/node/run.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cassialoom/cassialoom/backend"
@@ -24,6 +25,7 @@
 	if paused > 0 {
 		n.log.Warn().Dur("for_ms", paused).Msg("this process was paused")
 	}
+	n.recordSuspicions(now, e.SuspicionChanges)
 	for _, notice := range e.Notices {
 		n.broadcastNotice(notice)
 	}
@@ -135,6 +137,7 @@
 		Service:       t.Request.Service,
 		Operation:     t.Request.Operation,
 		Step:          step,
+		Content:       explain.Content(t.Request.Fingerprint),
 		Verdict:       r.Verdict.String(),
 		Reason:        r.Reason,
 		Status:        r.Status,
@@ -147,6 +150,17 @@
 	})
 }
 
+// recordSuspicions records what this node has come to believe of requests that may crash
+// backend servers.
+func (n *Node) recordSuspicions(now time.Time, changes []serve.SuspicionChange) {
+	for _, c := range changes {
+		n.notes.Record(now, explain.Event{
+			RequestID: c.RequestID, Service: n.cfg.Service, Step: explain.Step(c.Event), Content: explain.Content(c.Fingerprint),
+			Target: c.Origin.Short(), Detail: fmt.Sprintf("%d nodes lost their backend server with it", c.Crashed),
+		})
+	}
+}
+
 // recordStray records an answer of the backend server that no request waits for.
 func (n *Node) recordStray(s backend.StrayAnswer) {
 	step, text := explain.Stray, "an answer to another request"
--- a/poison/gossip.go
+++ b/poison/gossip.go
@@ -36,14 +36,14 @@
 		return g.mergeCrashed(e, n)
 	}
 	if !g.allowFromPeer(now, n.State) {
-		g.counters.Limited++
+		g.dropNotice(fp, n)
 		return nil
 	}
 	if e == nil {
 		e = g.insertFromPeer(now, fp)
 	}
 	if e == nil {
-		g.counters.Limited++
+		g.dropNotice(fp, n)
 		return nil
 	}
 	if n.Generation > e.generation {
@@ -53,9 +53,15 @@
 	e.origin = n.Origin
 	g.table.set(e, n.State, n.Generation, now.Add(min(n.TTL, g.maxTTL(n.State))))
 	g.counters.FromPeers++
+	g.noteChange(e, eventOf(n.State))
 	return e
 }
 
+func (g *Guard) dropNotice(fp uint64, n *Notice) {
+	g.counters.Limited++
+	g.addChange(Change{Fingerprint: fp, Event: NoticeDroppedEvent, Origin: n.Origin, Crashed: len(n.Crashed)})
+}
+
 // mergeCrashed adds the crashed nodes of a notice to the entry of the same suspect
 // and returns the entry if it changed.
 func (g *Guard) mergeCrashed(e *entry, n *Notice) *entry {
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -61,6 +61,7 @@
 	isolated uint64
 	occupied bool
 	counters Counters
+	changes  []Change // since the last TakeChanges
 }
 
 // New returns an empty Guard of the node self.
@@ -129,6 +130,7 @@
 	}
 	g.isolated, g.occupied = fp, true
 	g.counters.IsolatedRuns++
+	g.noteChange(g.table.get(now, fp), IsolatedEvent)
 	return true
 }
 
@@ -152,6 +154,7 @@
 	}
 	g.table.set(e, Cleared, e.generation, now.Add(g.cfg.SuspectFor))
 	g.counters.Cleared++
+	g.noteChange(e, ClearedEvent)
 	return []Notice{g.notice(now, e)}
 }
 
@@ -193,6 +196,7 @@
 	e.origin = g.self
 	g.table.set(e, Quarantined, e.generation, now.Add(g.cfg.QuarantineFor))
 	g.counters.Quarantined++
+	g.noteChange(e, QuarantinedEvent)
 	return g.notice(now, e)
 }
 
@@ -215,6 +219,7 @@
 	e.origin = g.self
 	g.table.set(e, Suspect, generation, now.Add(g.cfg.SuspectFor))
 	g.counters.Suspected++
+	g.noteChange(e, SuspectedEvent)
 	return e
 }
 
--- a/serve/run.go
+++ b/serve/run.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/admission"
@@ -210,6 +212,7 @@
 	fp := t.Request.Fingerprint
 	if r.Verdict == verdict.Ran {
 		e.Notices = append(e.Notices, s.guard.Finished(now, fp)...)
+		s.noteSuspicions(e, requestIDs(t))
 		return
 	}
 	if t.mustIsolate {
@@ -246,14 +249,17 @@
 	}
 	isolatedRun := s.isolated != nil && s.running[s.isolated.ID] != nil
 	e.Notices = append(e.Notices, s.guard.Crashed(now, fingerprints, isolatedRun)...)
+	s.noteSuspicions(e, requestIDs(slices.Collect(maps.Values(s.running))...))
 	s.ready = false
 	s.refuseWaiting(now, verdict.NoBackend, e)
 }
 
-// ReceiveNotice applies a notice about suspects from another node and returns the notices
-// to forward.
-func (s *Server) ReceiveNotice(now time.Time, n poison.Notice) []poison.Notice {
-	return s.guard.Receive(now, n)
+// ReceiveNotice applies a notice about suspects from another node. It returns the notices to
+// forward, and Effects for the log alone.
+func (s *Server) ReceiveNotice(now time.Time, n poison.Notice) (forward []poison.Notice, e Effects) {
+	forward = s.guard.Receive(now, n)
+	s.noteSuspicions(&e, nil)
+	return forward, e
 }
 
 // NoticesToGossip returns at most limit fingerprints, as notices to repeat to one other
--- a/serve/task.go
+++ b/serve/task.go
@@ -121,12 +121,22 @@
 	Notices []poison.Notice
 }
 
+// SuspicionChange is a change of what this node believes of a request that may crash backend
+// servers.
+type SuspicionChange struct {
+	poison.Change
+	// RequestID is empty if a peer reported the change.
+	RequestID string
+}
+
 // Effects are the actions that the node performs after an event, in the order of
 // the fields.
 type Effects struct {
 	// Notices go to all nodes of the service.
 	Notices       []poison.Notice
 	DirectNotices []DirectNotices
+	// SuspicionChanges are for the log.
+	SuspicionChanges []SuspicionChange
 	// Stop lists the IDs of running tasks to cancel.
 	Stop []uint64
 	// Start lists the tasks to hand to the backend server now.
@@ -135,4 +145,21 @@
 	Replies []call.Reply
 }
 
+// noteSuspicions adds the latest changes of the guard. requestIDs holds the ids of the requests
+// concerned by fingerprint, as far as they are known here.
+func (s *Server) noteSuspicions(e *Effects, requestIDs map[uint64]string) {
+	for _, c := range s.guard.TakeChanges() {
+		e.SuspicionChanges = append(e.SuspicionChanges, SuspicionChange{Change: c, RequestID: requestIDs[c.Fingerprint]})
+	}
+}
+
+// requestIDs returns the ids of tasks by fingerprint.
+func requestIDs(tasks ...*Task) map[uint64]string {
+	ids := make(map[uint64]string, len(tasks))
+	for _, t := range tasks {
+		ids[t.Request.Fingerprint] = t.Request.RequestID
+	}
+	return ids
+}
+
 func (e *Effects) reply(r call.Reply) { e.Replies = append(e.Replies, r) }
