standin, daemon: a request that crashes backend servers, known red

TestContentCrashesTwoBackendServers asks for two crashes at most, none later than 3 s after the third, and 0.98 of the other requests served.

--- /dev/null
+++ b/daemon/crash_test.go
@@ -0,0 +1,183 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/platform/standin"
+)
+
+// crashCase is a day on which one request crashes each backend server that runs it.
+type crashCase struct {
+	name string
+	plan standin.CrashPlan
+	// others are further services, with a machine each, at which the request enters too.
+	others []string
+	// early says that the request comes as soon as all machines have served once.
+	early bool
+	// restarts says that nodes are stopped and started again meanwhile.
+	restarts bool
+	// patience is how long the client of the request waits.
+	patience time.Duration
+	// unseen is how many copies may run before the crash can be known: a backend server that
+	// falls silent looks as a slow one until it is replaced.
+	unseen int
+}
+
+const (
+	crashNodes = 4 // of the crashing service
+	crashDown  = time.Second
+	// crashCopies of the request are sent, one each crashInterval.
+	crashCopies   = 60
+	crashInterval = 100 * time.Millisecond
+	// maxCrashes is the number of backend servers that the request may crash.
+	maxCrashes = 2
+	// lateAfter is the time after the third crash from which on the request must not be sent
+	// to a backend server.
+	lateAfter = 3 * time.Second
+	// minAnswered is the share of other requests that must be served meanwhile.
+	minAnswered = 0.98
+)
+
+// Guards against a request that crashes one backend server after the other, wherever it enters
+// and however the crash looks.
+func TestContentCrashesTwoBackendServers(t *testing.T) {
+	atStart := standin.CrashPlan{Moment: standin.CrashAtStart, Down: crashDown}
+	for i, c := range []crashCase{
+		{name: "one service", plan: atStart},
+		{name: "early", plan: atStart, early: true},
+		{name: "entries of four services", plan: atStart, others: []string{"b", "c", "d"}},
+		{name: "entries of four services early", plan: atStart, others: []string{"b", "c", "d"}, early: true},
+		{name: "midway", plan: standin.CrashPlan{Moment: standin.CrashMidway, Down: crashDown}},
+		{name: "in an answer", plan: standin.CrashPlan{Moment: standin.CrashInAnswer, Down: crashDown}},
+		{name: "address taken", plan: standin.CrashPlan{Moment: standin.CrashAtStart, Look: standin.LookTaken, Down: crashDown}},
+		{name: "address taken in an answer", plan: standin.CrashPlan{Moment: standin.CrashInAnswer, Look: standin.LookTaken, Down: crashDown}},
+		{name: "silent", plan: standin.CrashPlan{Moment: standin.CrashAtStart, Look: standin.LookSilent, Down: crashDown}, patience: 300 * time.Millisecond, unseen: crashNodes},
+		{name: "client gives up", plan: standin.CrashPlan{Moment: standin.CrashMidway, Down: crashDown}, patience: 2 * time.Millisecond},
+		{name: "nodes restart", plan: atStart, restarts: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			runCrashCase(t, c, 10+i)
+		})
+	}
+}
+
+func runCrashCase(t *testing.T, c crashCase, subnet int) {
+	is := is.New(t)
+	s := newSiteAt(t, subnet)
+	s.publish(2, append([]string{"a"}, c.others...)...)
+	machines, stops := s.addSupervised(c)
+	for _, m := range machines {
+		s.await("served through "+m.Name, func() bool {
+			status, _ := s.ask(m, "a", "warm"+m.Name+fmt.Sprint(time.Now().UnixNano()))
+			return status == http.StatusOK
+		})
+	}
+	wait := 3 * time.Second
+	if c.early {
+		wait = 40 * time.Millisecond
+	}
+	time.Sleep(wait)
+	traffic := s.startTraffic(machines[:crashNodes], "a")
+	path := "/a/" + standin.CrashPrefix + "x"
+	s.sendCopies(c, machines, path, func(i int) {
+		if c.restarts && i%15 == 7 {
+			n := i / 15 % crashNodes
+			stops[n]()
+			stops[n] = s.startNode(machines[n])
+		}
+	})
+	answered := traffic()
+	crashes := s.journal.Crashes(path)
+	late := 0
+	for i, crash := range crashes {
+		if i > 2 && crash.At.Sub(crashes[2].At) > lateAfter {
+			late++
+		}
+		t.Logf("%6d ms  %s", crash.At.Sub(crashes[0].At).Milliseconds(), crash.Instance)
+	}
+	t.Logf("%d crashes, %d of them late; %.3f of the other requests served", len(crashes), late, answered)
+	is.True(len(crashes) >= 1)
+	is.True(len(crashes) <= maxCrashes+c.unseen)
+	is.Equal(late, 0)
+	if !c.restarts {
+		is.True(answered >= minAnswered)
+	}
+}
+
+// addSupervised starts the machines of a case, those of the crashing service first. The returned
+// functions stop their nodes.
+func (s *site) addSupervised(c crashCase) (machines []standin.Machine, stops []func()) {
+	services := []string{"a", "a", "a", "a"}
+	for i, service := range append(services, c.others...) {
+		m := s.machine(i+1, service)
+		cfg := s.targetConfig(m, i+1)
+		cfg.Crash = c.plan
+		sup, err := standin.Supervise(cfg, s.journal)
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		s.t.Cleanup(sup.Close)
+		machines = append(machines, m)
+		stops = append(stops, s.startNode(m))
+	}
+	return machines, stops
+}
+
+// sendCopies sends copies of the request at each machine in turn, without waiting for the answers
+// to earlier ones for longer than crashInterval. before is called before each of them.
+func (s *site) sendCopies(c crashCase, machines []standin.Machine, path string, before func(i int)) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for i := range crashCopies {
+		before(i)
+		m := machines[i%len(machines)]
+		r := standin.Request{Method: http.MethodGet, Host: siteHost, Path: path, ID: fmt.Sprint("crash", i), Timeout: time.Second}
+		ctx, cancel := context.WithCancel(s.t.Context())
+		if c.patience > 0 {
+			ctx, cancel = context.WithTimeout(s.t.Context(), c.patience)
+		}
+		all.Go(func() {
+			defer cancel()
+			standin.SendRequest(ctx, s.client, m, r)
+		})
+		time.Sleep(crashInterval)
+	}
+}
+
+// startTraffic sends ordinary requests at machines. The returned function stops that and returns
+// the share of them that were served.
+func (s *site) startTraffic(machines []standin.Machine, service string) (end func() float64) {
+	const clients = 8
+	var sent, served atomic.Int64
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	for i := range clients {
+		all.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+				sent.Add(1)
+				if status, _ := s.ask(machines[(i+n)%len(machines)], service, fmt.Sprintf("usual%d-%d", i, n)); status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	return func() float64 {
+		close(stop)
+		all.Wait()
+		return float64(served.Load()) / float64(sent.Load())
+	}
+}
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -24,17 +24,21 @@
 	journal *standin.RunLog
 	client  *http.Client
 	dir     string
+	subnet  int // third number of the loopback addresses
 }
 
 const siteHost = "x.example"
 
 // newSite starts the platform's store with routes to the services top and deep.
-func newSite(t *testing.T) *site {
-	store, err := standin.StartStore("127.77.1.250:8309")
+func newSite(t *testing.T) *site { return newSiteAt(t, 1) }
+
+// newSiteAt starts it at loopback addresses of its own, for tests that run side by side.
+func newSiteAt(t *testing.T, subnet int) *site {
+	store, err := standin.StartStore(fmt.Sprintf("127.77.%d.250:8309", subnet))
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, store: store, journal: standin.NewRunLog(), dir: t.TempDir(),
+	s := &site{t: t, store: store, journal: standin.NewRunLog(), dir: t.TempDir(), subnet: subnet,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(store.Close)
 	s.publish(1, "top", "deep")
@@ -57,9 +61,8 @@
 // addMachine starts a machine with a backend server, whose requests call the service
 // calls if that is not empty.
 func (s *site) addMachine(n int, service, calls string) (standin.Machine, *standin.Target) {
-	m := standin.Machine{Name: fmt.Sprintf("m%d", n), IP: fmt.Sprintf("127.77.1.%d", n), Service: service}
-	cfg := standin.TargetConfig{Service: service, Addr: m.Backend(), HeartbeatsAddr: m.Heartbeats(), CallsAddr: m.Callers(), Slots: 20,
-		MeanRunTime: 5 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond, Seed: uint64(n)}
+	m := s.machine(n, service)
+	cfg := s.targetConfig(m, n)
 	if calls != "" {
 		cfg.CallHost, cfg.CallPath = siteHost, "/"+calls+"/c"
 	}
@@ -72,6 +75,15 @@
 	return m, target
 }
 
+func (s *site) machine(n int, service string) standin.Machine {
+	return standin.Machine{Name: fmt.Sprintf("m%d", n), IP: fmt.Sprintf("127.77.%d.%d", s.subnet, n), Service: service}
+}
+
+func (s *site) targetConfig(m standin.Machine, n int) standin.TargetConfig {
+	return standin.TargetConfig{Service: m.Service, Addr: m.Backend(), HeartbeatsAddr: m.Heartbeats(), CallsAddr: m.Callers(), Slots: 20,
+		MeanRunTime: 5 * time.Millisecond, HeartbeatInterval: 100 * time.Millisecond, Seed: uint64(n)}
+}
+
 // addServed starts the first machine and waits until its node serves requests.
 func (s *site) addServed(service string) (standin.Machine, *standin.Target) {
 	m, target := s.addMachine(1, service, "")
