node, membership: notices about suspects reach all nodes of the service

What callers saw: one request crashed three to seven backend servers of one service where two are promised; in the users' record it was quarantined twice, 4.5 s apart, the second time at a node whose backend server was away at the first. Cause: notices, forwarding and gossip went to the nodes that accept requests. A request that crashes its backend server takes away just the node that runs the next copy once its backend server is back. A node that had just started knew nothing until gossip, every 5 s, came by, and dialled its first peer up to 1.2 s after it had read the list of nodes. Ruled out: notices that are not taken (no 'notice-dropped' line), notices lost on open connections (the lines of all informed nodes follow within 1 ms). Change: notices go to all members of the service; a node that knows others for the first time asks three of them for all notices; new members are informed; a node without members dials as soon as it gets addresses.

--- a/daemon/crash_test.go
+++ b/daemon/crash_test.go
@@ -1,9 +1,12 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -73,6 +76,7 @@
 func runCrashCase(t *testing.T, c crashCase, subnet int) {
 	is := is.New(t)
 	s := newSiteAt(t, subnet)
+	s.logs = newCrashLog(t)
 	s.publish(2, append([]string{"a"}, c.others...)...)
 	machines, stops := s.addSupervised(c)
 	for _, m := range machines {
@@ -104,7 +108,7 @@
 		}
 		t.Logf("%6d ms  %s", crash.At.Sub(crashes[0].At).Milliseconds(), crash.Instance)
 	}
-	t.Logf("%d crashes, %d of them late; %.3f of the other requests served", len(crashes), late, answered)
+	t.Logf("%s: %d crashes, %d of them late; %.3f of the other requests served", c.name, len(crashes), late, answered)
 	is.True(len(crashes) >= 1)
 	is.True(len(crashes) <= maxCrashes+c.unseen)
 	is.Equal(late, 0)
@@ -181,3 +185,35 @@
 		return float64(served.Load()) / float64(sent.Load())
 	}
 }
+
+// crashLog collects the log lines of all nodes that are about crashes, and prints them if the test
+// fails.
+type crashLog struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+// crashSteps are parts of the lines kept.
+var crashSteps = []string{`"suspected"`, `"isolated"`, `"cleared"`, `"quarantined"`, `"notice-dropped"`, `"lost"`, `"message":"backend server`}
+
+func newCrashLog(t *testing.T) *crashLog {
+	l := &crashLog{}
+	t.Cleanup(func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if t.Failed() {
+			t.Log("\n" + strings.Join(l.lines, ""))
+		}
+	})
+	return l
+}
+
+// Write implements io.Writer. Each call has one line.
+func (l *crashLog) Write(line []byte) (int, error) {
+	if slices.ContainsFunc(crashSteps, func(step string) bool { return bytes.Contains(line, []byte(step)) }) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.lines = append(l.lines, string(line))
+	}
+	return len(line), nil
+}
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -25,6 +25,7 @@
 	client  *http.Client
 	dir     string
 	subnet  int // third number of the loopback addresses
+	logs    io.Writer
 }
 
 const siteHost = "x.example"
@@ -38,7 +39,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &site{t: t, store: store, journal: standin.NewRunLog(), dir: t.TempDir(), subnet: subnet,
+	s := &site{t: t, store: store, journal: standin.NewRunLog(), dir: t.TempDir(), subnet: subnet, logs: io.Discard,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	t.Cleanup(store.Close)
 	s.publish(1, "top", "deep")
@@ -105,7 +106,7 @@
 	if err != nil {
 		s.t.Fatal(err)
 	}
-	app := fx.New(PlatformModule(path, nodeSettings, settings.Platform{}, notifyHangups(), io.Discard))
+	app := fx.New(PlatformModule(path, nodeSettings, settings.Platform{}, notifyHangups(), s.logs))
 	if err := app.Start(s.t.Context()); err != nil {
 		s.t.Fatal(err)
 	}
--- a/membership/join.go
+++ b/membership/join.go
@@ -118,13 +118,17 @@
 const announcesPerRetention = 4
 
 // Seeds adds addresses from the settings or of connected peers to the seeds,
-// as pinned ones. It ignores invalid addresses.
+// as pinned ones. It ignores invalid addresses. A node that knows no member dials them with the
+// next Tick.
 func (m *Members) Seeds(addrs []string) {
 	for _, addr := range addrs {
 		if validAddr(addr) && addr != m.self.PeerAddr {
 			m.seeds.add(seed{addr: addr, pinned: true}, m.cfg.MaxSeeds)
 		}
 	}
+	if m.isolated() && len(addrs) > 0 {
+		m.due.join = min(m.due.join, m.clock)
+	}
 }
 
 // isolated reports whether this node knows no other live member.
--- a/membership/view.go
+++ b/membership/view.go
@@ -94,6 +94,20 @@
 	return ix.cached
 }
 
+// AllOfService returns the IDs of the members of a service that are not gone, whether they accept
+// work or not, in no particular order.
+func (m *Members) AllOfService(service string) []wire.NodeID {
+	ix := m.services[service]
+	if ix == nil {
+		return nil
+	}
+	ids := make([]wire.NodeID, 0, len(ix.members))
+	for _, mem := range ix.members {
+		ids = append(ids, mem.ID)
+	}
+	return ids
+}
+
 func (ix *serviceIndex) inState(state State) []Record {
 	var rs []Record
 	for _, mem := range ix.members {
--- a/node/loops.go
+++ b/node/loops.go
@@ -7,7 +7,6 @@
 
 	"github.com/cassialoom/cassialoom/config"
 	"github.com/cassialoom/cassialoom/membership"
-	"github.com/cassialoom/cassialoom/poison"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
 )
@@ -21,17 +20,10 @@
 	bindingTick = 5 * time.Millisecond
 	memberTick  = 200 * time.Millisecond
 	configTick  = 100 * time.Millisecond
-	noticeTick  = 5 * time.Second
 	// backendTick is the interval at which idle connections to the backend server are checked.
 	backendTick = time.Second
 )
 
-// noticeFanOut is the number of nodes to which a received notice is forwarded.
-const noticeFanOut = 4
-
-// maxGossipNotices is the largest number of notices in one round of gossip.
-const maxGossipNotices = 64
-
 // runServerLoop calls tickServer every serverTick while a task waits and every
 // idleTick otherwise, which saves an idle node the frequent wake-ups.
 func (n *Node) runServerLoop() {
@@ -72,6 +64,7 @@
 		n.tickMemberLog(now)
 	}
 	n.dispatch.SetNodes(n.members.count())
+	n.informNewPeers(now)
 	peers := n.members.ofService(n.cfg.Service)
 	n.serve(func(_ time.Time, s *serve.Server) serve.Effects {
 		s.SetPeers(peers)
@@ -79,8 +72,13 @@
 	})
 }
 
-// AddSeeds adds addresses at which other nodes may be reached.
-func (n *Node) AddSeeds(addrs []string) { n.members.addSeeds(addrs) }
+// AddSeeds adds addresses at which other nodes may be reached, and dials some of them at once if
+// this node knows no other.
+func (n *Node) AddSeeds(addrs []string) {
+	n.members.addSeeds(addrs)
+	now := time.Now()
+	n.sendMembership(n.members.collect(func(m *membership.Members) []membership.Send { return m.Tick(now) }))
+}
 
 // Listed sets the addresses of the fleet by data centre, as a node finds them when it
 // restarts at one of them. The node then asks the first of each data centre for quota
@@ -268,48 +266,3 @@
 		return s.Page(now, from, page)
 	})
 }
-
-// broadcastNotice sends a notice about suspects to all other nodes of the service.
-func (n *Node) broadcastNotice(notice poison.Notice) {
-	for _, id := range n.members.ofService(n.cfg.Service) {
-		if id != n.id {
-			n.outbox.sendToMember(id, wire.KindPoison, notice)
-		}
-	}
-}
-
-// handleNotice receives another node's notice about suspects.
-func (n *Node) handleNotice(notice poison.Notice) {
-	n.server.mu.Lock()
-	toForward, e := n.server.serve.ReceiveNotice(time.Now(), notice)
-	n.server.mu.Unlock()
-	n.recordSuspicions(time.Now(), e.SuspicionChanges)
-	for _, next := range toForward {
-		n.forwardNotice(next)
-	}
-}
-
-// forwardNotice forwards another node's notice to a few nodes of the service. The
-// origin sends it to all of them; forwarding covers those that it cannot reach.
-func (n *Node) forwardNotice(notice poison.Notice) {
-	for range noticeFanOut {
-		if id, ok := n.dispatch.Choose(n.cfg.Service); ok && id != n.id {
-			n.outbox.sendToMember(id, wire.KindPoison, notice)
-		}
-	}
-}
-
-// tickNotices repeats some notices to one other node of the service, for nodes
-// that missed them or started later.
-func (n *Node) tickNotices(now time.Time) {
-	id, ok := n.dispatch.Choose(n.cfg.Service)
-	if !ok || id == n.id {
-		return
-	}
-	n.server.mu.Lock()
-	notices := n.server.serve.NoticesToGossip(now, maxGossipNotices)
-	n.server.mu.Unlock()
-	for _, notice := range notices {
-		n.outbox.sendToMember(id, wire.KindPoison, notice)
-	}
-}
--- a/node/node.go
+++ b/node/node.go
@@ -164,6 +164,9 @@
 	// them; nil otherwise.
 	listed atomic.Pointer[addressOwners]
 
+	informed         map[wire.NodeID]bool // nodes of the service that were informed; used by one loop alone
+	noticesRequested atomic.Bool
+
 	startedAt      time.Time
 	inForce        atomic.Uint64 // version of the configuration in force
 	draining       atomic.Bool
--- a/node/roster.go
+++ b/node/roster.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -143,6 +144,15 @@
 	return ids
 }
 
+// othersOfService returns the IDs of the other nodes of a service, whether they accept requests or
+// not.
+func (r *roster) othersOfService(service string) []wire.NodeID {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	self := r.members.Self().ID
+	return slices.DeleteFunc(r.members.AllOfService(service), func(id wire.NodeID) bool { return id == self })
+}
+
 func (r *roster) configPeers() []config.Peer {
 	view := r.view()
 	peers := make([]config.Peer, 0, len(view))
--- a/node/run.go
+++ b/node/run.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"time"
 
 	"github.com/cassialoom/cassialoom/backend"
@@ -30,9 +29,7 @@
 		n.broadcastNotice(notice)
 	}
 	for _, tell := range e.DirectNotices {
-		for _, notice := range tell.Notices {
-			n.outbox.sendToMember(tell.To, wire.KindPoison, notice)
-		}
+		n.sendNotices(tell.To, tell.Notices)
 	}
 	for _, r := range started {
 		n.wg.Add(1)
@@ -150,17 +147,6 @@
 	})
 }
 
-// recordSuspicions records what this node has come to believe of requests that may crash
-// backend servers.
-func (n *Node) recordSuspicions(now time.Time, changes []serve.SuspicionChange) {
-	for _, c := range changes {
-		n.notes.Record(now, explain.Event{
-			RequestID: c.RequestID, Service: n.cfg.Service, Step: explain.Step(c.Event), Content: explain.Content(c.Fingerprint),
-			Target: c.Origin.Short(), Detail: fmt.Sprintf("%d nodes lost their backend server with it", c.Crashed),
-		})
-	}
-}
-
 // recordStray records an answer of the backend server that no request waits for.
 func (n *Node) recordStray(s backend.StrayAnswer) {
 	step, text := explain.Stray, "an answer to another request"
--- a/poison/gossip.go
+++ b/poison/gossip.go
@@ -119,6 +119,27 @@
 	return notices
 }
 
+// AllNotices returns notices with all fingerprints, quarantined ones first, for a node that has
+// just started. It doesn't forward them.
+func (g *Guard) AllNotices(now time.Time) []Notice {
+	var quarantined, others []Notice
+	for el := g.table.order.Front(); el != nil; el = el.Next() {
+		e := el.Value.(*entry)
+		switch {
+		case e.until.Sub(now) < g.cfg.MinTTL:
+		case e.state == Quarantined:
+			quarantined = g.merge(now, quarantined, e)
+		default:
+			others = g.merge(now, others, e)
+		}
+	}
+	notices := append(quarantined, others...)
+	for i := range notices {
+		notices[i].Hops = g.cfg.MaxHops
+	}
+	return notices
+}
+
 // NoticeFor returns a notice with the state of one fingerprint, or nothing. A node
 // sends it ahead of a suspect, and to a sender that did not know of the suspicion.
 // After the exchange both nodes have the later of their states.
--- a/serve/run.go
+++ b/serve/run.go
@@ -262,6 +262,9 @@
 	return forward, e
 }
 
+// AllNotices returns notices of all that this node knows, for a node that knows nothing yet.
+func (s *Server) AllNotices(now time.Time) []poison.Notice { return s.guard.AllNotices(now) }
+
 // NoticesToGossip returns at most limit fingerprints, as notices to repeat to one other
 // node of the service.
 func (s *Server) NoticesToGossip(now time.Time, limit int) []poison.Notice {
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -40,6 +40,8 @@
 	KindClosing
 	// KindUsedKeys: list of the minted keys that an ending node has used.
 	KindUsedKeys
+	// KindPoisonRequest: request for all notices of KindPoison, of a node that has just started.
+	KindPoisonRequest
 )
 
 // Limits for messages from peers, which keep memory bounded. A peer that
