node: the content of a request does not depend on where it entered

What callers saw: one request that entered beside four services crashed 11 to 14 backend servers of one of them. Cause: the fingerprint of a request by host and path held the service of the node that received it, so one content had as many fingerprints as there are services, each good for two crashes; native requests have none of it. Evidence: the lines of one content have one name for each entry. Ruled out that contents of several services are one by chance: none in 25,167 requests and calls. Change: service, host of the route, method, target and body. The host was missing: two hosts of one service shared contents.

--- a/node/forward.go
+++ b/node/forward.go
@@ -113,13 +113,20 @@
 		Ledger:         retry.NewLedger(uint32(op.ExtraAttempts)),
 		CallerDeadline: in.Budget,
 		Fanout:         1,
-		Fingerprint:    poison.Fingerprint(op.Service, in.HTTP.Origin, in.HTTP.Method+in.HTTP.Target, in.Body),
+		Fingerprint:    contentFingerprint(op.Service, route, in),
 		Header:         in.Header,
 		Body:           in.Body,
 		HTTP:           in.HTTP,
 	}
 }
 
+// contentFingerprint identifies the content of a request by host and path for the guard against
+// requests that crash backend servers. The service whose node received it is not part of the
+// content: a backend server that crashes does so for any caller.
+func contentFingerprint(service string, route *routes.Route, in entry.Incoming) uint64 {
+	return poison.Fingerprint(service, route.Host, in.HTTP.Method+" "+in.HTTP.Target, in.Body)
+}
+
 // forwardRoot forwards a caller's request.
 func (n *Node) forwardRoot(ctx context.Context, p dispatch.Params) call.Outcome {
 	defer n.dispatch.CloseLedger(p.Ledger)
