serve, backend: a crash that doesn't look like one

Cause: only a broken connection together with a refused new one counted as a crash. A run that ended otherwise left no suspect; an isolated one was set free again, and a truncated answer cleared it. Change: - backend: a connection that broke, no other one open, and a health check on a new one that breaks too are a crash (a backend server at its limit of connections keeps the others); a request that finds no server, or another incarnation, says so. - serve: runs without a whole answer are kept, 10 s at most, until the backend server answers a request sent later, or leaves as planned. If it turns out to be gone, they are suspects as those in flight are; an isolated one among them is quarantined. - An isolated run is not cancelled with its caller, and starts only at a backend server that has been heard since the last run without an answer: otherwise its silence would be taken for this run's. - Only a whole answer clears a suspect.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -10,7 +10,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/url"
 	"strings"
 	"sync/atomic"
@@ -74,10 +73,13 @@
 	// Broken says that the connection broke while the request was in flight and
 	// the context had not ended.
 	Broken bool
-	// Crashed says that the connection broke and that the backend server
-	// refuses new connections: its process is gone. A slow backend server is
+	// Crashed says that the connection broke and that the process of the backend server is
+	// gone: it refuses connections, or all of them break. A slow backend server is
 	// never reported as crashed.
 	Crashed bool
+	// Gone says that the request did not run since the process was gone before: it refuses
+	// connections, or another incarnation has its address.
+	Gone bool
 }
 
 // Client sends requests to one backend server. It is safe for concurrent use.
@@ -161,7 +163,9 @@
 		}
 		conn, reused, err := c.pool.get(ctx, r.address, r.RequestID, !r.Idempotent)
 		if err != nil {
-			return failed(notHandedOver(ctx, err))
+			res := failed(notHandedOver(ctx, err))
+			res.Gone = errors.Is(err, syscall.ECONNREFUSED)
+			return res
 		}
 		x := &exchange{client: c, conn: conn, run: r, msg: msg, reused: reused}
 		res, unsent := x.do(ctx, head)
@@ -217,40 +221,3 @@
 		return verdict.Canceled
 	}
 }
-
-const (
-	// crashProbes is the number of connection attempts after a connection
-	// broke.
-	crashProbes = 2
-	// probeTimeout is short: after a crash connections are refused at once, and
-	// a server too busy to accept must not delay the answer to the caller.
-	probeTimeout = 100 * time.Millisecond
-)
-
-// detectCrash sets Broken, and Crashed if the backend server refuses new
-// connections. It probes more than once because a process that is being killed
-// closes its sockets one by one.
-func (c *Client) detectCrash(ctx context.Context, addr string, cn *conn, res *Result) {
-	res.Broken = cn.broken && contextReason(ctx) == verdict.None
-	if !res.Broken {
-		return
-	}
-	for i := range crashProbes {
-		if i > 0 {
-			time.Sleep(c.cfg.ProbeInterval)
-		}
-		if connectionRefused(addr) {
-			res.Crashed = true
-			return
-		}
-	}
-}
-
-func connectionRefused(addr string) bool {
-	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
-	}
-	conn.Close()
-	return false
-}
--- a/backend/config.go
+++ b/backend/config.go
@@ -29,6 +29,9 @@
 	// crash from a broken connection. A process that is being killed may close
 	// its connections shortly before its listening socket.
 	ProbeInterval time.Duration
+	// HealthPath, if set, returns the path of the backend server's health check, empty if it
+	// is not known.
+	HealthPath func() string
 	// OnStray, if set, is called for each answer that no request waits for. It must not block.
 	OnStray func(StrayAnswer)
 }
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -76,12 +77,17 @@
 // noteError sets broken if err shows that the backend server ended the
 // connection.
 func (c *conn) noteError(err error) {
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
-		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) {
+	if endedByServer(err) {
 		c.broken = true
 	}
 }
 
+// endedByServer reports whether an error shows that the other end ended the connection.
+func endedByServer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) ||
+		errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // idleState is the state of an idle connection.
 type idleState uint8
 
@@ -136,9 +142,11 @@
 	// onUnread is called for an idle connection on which data has arrived.
 	onUnread func(*conn)
 
-	mu     sync.Mutex
-	addr   string
-	idle   []*conn
+	mu   sync.Mutex
+	addr string
+	idle []*conn
+	// active holds the connections that carry a request.
+	active map[*conn]bool
 	closed bool
 	// maxReuseIdle is how long a connection may have been idle to be reused. It
 	// shrinks when an idle connection turns out to be stale.
@@ -162,7 +170,7 @@
 )
 
 func newPool(cfg Config) *pool {
-	return &pool{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout}, maxReuseIdle: cfg.IdleTimeout}
+	return &pool{cfg: cfg, dialer: net.Dialer{Timeout: cfg.DialTimeout}, maxReuseIdle: cfg.IdleTimeout, active: make(map[*conn]bool)}
 }
 
 // get returns a connection to addr that has not carried the request with the id; reused says
@@ -290,6 +298,35 @@
 	p.idle = append(p.idle, c)
 }
 
+// begin and end record that a connection carries a request.
+func (p *pool) begin(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.active[c] = true
+}
+
+func (p *pool) end(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.active, c)
+}
+
+// activeConns returns the connections that carry a request.
+func (p *pool) activeConns() []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Keys(p.active))
+}
+
+// anyOpen reports whether any of these connections still carries its request, or any idle one can
+// be used.
+func (p *pool) anyOpen(conns []*conn) bool {
+	p.closeUnusable()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0 || slices.ContainsFunc(conns, func(c *conn) bool { return p.active[c] })
+}
+
 // closeIdleLocked closes the idle connections. The caller must hold p.mu.
 func (p *pool) closeIdleLocked() {
 	for _, c := range p.idle {
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -80,6 +80,8 @@
 	x.conn.noteCarried(x.run.RequestID)
 	// The end of the context aborts reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
+	x.client.pool.begin(x.conn)
+	defer x.client.pool.end(x.conn)
 	err := x.conn.write(head)
 	if err != nil && x.conn.sent == x.sentBefore {
 		stop()
@@ -206,6 +208,7 @@
 	}
 	res := failed(e)
 	res.ReachedBackend = true
+	res.Gone = kind == OtherIncarnation
 	return res, kind == Declined && x.discardShort(resp) && x.reusableAfter(resp)
 }
 
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -41,6 +41,7 @@
 	if restarted {
 		n.backendRestarted(after.start, before.start)
 	}
+	n.server.heard(now)
 	if before.slots != after.slots {
 		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetSlots(now, after.slots) })
 	}
--- a/node/instance.go
+++ b/node/instance.go
@@ -124,7 +124,8 @@
 		}
 	})
 	if before.ready && !after.ready {
-		n.setReady(false, "silent")
+		n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Silent(now) })
+		n.announceReady(false, "silent")
 	}
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -220,6 +220,7 @@
 	}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	cfg.Backend.OnStray = n.recordStray
+	cfg.Backend.HealthPath = n.healthPath
 	n.backend = backend.New(cfg.Backend)
 	n.server = newServer(serve.New(cfg.Serve, secret, now))
 	n.dispatch = dispatch.New(cfg.Dispatch, linker{n}, n.members, n.notes)
--- a/node/run.go
+++ b/node/run.go
@@ -82,13 +82,21 @@
 	if res.Broken {
 		n.counts.BackendConnsBroken.Add(1)
 	}
-	if res.Crashed {
+	if res.Crashed || res.Gone {
 		n.backendCrashed(inst.start)
 	}
 	n.recordRun(r.task, inst, res.Conn, result)
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
 
+// healthPath returns the path of the backend server's health check, empty if it is not known.
+func (n *Node) healthPath() string {
+	if table := n.routing.table(); table != nil {
+		return table.HealthPath(n.cfg.Service)
+	}
+	return ""
+}
+
 // result combines the answer of the backend server with what the calls made by the
 // run have used.
 func (n *Node) result(r *run, res backend.Result, callMayHaveRun bool) serve.Result {
@@ -102,6 +110,7 @@
 		Body:           res.Body,
 		Latency:        res.Latency,
 		Crashed:        res.Crashed,
+		Gone:           res.Gone,
 		ReachedBackend: res.ReachedBackend,
 		Answered:       res.Answered,
 		Slowdown:       res.Notice.Load.Slowdown,
--- a/node/server.go
+++ b/node/server.go
@@ -243,6 +243,13 @@
 	s.serve.LearnRateLimit(now, perSecond)
 }
 
+// heard records that the present backend incarnation has reported.
+func (s *server) heard(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serve.Heard(now)
+}
+
 // learnLoad applies what the backend server says about its load at the start of the node.
 func (s *server) learnLoad(now time.Time, busy int) {
 	s.mu.Lock()
--- a/serve/isolation.go
+++ b/serve/isolation.go
@@ -67,13 +67,16 @@
 }
 
 // holdForIsolation lets nothing else start until the isolated run of t has ended. It refuses t
-// instead if that would hold back others for too much of the time, or while the slots don't
-// suffice for them.
+// instead if that would hold back others for too much of the time, while the slots don't suffice for
+// them, or while the backend server may be gone: its crash would be taken for that of t.
 func (s *Server) holdForIsolation(now time.Time, t *Task, e *Effects) {
 	wait := s.isolation.wait(now)
 	if s.gate.Level(now) > 0 {
 		wait = max(wait, s.gate.RetryAfter(now, s.random))
 	}
+	if s.unanswered.unresolved(now) {
+		wait = max(wait, s.cfg.RefuseRetryAfter)
+	}
 	if wait > 0 {
 		s.counts.NotIsolated++
 		err := verdict.Refuse(verdict.Shed, "an isolated run would hold back other requests")
@@ -108,6 +111,12 @@
 	if s.isolated == nil || len(s.running) > 0 || !s.ready || !s.rate.Ready(now) {
 		return
 	}
+	if s.unanswered.unresolved(now) {
+		s.counts.NotIsolated++
+		s.refuseIsolated(now, verdict.Shed, e)
+		s.startQueued(now, e)
+		return
+	}
 	t := s.isolated
 	answered := s.checkSuspect(now, t, e)
 	switch {
--- a/serve/run.go
+++ b/serve/run.go
@@ -158,10 +158,12 @@
 		s.OutgoingCallsChanged(now, id, -t.openCalls)
 	}
 	switch {
-	case r.Crashed && t.incarnation != s.incarnation:
+	case (r.Crashed || r.Gone) && t.incarnation != s.incarnation:
 		// BackendRestarted has reported this crash; the next incarnation goes on.
+	case r.Gone:
+		s.foundGone(now, t, &e)
 	case r.Crashed:
-		s.crash(now, &e)
+		s.crash(now, s.running, &e)
 	default:
 		s.reportFinished(now, t, r, &e)
 		s.faults.record(r.Latency-t.callTime, r)
@@ -210,7 +212,10 @@
 // reportFinished reports the end of a task without a crash to the guard.
 func (s *Server) reportFinished(now time.Time, t *Task, r Result, e *Effects) {
 	fp := t.Request.Fingerprint
-	if r.Verdict == verdict.Ran {
+	if t.incarnation == s.incarnation {
+		s.unanswered.record(now, t, r, s.isolated == t)
+	}
+	if r.answeredWhole() {
 		e.Notices = append(e.Notices, s.guard.Finished(now, fp)...)
 		s.noteSuspicions(e, requestIDs(t))
 		return
@@ -221,39 +226,68 @@
 }
 
 // BackendRestarted handles the announcement of a new process of the backend server.
-// Tasks that still ran at the old process are treated as lost in a crash.
+// Tasks that still ran at the old process are treated as lost in a crash, as are those that it
+// did not answer unless it had left as planned.
 func (s *Server) BackendRestarted(now time.Time) Effects {
 	var e Effects
 	s.faults = faults{}
 	s.pace = limit.Pace{}
 	s.occupancy = limit.Occupancy{}
 	s.forgetRateLimit()
-	if len(s.running) > 0 {
-		s.crash(now, &e)
+	if len(s.running) > 0 || s.unanswered.pending(now) {
+		s.crash(now, s.running, &e)
 	}
+	s.unanswered.forget()
 	return e
 }
 
-// crash marks all requests that ran at the backend server as suspects. Each of
-// them reports the same crash. Only the first report counts: the later ones
-// miss the requests that have been answered since.
-func (s *Server) crash(now time.Time, e *Effects) {
+// foundGone handles a task that found no backend server: it has crashed before, unless it was
+// leaving.
+func (s *Server) foundGone(now time.Time, t *Task, e *Effects) {
+	if t.mustIsolate {
+		s.guard.Abandoned(t.Request.Fingerprint)
+	}
+	if !s.ready {
+		return
+	}
+	others := maps.Clone(s.running)
+	delete(others, t.ID)
+	s.crash(now, others, e)
+}
+
+// crash marks all requests that were in flight at the backend server as suspects, and those that
+// it did not answer before. Each of them reports the same crash. Only the first report counts: the
+// later ones miss the requests that have been answered since.
+func (s *Server) crash(now time.Time, inFlight map[uint64]*Task, e *Effects) {
 	if s.crashed {
 		return
 	}
 	s.crashed = true
 	s.counts.Crashes++
-	fingerprints := make([]uint64, 0, len(s.running))
-	for _, t := range s.running {
+	lost, isolated := s.lostIn(now, inFlight)
+	fingerprints := make([]uint64, 0, len(lost))
+	for _, t := range lost {
 		fingerprints = append(fingerprints, t.Request.Fingerprint)
 	}
-	isolatedRun := s.isolated != nil && s.running[s.isolated.ID] != nil
-	e.Notices = append(e.Notices, s.guard.Crashed(now, fingerprints, isolatedRun)...)
-	s.noteSuspicions(e, requestIDs(slices.Collect(maps.Values(s.running))...))
+	e.Notices = append(e.Notices, s.guard.Crashed(now, fingerprints, isolated)...)
+	s.noteSuspicions(e, requestIDs(lost...))
 	s.ready = false
 	s.refuseWaiting(now, verdict.NoBackend, e)
 }
 
+// lostIn returns the tasks that may have caused a crash; isolated says that it is one that ran
+// alone.
+func (s *Server) lostIn(now time.Time, inFlight map[uint64]*Task) (lost []*Task, isolated bool) {
+	unanswered, isolated := s.unanswered.take(now)
+	if s.isolated != nil && inFlight[s.isolated.ID] != nil {
+		return []*Task{s.isolated}, true
+	}
+	if isolated {
+		return unanswered, true
+	}
+	return slices.AppendSeq(unanswered, maps.Values(inFlight)), false
+}
+
 // ReceiveNotice applies a notice about suspects from another node. It returns the notices to
 // forward, and Effects for the log alone.
 func (s *Server) ReceiveNotice(now time.Time, n poison.Notice) (forward []poison.Notice, e Effects) {
--- a/serve/server.go
+++ b/serve/server.go
@@ -49,8 +49,10 @@
 	byCall  map[waiter]uint64  // task ID by attempt, for cancellation
 	parked  map[string][]*Task // by key; they wait for its binding
 	// parkedBytes is the total size of the bodies of parked requests.
-	parkedBytes    int
-	isolated       *Task               // the isolated task, waiting or running
+	parkedBytes int
+	isolated    *Task // the isolated task, waiting or running
+	// unanswered are the runs that may have crashed the backend server without a sign.
+	unanswered     unansweredRuns
 	peers          []wire.NodeID       // ready nodes of the service, including this one
 	pendingReplies map[wire.NodeID]int // pending replies by sending node
 	nextID         uint64
@@ -102,7 +104,7 @@
 // SetPeers sets the ready nodes of the service, including this one.
 func (s *Server) SetPeers(peers []wire.NodeID) { s.peers = peers }
 
-// SetReady sets whether the backend server accepts requests. Waiting tasks are
+// SetReady sets whether the backend server accepts requests, as it says. Waiting tasks are
 // refused when it does not.
 func (s *Server) SetReady(now time.Time, ready bool) Effects {
 	var e Effects
@@ -112,6 +114,18 @@
 		s.startQueued(now, &e)
 		return e
 	}
+	s.unanswered.forget()
+	s.refuseWaiting(now, verdict.NoBackend, &e)
+	return e
+}
+
+// Heard records that the present backend incarnation has reported.
+func (s *Server) Heard(now time.Time) { s.unanswered.lastSign = now }
+
+// Silent records that nothing is heard from the backend server any more. Waiting tasks are refused.
+func (s *Server) Silent(now time.Time) Effects {
+	var e Effects
+	s.ready = false
 	s.refuseWaiting(now, verdict.NoBackend, &e)
 	return e
 }
@@ -351,7 +365,9 @@
 	if t.Request.Key != "" && s.keys.Joined(t.Request.Key) > 0 {
 		return
 	}
-	if _, running := s.running[t.ID]; running {
+	if _, running := s.running[t.ID]; running && s.isolated == t {
+		return // its outcome clears or quarantines the request
+	} else if running {
 		e.Stop = append(e.Stop, t.ID)
 		return
 	}
--- a/serve/task.go
+++ b/serve/task.go
@@ -85,6 +85,8 @@
 	// Crashed reports that the backend server's process ended while it ran
 	// the task.
 	Crashed bool
+	// Gone reports that the backend server's process had ended before it got the task.
+	Gone bool
 	// ReachedBackend reports, for a request that did not run, that it had reached
 	// the backend server.
 	ReachedBackend bool
