poison: notices of suspects are taken after a series of crashes

What callers saw, possible by a unit trial alone: a request whose notice a node had not taken runs there like any other and crashes one more backend server. Cause: clearings drew on the rate of suspects, and a table full of cleared contents took no suspect. Change: clearings have a rate of their own, a suspect evicts a cleared content, the burst is a full table. TestNoticesOfManyCrashesAreTaken: 5,508 before, 0 now; TestForgedFloodIsBounded unchanged and passed.

--- a/poison/config.go
+++ b/poison/config.go
@@ -32,7 +32,7 @@
 	// nodes where it has expired could otherwise insert it again endlessly.
 	MinTTL time.Duration
 	// SuspectRate (per second) and SuspectBurst limit the suspects accepted from
-	// peers; QuarantineRate and QuarantineBurst limit the quarantined ones. They bound
+	// peers, and as many clearings; QuarantineRate and QuarantineBurst limit the quarantined ones. They bound
 	// how many requests a faulty peer can slow down or block by forged notices.
 	SuspectRate     float64
 	SuspectBurst    float64
@@ -51,7 +51,7 @@
 		MaxHops:         6,
 		MinTTL:          time.Second,
 		SuspectRate:     256,
-		SuspectBurst:    2048,
+		SuspectBurst:    4096, // a full table
 		QuarantineRate:  0.5,
 		QuarantineBurst: 32,
 	}
--- a/poison/gossip.go
+++ b/poison/gossip.go
@@ -73,21 +73,25 @@
 }
 
 // allowFromPeer reports whether a claim from a peer is within the rate limits, which
-// bound the damage of forged notices. Forged clearings count as suspects do: each
-// can cause at most one more crash.
+// bound the damage of forged notices. Forged clearings can cause one more crash each. They have a
+// rate of their own, since most suspects are cleared soon.
 func (g *Guard) allowFromPeer(now time.Time, s State) bool {
-	if s != Quarantined {
+	switch s {
+	case Suspect:
 		return g.suspectRate.allow(now)
+	case Cleared:
+		return g.clearRate.allow(now)
+	default:
+		return g.table.quarantined < g.cfg.MaxQuarantined && g.quarantineRate.allow(now)
 	}
-	return g.table.quarantined < g.cfg.MaxQuarantined && g.quarantineRate.allow(now)
 }
 
 // insertFromPeer adds an entry for a notice from a peer, or returns nil if the table
-// is full. It evicts nothing, so that a flood of forged notices can't displace
-// fingerprints of local crashes.
+// is full. It evicts cleared fingerprints alone, so that a flood of forged notices can't displace
+// suspects.
 func (g *Guard) insertFromPeer(now time.Time, fp uint64) *entry {
 	g.table.sweep(now)
-	if len(g.table.entries) >= g.cfg.MaxEntries {
+	if len(g.table.entries) >= g.cfg.MaxEntries && !g.table.evict(func(s State) bool { return s == Cleared }) {
 		return nil
 	}
 	return g.table.add(fp)
--- a/poison/guard.go
+++ b/poison/guard.go
@@ -55,6 +55,7 @@
 	self           wire.NodeID
 	table          table
 	suspectRate    bucket
+	clearRate      bucket
 	quarantineRate bucket
 	// isolated is the suspect in an isolated run at the local backend server, if
 	// occupied is set.
@@ -71,6 +72,7 @@
 		self:           self,
 		table:          newTable(),
 		suspectRate:    bucket{rate: cfg.SuspectRate, burst: cfg.SuspectBurst},
+		clearRate:      bucket{rate: cfg.SuspectRate, burst: cfg.SuspectBurst},
 		quarantineRate: bucket{rate: cfg.QuarantineRate, burst: cfg.QuarantineBurst},
 	}
 }
@@ -229,7 +231,7 @@
 	g.table.sweep(now)
 	if len(g.table.entries) >= g.cfg.MaxEntries {
 		g.counters.Overflow++
-		if !g.table.evict() {
+		if !g.table.evict(func(s State) bool { return s != Quarantined }) {
 			return nil
 		}
 	}
--- a/poison/table.go
+++ b/poison/table.go
@@ -121,11 +121,11 @@
 	}
 }
 
-// evict removes the oldest entry that is not quarantined and reports whether there
+// evict removes the oldest entry whose state may be evicted and reports whether there
 // was one.
-func (t *table) evict() bool {
+func (t *table) evict(may func(State) bool) bool {
 	for el := t.order.Front(); el != nil; el = el.Next() {
-		if e := el.Value.(*entry); e.state != Quarantined {
+		if e := el.Value.(*entry); may(e.state) {
 			t.remove(e)
 			return true
 		}
