poison: a suspicion lasts while copies of the request come

What callers would see: a request that crashes backend servers and is refused for a minute, since its isolated run would hold back others, runs like any other then. Cause: the suspicion ended 60 s after the crash, whatever came meanwhile. Change: each copy that a node looks at renews it there. TestSuspicionLastsWhileCopiesCome failed before (ran after 60 s).

--- a/poison/config.go
+++ b/poison/config.go
@@ -4,8 +4,8 @@
 
 // Config configures a Guard.
 type Config struct {
-	// SuspectFor is how long a fingerprint stays a suspect unless it is cleared
-	// or quarantined before. It should outlast the usual resends of a caller. Most
+	// SuspectFor is how long a fingerprint stays a suspect after its last copy, unless
+	// it is cleared or quarantined before. It should outlast the usual resends of a caller. Most
 	// innocent requests are cleared by their next run.
 	SuspectFor time.Duration
 	// QuarantineFor is how long a quarantined request is refused at all nodes.
--- a/poison/many_test.go
+++ b/poison/many_test.go
@@ -43,3 +43,17 @@
 	}
 	is.Equal(told.Dump(now).Counters.Limited, uint64(0))
 }
+
+// Guards against a suspect that runs like any other request a minute after its crash, though its
+// copies came all the time and were refused.
+func TestSuspicionLastsWhileCopiesCome(t *testing.T) {
+	is := is.New(t)
+	g := New(DefaultConfig(), wire.NodeID{1})
+	now := start
+	g.Crashed(now, []uint64{1, 2}, false)
+	for range 20 {
+		now = now.Add(DefaultConfig().SuspectFor / 4)
+		is.Equal(g.Check(now, 1), Isolated)
+	}
+	is.Equal(g.Check(now, 2), Normal) // no copies came
+}
