soak: a request that crashes backend servers

The soak draws a new kind of fault: copies of a request with a path of its own, at all machines, from clients that wait for a random time, until long after the third crash; how it crashes is drawn from the run's seed. Checked is the users' rule: no more than three crashes later than 3 s after the third. The backend servers that it has crashed start again 0.4 s later.

--- a/daemon/crash_test.go
+++ b/daemon/crash_test.go
@@ -42,9 +42,6 @@
 	crashInterval = 100 * time.Millisecond
 	// maxCrashes is the number of backend servers that the request may crash.
 	maxCrashes = 2
-	// lateAfter is the time after the third crash from which on the request must not be sent
-	// to a backend server.
-	lateAfter = 3 * time.Second
 	// minAnswered is the share of other requests that must be served meanwhile.
 	minAnswered = 0.98
 )
@@ -100,12 +97,9 @@
 		}
 	})
 	answered := traffic()
-	crashes := s.journal.Crashes(path)
-	late := 0
-	for i, crash := range crashes {
-		if i > 2 && crash.At.Sub(crashes[2].At) > lateAfter {
-			late++
-		}
+	crashes := s.journal.Crashes()[path]
+	late := len(standin.Late(crashes))
+	for _, crash := range crashes {
 		t.Logf("%6d ms  %s", crash.At.Sub(crashes[0].At).Milliseconds(), crash.Instance)
 	}
 	t.Logf("%s: %d crashes, %d of them late; %.3f of the other requests served", c.name, len(crashes), late, answered)
--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -112,6 +112,12 @@
 		faults:  []string{"kill the node"},
 		promise: "within its quota",
 	},
+	{
+		name:    "a suspect runs like any other request",
+		edits:   []edit{{"poison/guard.go", "		return Isolated\n", "		return Normal\n"}},
+		faults:  []string{crashingRequests},
+		promise: "on and on",
+	},
 }
 
 // Guards against a soak that misses a broken promise.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -117,6 +117,10 @@
 		return nil
 	}},
 	{"backend server sends answers without an end", targetFault(standin.TargetFaults{Decline: 0.2, Endless: 0.5})},
+	{crashingRequests, func(ctx context.Context, e *env, _ *host, d time.Duration) error {
+		e.sending.Go(func() { e.sendCrashing(ctx, d) })
+		return nil
+	}},
 }
 
 // maxRateLimit is the largest rate limit of a backend server, in requests a second.
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -39,18 +39,24 @@
 // endNotices ends the rate limits of all backend servers and replaces those that are leaving.
 func (e *env) endNotices() error {
 	for _, h := range e.hosts {
-		h.target.SetRateLimit(standin.NoRateLimit)
-		if !h.target.LeavingByAnswers() {
-			continue
-		}
-		h.target.Crash()
-		if err := e.startTarget(h); err != nil {
+		if err := e.endNoticesOf(h); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+func (e *env) endNoticesOf(h *host) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.target.SetRateLimit(standin.NoRateLimit)
+	if !h.target.LeavingByAnswers() {
+		return nil
+	}
+	h.target.Crash()
+	return e.startTarget(h)
+}
+
 // checkNotices checks that backend servers got no more requests than they said they take, and
 // none for long after they said that they are leaving.
 func checkNotices(j *standin.RunLog, excuses []excuse) []Broken {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -54,7 +54,7 @@
 			e.violations = append(e.violations, Broken{Promise: "a planned stop ends within its grace time", What: closeErr.Error()})
 		}
 		res.Broken = slices.Concat(e.violations, checkAnswers(e.record.all, e.journal),
-			checkRevokedKeys(e.record.all, e.journal, e.revoked), checkQuota(e.record.all, e.journal), checkNotices(e.journal, e.excuses))
+			checkRevokedKeys(e.record.all, e.journal, e.revoked), checkQuota(e.record.all, e.journal), checkCrashes(e.journal), checkNotices(e.journal, e.excuses))
 		if err == nil && len(res.Broken) == 0 {
 			err = e.rig.RemoveLogs()
 		}
@@ -69,6 +69,7 @@
 	clients, stop := context.WithCancel(ctx)
 	var all sync.WaitGroup
 	e.startClients(clients, &all)
+	all.Go(func() { e.restartCrashed(clients) })
 	res.Faults, err = e.injectFaults(ctx)
 	if err == nil {
 		err = e.endNotices()
@@ -97,7 +98,6 @@
 // machine run one after the other; those of several machines may overlap.
 func (e *env) injectFaults(ctx context.Context) (int, error) {
 	begin := time.Now()
-	locks := make([]sync.Mutex, len(e.hosts))
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	var first error
@@ -105,9 +105,9 @@
 	for _, ev := range events {
 		pause.For(ctx, time.Until(begin.Add(ev.start)))
 		all.Go(func() {
-			locks[ev.host].Lock()
-			defer locks[ev.host].Unlock()
 			h := e.hosts[ev.host]
+			h.mu.Lock()
+			defer h.mu.Unlock()
 			e.cfg.Say("%7.3f s  %s: %s for up to %v", time.Since(begin).Seconds(), h.Name, ev.fault.name, ev.duration.Round(time.Millisecond))
 			err := e.restartIfEnded(h)
 			if err == nil {
@@ -128,6 +128,7 @@
 		})
 	}
 	all.Wait()
+	e.sending.Wait()
 	return len(events), first
 }
 
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -73,6 +73,8 @@
 	fromPeers *proxy
 	// incarnations is the number of starts of the backend server.
 	incarnations int
+	// mu is held while a fault is injected here or the backend server is started again.
+	mu sync.Mutex
 }
 
 // env is the test environment: everything that a run started and observed.
@@ -84,6 +86,11 @@
 	record  record
 	hosts   []*host
 	awaits  atomic.Uint64 // calls of awaitRand
+	// crashing is the number of requests so far that crash backend servers.
+	crashing   atomic.Uint64
+	crashingMu sync.Mutex
+	// sending are the senders of their copies.
+	sending sync.WaitGroup
 
 	mu          sync.Mutex
 	lastVersion publishedVersion
@@ -168,7 +175,7 @@
 func (e *env) startTarget(h *host) error {
 	h.incarnations++
 	cfg := standin.TargetConfig{Service: h.Service, Machine: h.Name, Addr: h.Backend(), HeartbeatsAddr: h.Heartbeats(), CallsAddr: h.Callers(),
-		Slots: slots, MeanRunTime: serviceTime, HeartbeatInterval: heartbeatInterval, Seed: e.cfg.Seed + uint64(h.incarnations)}
+		Slots: slots, MeanRunTime: serviceTime, HeartbeatInterval: heartbeatInterval, Crash: crashPlan(e.cfg.Seed), Seed: e.cfg.Seed + uint64(h.incarnations)}
 	if h.toBackend != nil {
 		cfg.ID = "i-" + h.Name // the incarnations on this machine share an ID
 	}
