node: the answer to a request for notices reaches a node that is not a member yet

Found by reading: a starting node asks for notices as soon as it knows others, which may not have its record yet; the answer went to members alone and was dropped then. It goes back on the connection of the question now. A node that has asked no longer lists the nodes of its service with each membership message.

--- a/node/peers.go
+++ b/node/peers.go
@@ -125,7 +125,7 @@
 	case wire.KindPoison:
 		return decode(f, func(m poison.Notice) { n.handleNotice(m) })
 	case wire.KindPoisonRequest:
-		return decode(f, func(noticesRequest) { n.inform(time.Now(), from) })
+		return decode(f, func(noticesRequest) { n.handleNoticesRequest(from) })
 	case wire.KindQuotaRequest:
 		return decode(f, func(m quotaRequest) { n.handleQuotaRequest(from, m) })
 	case wire.KindQuotaAnswer:
--- a/node/suspicions.go
+++ b/node/suspicions.go
@@ -75,6 +75,9 @@
 // requestNotices asks some nodes of the service for all notices, once, as soon as this node knows
 // others: a request that the others refuse may arrive here next.
 func (n *Node) requestNotices() {
+	if n.noticesRequested.Load() {
+		return
+	}
 	others := n.members.othersOfService(n.cfg.Service)
 	if len(others) == 0 || n.noticesRequested.Swap(true) {
 		return
@@ -92,17 +95,23 @@
 	for _, id := range others {
 		informed[id] = true
 		if !n.informed[id] && rand.IntN(len(others)) < informers {
-			n.inform(now, id)
+			n.sendNotices(id, n.allNotices(now))
 		}
 	}
 	n.informed = informed
 }
 
-func (n *Node) inform(now time.Time, id wire.NodeID) {
+// handleNoticesRequest sends all notices to a node, which need not be a member here yet.
+func (n *Node) handleNoticesRequest(from wire.NodeID) {
+	for _, notice := range n.allNotices(time.Now()) {
+		n.outbox.sendIfConnected(from, wire.KindPoison, notice)
+	}
+}
+
+func (n *Node) allNotices(now time.Time) []poison.Notice {
 	n.server.mu.Lock()
-	notices := n.server.serve.AllNotices(now)
-	n.server.mu.Unlock()
-	n.sendNotices(id, notices)
+	defer n.server.mu.Unlock()
+	return n.server.serve.AllNotices(now)
 }
 
 func (n *Node) sendNotices(to wire.NodeID, notices []poison.Notice) {
