serve: runs without an answer are kept by their content alone

Found when reading the diff: up to 512 runs were kept for 10 s with their requests, whose bodies can be a megabyte each. Fingerprint and id are all that is needed. The stand-in and the soak call a request that crashes backend servers a poison request, as package poison does.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -12,7 +12,8 @@
 )
 
 const (
-	// crashingRequests is the fault that sends a request which crashes each backend server that runs it.
+	// crashingRequests is the fault that sends a poison request, which crashes each backend server
+	// that runs it.
 	crashingRequests = "a request crashes backend servers"
 	// crashingInterval is the time between two copies of it.
 	crashingInterval = 100 * time.Millisecond
--- a/serve/isolation.go
+++ b/serve/isolation.go
@@ -124,7 +124,7 @@
 	case !t.mustIsolate: // cleared while it waited
 		s.start(now, t, e)
 	case s.guard.StartIsolated(now, t.Request.Fingerprint):
-		s.noteSuspicions(e, requestIDs(t))
+		s.noteSuspicions(e, contentOf(t))
 		s.start(now, t, e)
 		return
 	default:
--- a/serve/run.go
+++ b/serve/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/cassialoom/cassialoom/admission"
@@ -217,7 +216,7 @@
 	}
 	if r.answeredWhole() {
 		e.Notices = append(e.Notices, s.guard.Finished(now, fp)...)
-		s.noteSuspicions(e, requestIDs(t))
+		s.noteSuspicions(e, contentOf(t))
 		return
 	}
 	if t.mustIsolate {
@@ -266,33 +265,36 @@
 	s.counts.Crashes++
 	lost, isolated := s.lostIn(now, inFlight)
 	fingerprints := make([]uint64, 0, len(lost))
-	for _, t := range lost {
-		fingerprints = append(fingerprints, t.Request.Fingerprint)
+	for _, c := range lost {
+		fingerprints = append(fingerprints, c.fingerprint)
 	}
 	e.Notices = append(e.Notices, s.guard.Crashed(now, fingerprints, isolated)...)
-	s.noteSuspicions(e, requestIDs(lost...))
+	s.noteSuspicions(e, lost...)
 	s.ready = false
 	s.refuseWaiting(now, verdict.NoBackend, e)
 }
 
-// lostIn returns the tasks that may have caused a crash; isolated says that it is one that ran
+// lostIn returns the contents that may have caused a crash; isolated says that it is one that ran
 // alone.
-func (s *Server) lostIn(now time.Time, inFlight map[uint64]*Task) (lost []*Task, isolated bool) {
-	unanswered, isolated := s.unanswered.take(now)
+func (s *Server) lostIn(now time.Time, inFlight map[uint64]*Task) (lost []content, isolated bool) {
+	lost, isolated = s.unanswered.take(now)
 	if s.isolated != nil && inFlight[s.isolated.ID] != nil {
-		return []*Task{s.isolated}, true
+		return []content{contentOf(s.isolated)}, true
 	}
 	if isolated {
-		return unanswered, true
+		return lost, true
 	}
-	return slices.AppendSeq(unanswered, maps.Values(inFlight)), false
+	for _, t := range inFlight {
+		lost = append(lost, contentOf(t))
+	}
+	return lost, false
 }
 
 // ReceiveNotice applies a notice about suspects from another node. It returns the notices to
 // forward, and Effects for the log alone.
 func (s *Server) ReceiveNotice(now time.Time, n poison.Notice) (forward []poison.Notice, e Effects) {
 	forward = s.guard.Receive(now, n)
-	s.noteSuspicions(&e, nil)
+	s.noteSuspicions(&e)
 	return forward, e
 }
 
--- a/serve/server.go
+++ b/serve/server.go
@@ -209,7 +209,7 @@
 		e.Notices = append(e.Notices, s.guard.Receive(now, notice)...)
 	}
 	t := s.newTask(now, req, op)
-	s.noteSuspicions(&e, requestIDs(t))
+	s.noteSuspicions(&e, contentOf(t))
 	if req.Key == "" {
 		s.admit(now, t, &e)
 	} else {
--- a/serve/task.go
+++ b/serve/task.go
@@ -147,21 +147,18 @@
 	Replies []call.Reply
 }
 
-// noteSuspicions adds the latest changes of the guard. requestIDs holds the ids of the requests
-// concerned by fingerprint, as far as they are known here.
-func (s *Server) noteSuspicions(e *Effects, requestIDs map[uint64]string) {
+// noteSuspicions adds the latest changes of the guard, with the ids of the requests concerned as
+// far as they are known here.
+func (s *Server) noteSuspicions(e *Effects, known ...content) {
 	for _, c := range s.guard.TakeChanges() {
-		e.SuspicionChanges = append(e.SuspicionChanges, SuspicionChange{Change: c, RequestID: requestIDs[c.Fingerprint]})
+		change := SuspicionChange{Change: c}
+		for _, k := range known {
+			if k.fingerprint == c.Fingerprint {
+				change.RequestID = k.requestID
+			}
+		}
+		e.SuspicionChanges = append(e.SuspicionChanges, change)
 	}
 }
 
-// requestIDs returns the ids of tasks by fingerprint.
-func requestIDs(tasks ...*Task) map[uint64]string {
-	ids := make(map[uint64]string, len(tasks))
-	for _, t := range tasks {
-		ids[t.Request.Fingerprint] = t.Request.RequestID
-	}
-	return ids
-}
-
 func (e *Effects) reply(r call.Reply) { e.Replies = append(e.Replies, r) }
--- a/serve/unanswered.go
+++ b/serve/unanswered.go
@@ -15,13 +15,23 @@
 	// unansweredFor is how long a run without an answer may be found to have crashed the
 	// backend server: longer than a silent one takes to be replaced.
 	unansweredFor = 10 * time.Second
-	// maxUnanswered is the maximum number of these runs.
+	// maxUnanswered is the maximum number of these runs; the oldest make room.
 	maxUnanswered = 512
 )
 
+// content identifies the content of a request, without holding it.
+type content struct {
+	fingerprint uint64
+	requestID   string
+}
+
+func contentOf(t *Task) content {
+	return content{fingerprint: t.Request.Fingerprint, requestID: t.Request.RequestID}
+}
+
 // unansweredRun is a run of the present incarnation that ended without a whole answer.
 type unansweredRun struct {
-	task *Task
+	content
 	// isolated says that nothing else was in flight.
 	isolated bool
 	endedAt  time.Time
@@ -60,7 +70,7 @@
 		if r.Reason == verdict.Canceled {
 			activeUntil = t.Deadline // it may not notice that its caller has left
 		}
-		u.runs = append(u.runs, unansweredRun{task: t, isolated: isolated, endedAt: now, activeUntil: activeUntil})
+		u.runs = append(u.runs, unansweredRun{content: contentOf(t), isolated: isolated, endedAt: now, activeUntil: activeUntil})
 	}
 }
 
@@ -92,15 +102,15 @@
 
 // take returns the runs that may have caused a crash at now, and removes them. If an isolated one
 // is among them, it has: nothing sent later was answered.
-func (u *unansweredRuns) take(now time.Time) (tasks []*Task, isolated bool) {
+func (u *unansweredRuns) take(now time.Time) (contents []content, isolated bool) {
 	u.expire(now)
 	for _, r := range u.runs {
 		if r.isolated {
-			tasks, isolated = []*Task{r.task}, true
+			contents, isolated = []content{r.content}, true
 			break
 		}
-		tasks = append(tasks, r.task)
+		contents = append(contents, r.content)
 	}
 	u.forget()
-	return tasks, isolated
+	return contents, isolated
 }
