--- a/poison/guard.go
+++ b/poison/guard.go
@@ -87,7 +87,7 @@
 	switch e.state {
 	case Suspect:
 		// Its copies still come: it must not run like any other request once the time is over.
-		e.until = later(e.until, now.Add(g.cfg.SuspectFor))
+		e.until = now.Add(g.cfg.SuspectFor)
 		return Isolated
 	case Quarantined:
 		g.counters.Refused++
@@ -97,14 +97,6 @@
 	}
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 // Refusal returns the error for a request that Check refused. Its Retry-After is
 // the remaining time of the quarantine.
 func (g *Guard) Refusal(now time.Time, fp uint64) *verdict.Error {
--- a/serve/server.go
+++ b/serve/server.go
@@ -365,10 +365,10 @@
 	if t.Request.Key != "" && s.keys.Joined(t.Request.Key) > 0 {
 		return
 	}
-	if _, running := s.running[t.ID]; running && s.isolated == t {
-		return // its outcome clears or quarantines the request
-	} else if running {
-		e.Stop = append(e.Stop, t.ID)
+	if _, running := s.running[t.ID]; running {
+		if s.isolated != t { // the outcome of an isolated run clears or quarantines the request
+			e.Stop = append(e.Stop, t.ID)
+		}
 		return
 	}
 	if s.isolated == t {
