--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -141,15 +141,17 @@
 	pickers map[string]*picker
 	// ingressLevels apply to requests that enter here, backendLevels to calls of the
 	// node's backend server; only the latter are forwarded in replies.
-	ingressLevels  *admission.Levels
-	backendLevels  *admission.Levels
-	levelGossip    *admission.LevelGossip
-	routeHealth    *admission.RouteHealth
-	budgets        *retry.Budgets
-	notices        *notices
-	averageLatency map[string]*averageLatency // by operationKey
-	random         *rand.Rand
-	counts         Counts
+	ingressLevels *admission.Levels
+	backendLevels *admission.Levels
+	levelGossip   *admission.LevelGossip
+	routeHealth   *admission.RouteHealth
+	budgets       *retry.Budgets
+	// budgetsReported is the state of the budgets at the last call of RetryUsage.
+	budgetsReported map[string]retry.BudgetState
+	notices         *notices
+	averageLatency  map[string]*averageLatency // by operationKey
+	random          *rand.Rand
+	counts          Counts
 }
 
 // Counts are totals since the node started.
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -59,3 +59,13 @@
 	defer d.mu.Unlock()
 	return d.counts
 }
+
+// RetryUsage returns the use of the retry budgets since its last call, for services that were
+// denied extra attempts in this time.
+func (d *Dispatcher) RetryUsage() []retry.Usage {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	usage := d.budgets.UsageSince(d.budgetsReported)
+	d.budgetsReported = d.budgets.Dump()
+	return usage
+}
--- a/explain/recorder.go
+++ b/explain/recorder.go
@@ -86,6 +86,8 @@
 	Conn uint64 `json:"conn,omitempty"`
 	// Attempt is the number of attempts of the call up to this decision.
 	Attempt int `json:"attempt,omitempty"`
+	// Extra says that a run counts as an extra attempt, and so do the calls that it makes.
+	Extra bool `json:"extra,omitempty"`
 	// Version is the version of the routes or graph used for the decision.
 	Version uint64 `json:"version,omitempty"`
 	// Waited is the time spent in the queue, Duration that of the phase
--- a/logs/logs.go
+++ b/logs/logs.go
@@ -148,6 +148,9 @@
 	if e.Attempt > 0 {
 		line.Int("attempt", e.Attempt)
 	}
+	if e.Extra {
+		line.Bool("extra", true)
+	}
 	if e.Version > 0 {
 		line.Uint64("version", e.Version)
 	}
--- a/node/loops.go
+++ b/node/loops.go
@@ -22,6 +22,8 @@
 	configTick  = 100 * time.Millisecond
 	// backendTick is the interval at which idle connections to the backend server are checked.
 	backendTick = time.Second
+	// retryUsageTick is the interval of lines about spent extra attempts.
+	retryUsageTick = 10 * time.Second
 )
 
 // runServerLoop calls tickServer every serverTick while a task waits and every
--- a/node/node.go
+++ b/node/node.go
@@ -262,6 +262,7 @@
 	}
 	n.loop(noticeTick, n.tickNotices)
 	n.loop(backendTick, func(time.Time) { n.backend.CloseUnusable() })
+	n.loop(retryUsageTick, func(time.Time) { n.logRetryUsage() })
 	n.loop(dispatch.ProbeInterval, func(time.Time) { n.probeLostServices() })
 	n.log.Info().Str("data_centre", n.cfg.DataCentre).Str("peer_addr", n.cfg.PeerAddr).Msg("started")
 }
--- a/node/run.go
+++ b/node/run.go
@@ -150,6 +150,7 @@
 		Detail:        r.Detail,
 		Target:        inst.start.ID,
 		Conn:          conn,
+		Extra:         t.Request.Repeat,
 		Waited:        t.Waited(),
 		Duration:      r.Latency,
 		Remaining:     t.Deadline.Sub(now),
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -15,6 +15,7 @@
 	last          time.Time
 	calls         uint64
 	allowed       uint64
+	charged       uint64
 	denied        uint64
 }
 
@@ -25,6 +26,9 @@
 	Floor   uint16 `json:"floor"`
 	Calls   uint64 `json:"calls"`
 	Allowed uint64 `json:"allowed"`
+	// Charged is the number of calls that counted as extra attempts because the run that made
+	// them did.
+	Charged uint64 `json:"charged"`
 	Denied  uint64 `json:"denied"`
 }
 
@@ -60,6 +64,7 @@
 		b.denied++
 		return false
 	}
+	b.allowed++
 	b.spend(now)
 	return true
 }
@@ -76,7 +81,6 @@
 
 func (b *Budget) spend(now time.Time) {
 	b.tokens--
-	b.allowed++
 	if b.window != nil {
 		b.window.now(now).extra++
 	}
@@ -87,6 +91,7 @@
 // down to -Burst, so that later attempts wait until it is refilled.
 func (b *Budget) Charge(now time.Time) {
 	b.refill(now)
+	b.charged++
 	b.spend(now)
 	b.tokens = max(b.tokens, -b.cfg.Burst)
 }
@@ -94,7 +99,8 @@
 // Dump returns the state of the budget.
 func (b *Budget) Dump() BudgetState {
 	return BudgetState{
-		Tokens: b.tokens, Floor: uint16(b.priorityFloor.level), Calls: b.calls, Allowed: b.allowed, Denied: b.denied,
+		Tokens: b.tokens, Floor: uint16(b.priorityFloor.level), Calls: b.calls,
+		Allowed: b.allowed, Charged: b.charged, Denied: b.denied,
 	}
 }
 
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -54,3 +54,27 @@
 	}
 	return out
 }
+
+// Usage is what was spent for a service in a period.
+type Usage struct {
+	Service string
+	// Calls, Allowed, Charged and Denied are the increases of the fields of BudgetState.
+	Calls, Allowed, Charged, Denied uint64
+}
+
+// UsageSince returns the usage since a dump was taken, for services that were denied extra
+// attempts in this time.
+func (b *Budgets) UsageSince(earlier map[string]BudgetState) []Usage {
+	var out []Usage
+	for service, s := range b.Dump() {
+		before := earlier[service]
+		if s.Denied == before.Denied {
+			continue
+		}
+		out = append(out, Usage{
+			Service: service, Calls: s.Calls - before.Calls, Allowed: s.Allowed - before.Allowed,
+			Charged: s.Charged - before.Charged, Denied: s.Denied - before.Denied,
+		})
+	}
+	return out
+}
