--- a/internal/replay/day.go
+++ b/internal/replay/day.go
@@ -15,6 +15,10 @@
 	SlowFactor  float64
 	RejectShare float64
 	LostServers int
+	// Rejecting is the share of requests that every backend server of a service rejects, for
+	// services other than the bottleneck, too. Silent is the share of requests that they run
+	// and leave without an answer.
+	Rejecting, Silent map[string]float64
 	// The first FaultyServers backend servers leave the share SilentShare of their
 	// requests without an answer and answer the share ErrorShare with a failure. Their
 	// health checks pass.
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -49,6 +49,8 @@
 	ctx         context.Context
 	stop        context.CancelFunc
 	callsFailed bool
+	// extra says that it is an extra attempt.
+	extra bool
 	// dependencyLost is set if a call failed because a service can't be reached.
 	dependencyLost bool
 	used           []call.SlotTime
@@ -142,6 +144,7 @@
 
 // enter handles a request of a caller.
 func (n *node) enter(ctx context.Context, c *Class, id string, deadline time.Time) call.Outcome {
+	n.simulation.attempts.Sent(time.Now(), c.Service, id, false)
 	op := n.simulation.operations[c]
 	remaining := time.Until(deadline)
 	if c.Timeout > 0 {
@@ -186,8 +189,10 @@
 	deadline = n.simulation.schedule.deadline(deadline)
 	ctx, stop := n.simulation.schedule.followed(r.ctx)
 	defer stop()
+	id := n.simulation.nextID()
+	n.simulation.attempts.Sent(time.Now(), c.Service, id, r.extra)
 	out := n.dispatch.Call(ctx, dispatch.Params{
-		RequestID: n.simulation.nextID(), Operation: op, Importance: req.Importance, Deadline: deadline,
+		RequestID: id, Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, RunID: r.task.ID, Slots: n.slots(),
 		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
@@ -282,6 +287,7 @@
 	defer r.stop()
 	started := time.Now()
 	n.backend.recordArrival()
+	r.extra = n.simulation.attempts.Arrived(started, n.service.Name, r.task.Request.RequestID)
 	result := n.work(r)
 	if result.Verdict != verdict.MayHaveRun {
 		result.Limit = n.backend.nameLimit()
--- a/internal/replay/policy.go
+++ b/internal/replay/policy.go
@@ -5,6 +5,7 @@
 
 	"github.com/cassialoom/cassialoom/daemon"
 	"github.com/cassialoom/cassialoom/dispatch"
+	"github.com/cassialoom/cassialoom/internal/retrybound"
 	production "github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/platform"
 	"github.com/cassialoom/cassialoom/serve"
@@ -25,6 +26,9 @@
 // bounds limits the extra attempts in all deployments.
 var bounds = platform.Bounds{RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 60}
 
+// retryBounds are bounds as a check of them.
+var retryBounds = retrybound.Bounds{Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow}
+
 // Production returns the policy of the platform.
 func Production() Policy {
 	cfg := production.DefaultConfig()
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -11,6 +11,7 @@
 
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/internal/retrybound"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -51,6 +52,8 @@
 	// lists the limits that were not kept.
 	LimitUse     []float64
 	LimitsBroken []error
+	// ExtraAttempts is the record of extra attempts.
+	ExtraAttempts *retrybound.Record
 
 	scenario          *Scenario
 	start             time.Time
