dispatch: an attempt after a declined one is marked as a repeat

Cause: a node marked an attempt as a repeat only if an earlier one may have run. A declined attempt has not run, but has arrived; calls of the run that follows it were taken for first attempts, three services further down, and even earned further extra attempts. The same for a hedge that a node refuses while the first attempt is unanswered.

TestRepeatsAreMarked said the opposite; it asks for the mark now after a lost and after a declined attempt, and not after one that no backend server got.

--- a/call/message.go
+++ b/call/message.go
@@ -56,8 +56,8 @@
 	// RootRequestID is the id of the original request that entered the system; empty if
 	// that is this one.
 	RootRequestID string `cbor:"18,keyasint,omitempty"`
-	// Repeat says that the call, or the request that it is made for, may have
-	// run before. Its own calls then count as extra attempts.
+	// Repeat says that an earlier attempt of the call, or of a request that it is made
+	// for, may have reached a backend server. Its own calls then count as extra attempts.
 	Repeat bool `cbor:"20,keyasint,omitempty"`
 	// AdmittedLevels are the admission levels above zero that were in force when the
 	// request was admitted, one for each service. They tell a node which part
--- a/dispatch/attempts.go
+++ b/dispatch/attempts.go
@@ -32,10 +32,12 @@
 	bound bool
 	// mayHaveArrived says that a node may have received an attempt.
 	mayHaveArrived bool
-	worst          verdict.Verdict
-	hasVerdict     bool
-	tried          []wire.NodeID
-	redirects      int
+	// reached says that an attempt may have reached a backend server, which declined it or not.
+	reached    bool
+	worst      verdict.Verdict
+	hasVerdict bool
+	tried      []wire.NodeID
+	redirects  int
 	// reroutesLeft is how often the call may still move to another node without
 	// spending an extra attempt.
 	reroutesLeft int
@@ -47,9 +49,12 @@
 // declined reports whether the backend server itself refused the call, not its node.
 func declined(r call.Reply) bool { return r.Verdict == verdict.NotRun && r.ReachedBackend }
 
+// reached reports whether the attempt may have reached a backend server.
+func reached(r call.Reply) bool { return r.Verdict != verdict.NotRun || r.ReachedBackend }
+
 // takeReroute reports whether another attempt after r is free, and counts it.
 func (a *attempts) takeReroute(r call.Reply) bool {
-	if r.Verdict != verdict.NotRun || r.ReachedBackend || a.reroutesLeft == 0 {
+	if reached(r) || a.reroutesLeft == 0 {
 		return false
 	}
 	a.reroutesLeft--
@@ -59,7 +64,7 @@
 // next decides what follows an answer. It calls spend only if another attempt is allowed;
 // spend takes the extra attempt and returns false if there is none or no node for it.
 func (a *attempts) next(r call.Reply, spend func() bool) step {
-	a.recordVerdict(r.Verdict)
+	a.record(r)
 	if !r.BoundTo.IsZero() && r.Verdict == verdict.NotRun && a.redirects < maxRedirects {
 		a.redirects++
 		a.bound = a.keyed
@@ -115,14 +120,15 @@
 	}
 }
 
-// recordVerdict adds the verdict of one attempt. The first one is stored as it is, since
-// the zero value of worst is not a verdict of this call.
-func (a *attempts) recordVerdict(v verdict.Verdict) {
+// record adds the answer to one attempt. The first verdict is stored as it is, since the zero
+// value of worst is not a verdict of this call.
+func (a *attempts) record(r call.Reply) {
+	a.reached = a.reached || reached(r)
 	if !a.hasVerdict {
-		a.worst, a.hasVerdict = v, true
+		a.worst, a.hasVerdict = r.Verdict, true
 		return
 	}
-	a.worst = worseVerdict(a.worst, v)
+	a.worst = worseVerdict(a.worst, r.Verdict)
 }
 
 // conclude returns the outcome of the call, given its last answer. The verdict covers all
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -260,7 +260,7 @@
 	// Version is the version of the routes or the graph that decided, for explain.
 	Version uint64
 
-	// repeated says that an earlier attempt of this call may have run.
+	// repeated says that an earlier attempt of this call may have reached a backend server.
 	repeated bool
 	// suspicions are the latest that a reply carried.
 	suspicions []poison.Notice
@@ -372,7 +372,6 @@
 			}
 			to = target{id: reply.BoundTo, keyHolder: a.keyed, onlyHolder: a.keyed}
 		case tryAgain:
-			p.repeated = p.repeated || reply.Verdict != verdict.NotRun
 			d.noteRetry(p, &a, reply)
 			to = next
 		}
--- a/dispatch/hedge.go
+++ b/dispatch/hedge.go
@@ -56,6 +56,7 @@
 func (d *Dispatcher) attemptHedged(ctx context.Context, p Params, a *attempts, to target, hopAttemptsLeft *int) call.Reply {
 	after, ok := d.hedgeAfter(p)
 	a.tried = append(a.tried, to.id)
+	p.repeated = a.reached
 	if !ok {
 		return d.sendAndRecord(ctx, p, to)
 	}
@@ -79,6 +80,7 @@
 	d.count(func(c *Counts) { c.Hedges++ })
 	d.noteRetry(p, a, silent)
 	a.tried = append(a.tried, second.id)
+	a.reached = true // by the attempt without an answer
 	p.repeated = true
 	go ask(p, second)
 	return d.firstUsable(a, <-answers, answers)
@@ -90,7 +92,7 @@
 		return first
 	}
 	second := <-rest
-	a.recordVerdict(first.Verdict)
+	a.record(first)
 	return second
 }
 
--- a/dispatch/reroute_test.go
+++ b/dispatch/reroute_test.go
@@ -103,14 +103,37 @@
 	is.Equal(len(a.asked), 3)
 }
 
-// Guards against repeats that look like first attempts: only an attempt after one that may
-// have run is marked.
+// Guards against repeats that look like first attempts, so that the calls of their runs are not
+// counted as extra attempts: an attempt is marked after one that may have reached a backend
+// server, whether that ran it, declined it or lost it.
 func TestRepeatsAreMarked(t *testing.T) {
+	for name, arrived := range map[string]call.Reply{"lost": lostReply, "declined": declinedReply} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			marks := func(script ...call.Reply) (marked []bool) {
+				a := newScriptedNetwork(func(c *Config) { c.MaxReroutes = 3 }, script...)
+				is.Equal(a.d.Call(t.Context(), params(t, "safe", 2)).Status, 200)
+				for _, req := range a.sent {
+					marked = append(marked, req.Repeat)
+				}
+				return marked
+			}
+			is.Equal(marks(notOfferedReply, arrived, servedReply), []bool{false, false, true})
+			is.Equal(marks(arrived, notOfferedReply, servedReply), []bool{false, true, true})
+		})
+	}
+}
+
+// Guards against a repeat that looks like a first attempt since a node refused the hedge, while
+// the attempt before it has no answer yet.
+func TestAttemptAfterARefusedHedgeIsMarked(t *testing.T) {
 	is := is.New(t)
-	a := newScriptedNetwork(func(c *Config) { c.MaxReroutes = 3 }, notOfferedReply, lostReply, servedReply)
-	is.Equal(a.d.Call(t.Context(), params(t, "safe", 2)).Verdict, verdict.Ran)
-	is.Equal(len(a.sent), 3)
-	is.Equal([]bool{a.sent[0].Repeat, a.sent[1].Repeat, a.sent[2].Repeat}, []bool{false, false, true})
+	a := newAttempts(params(t, "safe", 2))
+	d := newScriptedNetwork(func(*Config) {}, servedReply).d
+	rest := make(chan call.Reply, 1)
+	rest <- notOfferedReply
+	is.Equal(d.firstUsable(&a, lostReply, rest).Reason, notOfferedReply.Reason)
+	is.True(a.reached)
 }
 
 // Guards against refusing a call of an admitted request by an admission level, which would
