dispatch, node, reach: nodes tell for whom they have extra attempts for a repeated run

Cause: an attempt that is repeated at a service which makes four calls takes five extra attempts, one there and four below, and was weighed as one. At stationlog more than half of the extra attempts went to calls of repeated runs, which would have been served as first attempts four times in ten.

Change: replies carry the lowest priority for which the callee's node has extra attempts for the calls that runs of this operation make; below it the caller's node makes no further attempt. The floor is twice that of the calls, since such a run needs an extra attempt for each call besides those for the calls that fail. What an operation calls is learned from runs that succeed, so operations without calls are repeated as before.

--- a/admission/levels.go
+++ b/admission/levels.go
@@ -69,6 +69,9 @@
 	l.forwarded = slices.Clone(services)
 }
 
+// Forwards reports whether Report forwards the levels of a service.
+func (l *Levels) Forwards(service string) bool { return slices.Contains(l.forwarded, service) }
+
 // RecordLevel records the level of a service as reported by one of its nodes.
 func (l *Levels) RecordLevel(now time.Time, name string, node wire.NodeID, level uint16) {
 	l.record(now, name, nodeReport{node: node, reporter: name, level: level, receivedAt: now})
--- a/call/message.go
+++ b/call/message.go
@@ -164,6 +164,9 @@
 	// Notice is the present notice of the replying node's backend server, if it is limited
 	// or leaving.
 	Notice Notice `cbor:"28,keyasint,omitzero"`
+	// RepeatFloor is the lowest priority for which the replying node has extra attempts for
+	// the calls that a run of this operation makes; zero if it has them for all.
+	RepeatFloor uint16 `cbor:"33,keyasint,omitempty"`
 	// RequestID is for the logs of the replying node.
 	RequestID string `cbor:"-"`
 	// ConnNumber is the ConnNumber of the answered call.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -148,6 +148,7 @@
 	budgets       *retry.Budgets
 	// budgetsReported is the state of the budgets at the last call of RetryUsage.
 	budgetsReported map[string]retry.BudgetState
+	repeatFloors    repeatFloors
 	notices         *notices
 	averageLatency  map[string]*averageLatency // by operationKey
 	random          *rand.Rand
@@ -195,6 +196,7 @@
 		levelGossip:    levelGossip,
 		routeHealth:    admission.NewRouteHealth(cfg.RouteHealth, cfg.Seed),
 		budgets:        retry.NewBudgets(cfg.Budget),
+		repeatFloors:   make(repeatFloors),
 		notices:        newNotices(),
 		averageLatency: make(map[string]*averageLatency),
 	}
--- a/dispatch/send.go
+++ b/dispatch/send.go
@@ -19,6 +19,7 @@
 	d.picked(p, to, took, reply)
 	d.recordLatency(p, took, reply)
 	d.receiveLevels(p, reply)
+	d.receiveRepeatFloor(p, reply)
 	d.receiveNotice(p, reply)
 	d.outages.answered(p.Operation.Service, p.Operation.Name, reply)
 	return reply
--- a/node/entry.go
+++ b/node/entry.go
@@ -175,12 +175,12 @@
 	p.ForRun = true
 	p.RunID = r.task.ID
 	p.Slots = n.server.slotsToShare()
-	n.server.countCall(time.Now(), r, 1)
+	n.server.startCall(time.Now(), r, p.Operation.Ref())
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
 		n.server.noteCallMayHaveRun(r)
 	}
 	n.server.addCall(r, p.Operation, out)
-	n.server.countCall(time.Now(), r, -1)
+	n.server.endCall(time.Now(), r)
 	return out
 }
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -56,11 +56,7 @@
 // TryTake reports whether an extra attempt may be made now, and takes it from the budget.
 // When attempts are scarce, those of low priority are rejected.
 func (b *Budget) TryTake(now time.Time, priority uint16) bool {
-	b.refill(now)
-	if b.window != nil {
-		b.refreshFromWindow(now)
-	}
-	if b.tokens < 1 || float64(priority) < b.priorityFloor.level {
+	if float64(priority) < b.floor(now) || b.tokens < 1 {
 		b.denied++
 		return false
 	}
@@ -69,6 +65,17 @@
 	return true
 }
 
+// Floor returns the lowest priority that gets an extra attempt now.
+func (b *Budget) Floor(now time.Time) uint16 { return uint16(b.floor(now)) }
+
+func (b *Budget) floor(now time.Time) float64 {
+	b.refill(now)
+	if b.window != nil {
+		b.refreshFromWindow(now)
+	}
+	return b.priorityFloor.level
+}
+
 // refreshFromWindow sets the available attempts and the priority floor from the window.
 // The smaller the available share, the higher the floor, so that the last attempts go to
 // the most important requests.
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -34,6 +34,16 @@
 	return budget
 }
 
+// Floor returns the lowest priority that gets an extra attempt for a call to a service now, zero
+// if the service was not called.
+func (b *Budgets) Floor(now time.Time, service string) uint16 {
+	budget, ok := b.byService[service]
+	if !ok {
+		return 0
+	}
+	return budget.Floor(now)
+}
+
 // SetNodes sets the number of nodes. Above Config.FullBurstNodes the burst of each node shrinks, so
 // that the sum over all nodes stays the same.
 func (b *Budgets) SetNodes(n int) {
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -81,6 +81,7 @@
 	reply.SlotTimeUsed = a.result.SlotTimeUsed
 	reply.DependencyLost = a.result.DependencyLost
 	reply.RanFor = a.result.Latency
+	reply.RepeatFloor = a.result.RepeatFloor
 	reply.KeySafeFor = a.safeFor(now)
 	return reply
 }
