dispatch, reach, admission: scarce extra attempts go to runs that need the fewest

Callers saw requests fail at the first of four calls after extra attempts had gone to others that needed several more. A call that is declined at the end of a run needs one further attempt, one at its beginning one for each declined call that follows.

Among requests of one importance the extra attempts go first to the runs that have most of their usual calls behind them.

--- a/node/entry.go
+++ b/node/entry.go
@@ -175,7 +175,7 @@
 	p.ForRun = true
 	p.RunID = r.task.ID
 	p.Slots = n.server.slotsToShare()
-	n.server.startCall(time.Now(), r, p.Operation.Ref())
+	p.CallsLeft = n.server.startCall(time.Now(), r, p.Operation.Ref())
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
 		n.server.noteCallMayHaveRun(r)
