retry, dispatch: calls of repeated runs stay within the extra attempts

Where repeats gather, at the few nodes of a deep service's callers, they exceed the node's part while others spend theirs.

With a window, a call of a repeated run is refused once it is exhausted, as not run and before it is sent. It fails its run, so floors that callees tell keep such runs from starting in the first place. A token bucket, the product's own setting, stays as it was.

--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -9,7 +9,8 @@
 )
 
 // admit records the call in the retry budget and refuses it, before any work is done, if a
-// service that it would reach doesn't admit it. It adds the admitted levels to p.AdmittedLevels.
+// service that it would reach doesn't admit it, or if it counts as an extra attempt and none is
+// left. It adds the admitted levels to p.AdmittedLevels.
 func (d *Dispatcher) admit(p *Params) *verdict.Error {
 	if err := d.refuseIfLost(p); err != nil {
 		return err
@@ -19,9 +20,11 @@
 	defer d.mu.Unlock()
 	d.counts.Calls++
 	switch budget := d.budgets.ForService(now, p.Operation.Service); {
-	case p.Repeat:
-		budget.Charge(now)
-	case !p.CallerResend:
+	case p.Repeat && !budget.Charge(now):
+		d.counts.OverBudget++
+		return verdict.Refuse(verdict.Shed, "no extra attempts left at %s for calls of repeated runs", p.Operation.Service).
+			WithRetryAfter(d.cfg.NoBackendRetryAfter)
+	case !p.Repeat && !p.CallerResend:
 		budget.RecordCall(now)
 	}
 	if d.cfg.NoAdmission || p.Admitted {
--- a/dispatch/repeat_floor_test.go
+++ b/dispatch/repeat_floor_test.go
@@ -10,6 +10,7 @@
 	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/verdict"
 )
 
 // Guards against extra attempts whose runs make calls for which no extra attempts are left: an
@@ -92,3 +93,19 @@
 		is.Equal(a.d.RepeatFloor(now, callee), uint16(0))
 	})
 }
+
+// Guards against a call of a repeated run that exceeds the extra attempts allowed: it is refused
+// before it is sent, as not run.
+func TestCallOfARepeatedRunNeedsAnExtraAttempt(t *testing.T) {
+	is := is.New(t)
+	a := newScriptedNetwork(func(c *Config) { c.Budget.Window, c.Budget.Burst = 10*time.Second, 1 }, servedReply)
+	p := params(t, "safe", 0)
+	p.ForRun, p.Admitted, p.Repeat = true, true, true
+	is.Equal(a.d.Call(t.Context(), p).Status, 200)
+	out := a.d.Call(t.Context(), p)
+	is.Equal(out.Verdict, verdict.NotRun)
+	is.True(out.RetryAfter > 0)
+	is.Equal(len(a.asked), 1)
+	p.Repeat = false
+	is.Equal(a.d.Call(t.Context(), p).Status, 200)
+}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -93,14 +93,20 @@
 	}
 }
 
-// Charge takes an extra attempt that must not be rejected: the first attempt of a call
-// that is repeated because its parent request is. It may make a token bucket negative,
-// down to -Burst, so that later attempts wait until it is refilled.
-func (b *Budget) Charge(now time.Time) {
-	b.refill(now)
+// Charge takes an extra attempt for the first attempt of a call that is repeated because its
+// parent request is, and reports whether the call may be made. Rejecting it wastes the work of
+// its run, so a token bucket never does; it becomes negative, down to -Burst, and later attempts
+// wait until it is refilled. A window rejects the call once it is exhausted.
+func (b *Budget) Charge(now time.Time) bool {
+	b.floor(now)
+	if b.window != nil && b.tokens < 1 {
+		b.denied++
+		return false
+	}
 	b.charged++
 	b.spend(now)
 	b.tokens = max(b.tokens, -b.cfg.Burst)
+	return true
 }
 
 // Dump returns the state of the budget.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -107,3 +107,23 @@
 	b.SetNodes(3500)
 	is.Equal(spend("c")+spend("d"), 0)
 }
+
+// Guards against more extra attempts than allowed where the calls of repeated runs gather at a few
+// nodes: with a window they are rejected, too, once it is exhausted.
+func TestChargesStayWithinTheWindow(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Window, cfg.Ratio, cfg.Burst = 10*time.Second, 0.2, 1
+	b := NewBudget(cfg, start)
+	for range 100 {
+		b.RecordCall(start)
+	}
+	charged := 0
+	for b.Charge(start) {
+		charged++
+	}
+	is.True(charged >= 20 && charged <= 21)
+	is.True(!b.TryTake(start, 1<<16-1))
+	is.Equal(b.Dump().Charged, uint64(charged))
+	is.True(b.Charge(start.Add(time.Minute)))
+}
