node: calls over the product's own interface count as repeats of their run

The same cause elsewhere: only calls forwarded by host and path were marked for a repeated run. Those over the product's own interface to backend servers were taken for first attempts, and earned extra ones. The mark is set where both meet. TestCallsOfARepeatedRunTakeExtraAttempts fails before (0 charged of 1).

--- a/node/calls_test.go
+++ b/node/calls_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -236,3 +237,32 @@
 	is.Equal(file.MustSend(t, "alertdesk", "issue", "refused").Verdict(), verdict.NotRun)
 	is.Equal(file.Backend.Runs("refused"), 0)
 }
+
+// Guards against calls that earn extra attempts instead of taking one: the run that makes them
+// follows an attempt that a backend server declined.
+func TestCallsOfARepeatedRunTakeExtraAttempts(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int32
+	declineOnce := func(ctx context.Context, w *testnode.Work) testnode.Answer {
+		if runs.Add(1) == 1 {
+			return testnode.Declined()
+		}
+		return proxyTo("stationlog", "history")(ctx, w)
+	}
+	c := startCluster(t, nil)
+	entry := c.Add("stationlog", testnode.Echo)
+	callers := []*testnode.Instance{c.Add("plumecast", declineOnce), c.Add("plumecast", declineOnce)}
+	c.AwaitReady()
+
+	a := entry.MustSend(t, "plumecast", "forecast", "smoke")
+
+	is.Equal(a.Verdict(), verdict.Ran)
+	is.Equal(runs.Load(), int32(2))
+	var charged, calls uint64
+	for _, n := range callers {
+		budget := n.Node.State().(node.State).Dispatch.Budgets["stationlog"]
+		charged, calls = charged+budget.Charged, calls+budget.Calls
+	}
+	is.Equal(charged, uint64(1))
+	is.Equal(calls, uint64(0))
+}
--- a/node/entry.go
+++ b/node/entry.go
@@ -173,6 +173,7 @@
 // goes on if the run ends.
 func (n *Node) callForRun(ctx context.Context, r *run, p dispatch.Params) call.Outcome {
 	p.ForRun = true
+	p.Repeat = r.task.Request.Repeat
 	p.RunID = r.task.ID
 	p.Slots = n.server.slotsToShare()
 	p.CallsLeft = n.server.startCall(time.Now(), r, p.Operation.Ref())
--- a/node/forward.go
+++ b/node/forward.go
@@ -153,7 +153,6 @@
 	p.AdmittedLevels = req.AdmittedLevels
 	p.Depth = req.Depth + 1
 	p.Admitted = true
-	p.Repeat = req.Repeat
 	if parent.task.Deadline.Before(p.Deadline) {
 		p.Deadline = parent.task.Deadline
 	}
