--- a/admission/priority.go
+++ b/admission/priority.go
@@ -33,12 +33,6 @@
 	return uint16(imp)<<HashBits | hash
 }
 
-// Raise moves a priority towards the highest one of its importance, by a share of the distance.
-func Raise(priority uint16, share float64) uint16 {
-	distance := hashMask - priority&hashMask
-	return priority + uint16(share*float64(distance))
-}
-
 // Importance returns the importance encoded in a priority.
 func Importance(priority uint16) importance.Importance {
 	return importance.Importance(priority >> HashBits)
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -252,9 +252,6 @@
 	// ForRun says that a running request makes the call, so that its failure wastes the
 	// work already done.
 	ForRun bool
-	// CallsLeft is the share of the run's usual calls to the operation that are still to be
-	// made, this one included; zero if no run makes the call.
-	CallsLeft float64
 	// RunID names the running request among those of this node, Slots is the number of slots
 	// that the node fills, zero if it starts no further runs. Both are for calls of a run.
 	RunID uint64
@@ -294,15 +291,6 @@
 	return admission.Priority(p.Importance, p.root())
 }
 
-// retryPriority returns the priority among extra attempts. Of requests of one importance those
-// come first whose run has most of its calls behind it: they need the fewest to succeed.
-func (p *Params) retryPriority() uint16 {
-	if p.CallsLeft == 0 {
-		return p.priority()
-	}
-	return admission.Raise(p.priority(), 1-p.CallsLeft)
-}
-
 // Call makes one call, including retries, and returns its final outcome.
 func (d *Dispatcher) Call(ctx context.Context, p Params) call.Outcome {
 	if err := d.admit(&p); err != nil {
--- a/dispatch/spend.go
+++ b/dispatch/spend.go
@@ -43,7 +43,7 @@
 	}
 	now := time.Now()
 	floor := d.repeatFloors.at(now, p.Operation.Ref())
-	if p.priority() < floor || !d.budgets.ForService(now, p.Operation.Service).TryTake(now, p.retryPriority()) {
+	if p.priority() < floor || !d.budgets.ForService(now, p.Operation.Service).TryTake(now, p.priority()) {
 		d.counts.OverBudget++
 		return false
 	}
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -194,14 +194,13 @@
 	defer stop()
 	n.mu.Lock()
 	r.callsMade[op.Ref()]++
-	left := n.usualCalls.LeftShare(r.class.Name, op.Ref(), r.callsMade[op.Ref()])
 	n.mu.Unlock()
 	id := n.simulation.nextID()
 	n.simulation.attempts.Sent(time.Now(), c.Service, id, r.extra)
 	out := n.dispatch.Call(ctx, dispatch.Params{
 		RequestID: id, Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, RunID: r.task.ID, Slots: n.slots(),
-		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, CallsLeft: left, Repeat: req.Repeat, Depth: req.Depth + 1,
+		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
 	n.used(r, c, out)
 	n.simulation.report.callEnded(c.Service, out)
--- a/node/entry.go
+++ b/node/entry.go
@@ -176,7 +176,7 @@
 	p.Repeat = r.task.Request.Repeat
 	p.RunID = r.task.ID
 	p.Slots = n.server.slotsToShare()
-	p.CallsLeft = n.server.startCall(time.Now(), r, p.Operation.Ref())
+	n.server.startCall(time.Now(), r, p.Operation.Ref())
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
 		n.server.noteCallMayHaveRun(r)
--- a/node/server.go
+++ b/node/server.go
@@ -213,9 +213,8 @@
 	return r, ok
 }
 
-// startCall records the start of a call made by a run. It returns the share of the run's usual
-// calls to the operation that are still to be made, this one included.
-func (s *server) startCall(now time.Time, r *run, op graph.Ref) (leftShare float64) {
+// startCall records the start of a call made by a run.
+func (s *server) startCall(now time.Time, r *run, op graph.Ref) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.callsMade == nil {
@@ -223,7 +222,6 @@
 	}
 	r.callsMade[op]++
 	s.countCall(now, r, 1)
-	return s.usualCalls.LeftShare(r.task.Request.Operation, op, r.callsMade[op])
 }
 
 // endCall records the end of a call made by a run.
--- a/reach/calls.go
+++ b/reach/calls.go
@@ -57,14 +57,3 @@
 func (c *Calls) Callees(operation string) []graph.Ref {
 	return slices.Collect(maps.Keys(c.byOperation[operation]))
 }
-
-// LeftShare returns the share of its calls to callee that a run of an operation still has to
-// make when it makes the n-th, which is included: from above 0 to 1, and 1 if nothing is known.
-func (c *Calls) LeftShare(operation string, callee graph.Ref, n int) float64 {
-	average := c.byOperation[operation][callee]
-	if average <= 1 {
-		return 1
-	}
-	left := max(average-float64(n)+1, 1)
-	return min(left/average, 1)
-}
--- a/reach/calls_test.go
+++ b/reach/calls_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"testing"
 
 	"github.com/matryer/is"
@@ -12,19 +11,6 @@
 
 var sync, fetch = graph.Ref{Service: "stations", Operation: "sync"}, graph.Ref{Service: "fields", Operation: "fetch"}
 
-func TestCallsLeftShrinkAsARunMakesThem(t *testing.T) {
-	is := is.New(t)
-	c := NewCalls()
-	is.Equal(c.LeftShare("read", sync, 1), 1.0) // unknown
-	c.Record("read", map[graph.Ref]int{sync: 4, fetch: 1})
-	is.Equal(len(c.Callees("read")), 2)
-	for n, want := range map[int]float64{1: 1, 2: 0.75, 4: 0.25, 5: 0.25, 100: 0.25} {
-		is.Equal(c.LeftShare("read", sync, n), want)
-	}
-	is.Equal(c.LeftShare("read", fetch, 1), 1.0)
-	is.Equal(c.LeftShare("other", sync, 4), 1.0)
-}
-
 // Guards against floors of an operation that is no longer called.
 func TestCallsFollowTheRuns(t *testing.T) {
 	is := is.New(t)
@@ -34,7 +20,6 @@
 		c.Record("read", map[graph.Ref]int{fetch: 2})
 	}
 	is.Equal(c.Callees("read"), []graph.Ref{fetch})
-	is.True(math.Abs(c.LeftShare("read", fetch, 2)-0.5) < 0.01)
 }
 
 // Guards against memory that grows with names that a backend server makes up.
