standin, soak: extra attempts are counted as promised

The stand-in's backend servers record what arrives, the soak what is sent; a run with more extra attempts than allowed breaks a promise now. TestTooManyExtraAttemptsAreFound.

--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -100,3 +100,11 @@
 	}
 	return promise, ""
 }
+
+// checkExtraAttempts checks that no service got more extra attempts than allowed.
+func checkExtraAttempts(j *standin.RunLog) []Broken {
+	if err := j.Attempts.Check(); err != nil {
+		return []Broken{{Promise: "extra attempts stay a small share of the requests", What: err.Error()}}
+	}
+	return nil
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -54,7 +54,7 @@
 			e.violations = append(e.violations, Broken{Promise: "a planned stop ends within its grace time", What: closeErr.Error()})
 		}
 		res.Broken = slices.Concat(e.violations, checkAnswers(e.record.all, e.journal),
-			checkRevokedKeys(e.record.all, e.journal, e.revoked), checkQuota(e.record.all, e.journal), checkCrashes(e.journal), checkNotices(e.journal, e.excuses))
+			checkRevokedKeys(e.record.all, e.journal, e.revoked), checkQuota(e.record.all, e.journal), checkCrashes(e.journal), checkExtraAttempts(e.journal), checkNotices(e.journal, e.excuses))
 		if err == nil && len(res.Broken) == 0 {
 			err = e.rig.RemoveLogs()
 		}
@@ -213,6 +213,14 @@
 // paths are the prefixes that clients request; the second must run at most once.
 var paths = []string{"/top/", "/once/", "/end/"}
 
+// serviceOf returns the service that requests with a prefix of paths go to.
+func serviceOf(prefix string) string {
+	if prefix == "/end/" {
+		return endService
+	}
+	return topService
+}
+
 // send sends one request and returns it with its answer. It uses POST, which net/http
 // doesn't send again by itself.
 func (c *client) send(ctx context.Context, with credential) exchange {
@@ -229,6 +237,7 @@
 	t := exchange{ID: strconv.FormatUint(c.rng.Uint64(), 36), Machine: c.host.Name, Path: prefix + strconv.Itoa(c.sent),
 		Idempotent: prefix != "/once/", Credential: with, Sent: time.Now()}
 	c.e.journal.RecordOrigin(t.ID, c.host.Name)
+	c.e.journal.Attempts.Sent(t.Sent, serviceOf(prefix), t.ID, false)
 	return t
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -95,6 +95,25 @@
 	is.Equal(len(checkQuota(append(all, exchange{ID: "more", Credential: credential{key: hotKey}}), j)), 1)
 }
 
+// Guards against a check of extra attempts that accepts everything.
+func TestTooManyExtraAttemptsAreFound(t *testing.T) {
+	is := is.New(t)
+	j := standin.NewRunLog()
+	now := time.Now()
+	for i := range 100 {
+		j.Attempts.Sent(now, endService, fmt.Sprint(i), false)
+	}
+	arrive := func(n int) {
+		for range n {
+			j.Attempts.Arrived(now, endService, "0")
+		}
+	}
+	arrive(1 + 69) // a fifth of 100 and the slack of 49
+	is.Equal(len(checkExtraAttempts(j)), 0)
+	arrive(1)
+	is.Equal(len(checkExtraAttempts(j)), 1)
+}
+
 // Guards against a request ID that is sent twice: the second sending would be taken for the origin
 // of what arrived before a backend server said that it leaves.
 func TestRequestIDsOfAwaitServingAreNotRepeated(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -180,7 +180,7 @@
 		cfg.ID = "i-" + h.Name // the incarnations on this machine share an ID
 	}
 	if h.Service == topService {
-		cfg.CallHost, cfg.CallPath = routeHost, "/end/c"
+		cfg.CallHost, cfg.CallPath, cfg.CallService = routeHost, "/end/c", endService
 	}
 	t, err := standin.StartTarget(cfg, e.journal)
 	if err == nil {
