retry, daemon: more of the allowed extra attempts are used

Since the count is right, the nodes aim at 0.9 of the rule instead of 0.68. Two things left much of even that unspent: - the priority floor rose with the first extra attempt of a window, so that requests of low priority found none while half were left. It rises below the last three tenths now.

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -84,9 +84,9 @@
 	// attempts.
 	budgetNodes = 16
 	// budgetShare is the share of the retry limit that the nodes use. The rest
-	// covers attempts that the platform counts in a different window, and the
-	// calls of repeated runs, which nodes can't refuse.
-	budgetShare = 0.68
+	// covers attempts that the platform counts in a different window, and calls
+	// that move between nodes, each of which has a window of its own.
+	budgetShare = 0.9
 	// revokeShare is the maximum age of a configuration that authorizes keys, as a
 	// share of the time within which a revoked key must be rejected.
 	revokeShare = 0.9
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -77,13 +77,14 @@
 }
 
 // refreshFromWindow sets the available attempts and the priority floor from the window.
-// The smaller the available share, the higher the floor, so that the last attempts go to
-// the most important requests.
+// Below Config.ScarceShare the floor rises as fewer are available, so that the last attempts go
+// to the most important requests.
 func (b *Budget) refreshFromWindow(now time.Time) {
 	b.window.now(now)
 	remaining, total := b.window.available(b.cfg.Ratio, b.cfg.Burst)
 	b.tokens = remaining
-	b.priorityFloor.level = math.MaxUint16 * (1 - min(1, max(0, remaining)/max(total, 1)))
+	scarce := max(b.cfg.ScarceShare*total, 1)
+	b.priorityFloor.level = math.MaxUint16 * (1 - min(1, max(0, remaining)/scarce))
 }
 
 func (b *Budget) spend(now time.Time) {
@@ -96,10 +97,11 @@
 // Charge takes an extra attempt for the first attempt of a call that is repeated because its
 // parent request is, and reports whether the call may be made. Rejecting it wastes the work of
 // its run, so a token bucket never does; it becomes negative, down to -Burst, and later attempts
-// wait until it is refilled. A window rejects the call once it is exhausted.
+// wait until it is refilled. A window rejects the call once Config.ChargeFactor times its extra
+// attempts are spent.
 func (b *Budget) Charge(now time.Time) bool {
-	b.floor(now)
-	if b.window != nil && b.tokens < 1 {
+	b.refill(now)
+	if b.window != nil && b.chargeable(now) < 1 {
 		b.denied++
 		return false
 	}
@@ -109,6 +111,13 @@
 	return true
 }
 
+// chargeable returns how many calls can be charged to the window.
+func (b *Budget) chargeable(now time.Time) float64 {
+	b.window.now(now)
+	remaining, _ := b.window.available(b.cfg.Ratio*b.cfg.ChargeFactor, b.cfg.Burst*b.cfg.ChargeFactor)
+	return remaining
+}
+
 // Dump returns the state of the budget.
 func (b *Budget) Dump() BudgetState {
 	return BudgetState{
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -44,6 +44,12 @@
 	// attempts earned by the calls of the last Window can be spent at any time in it,
 	// plus Burst. A bucket would discard those beyond Burst.
 	Window time.Duration
+	// ScarceShare is the share of a window's extra attempts below which those of low priority
+	// are rejected. The rest goes to any request.
+	ScarceShare float64
+	// ChargeFactor is how many times the extra attempts of a window may be spent before calls of
+	// repeated runs are rejected, too. Rejecting them wastes the work of their runs.
+	ChargeFactor float64
 	// MaxServiceBudgets is the maximum number of services with their own budget; the others share
 	// one.
 	MaxServiceBudgets int
@@ -58,7 +64,7 @@
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	return Config{
-		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1, MaxServiceBudgets: 1024,
+		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1, ScarceShare: 0.3, ChargeFactor: 1.08, MaxServiceBudgets: 1024,
 		MaxRequests: 16384, RequestMemory: time.Minute,
 	}
 }
@@ -74,6 +80,12 @@
 	if c.MinPerSecond < 0 {
 		return fmt.Errorf("retry minimum per second %v: want 0 or more", c.MinPerSecond)
 	}
+	if c.ScarceShare < 0 || c.ScarceShare > 1 {
+		return fmt.Errorf("retry scarce share %v: want 0 to 1", c.ScarceShare)
+	}
+	if c.ChargeFactor < 1 {
+		return fmt.Errorf("retry charge factor %v: want 1 or more", c.ChargeFactor)
+	}
 	if c.MaxRequests < 1 || c.RequestMemory < 0 {
 		return fmt.Errorf("retry memory of %d requests for %v: want 1 or more and no negative time",
 			c.MaxRequests, c.RequestMemory)
