--- a/dispatch/repeat_floor.go
+++ b/dispatch/repeat_floor.go
@@ -14,8 +14,7 @@
 // a caller's node makes no further attempt below it.
 
 const (
-	// floorWeight is the inverse weight of a reply in the average of the floors of a callee's
-	// nodes.
+	// floorWeight is the inverse weight of a reply in the average of an operation's floors.
 	floorWeight = 8
 	// floorTTL is the time after which a floor no longer counts: without replies nothing can
 	// lower it.
--- a/reach/calls.go
+++ b/reach/calls.go
@@ -13,13 +13,14 @@
 	// maxOperations limits the operations, maxCallees the operations that each calls.
 	maxOperations = 4096
 	maxCallees    = 64
-	// minCalls is the average below which an operation is no longer called.
+	// minCalls is the average below which an operation is forgotten.
 	minCalls = 0.01
 )
 
-// Calls learns how often the runs of each operation call other operations. It is not safe for
-// concurrent use.
+// Calls learns which operations the runs of each operation call. One that the latest runs no longer
+// called is forgotten. It is not safe for concurrent use.
 type Calls struct {
+	// byOperation holds the mean number of calls of a run, by its operation and the one called.
 	byOperation map[string]map[graph.Ref]float64
 }
 
