--- a/dispatch/admit.go
+++ b/dispatch/admit.go
@@ -19,13 +19,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.counts.Calls++
-	switch budget := d.budgets.ForService(now, p.Operation.Service); {
-	case p.Repeat && !budget.Charge(now):
-		d.counts.OverBudget++
-		return verdict.Refuse(verdict.Shed, "no extra attempts left at %s for calls of repeated runs", p.Operation.Service).
-			WithRetryAfter(d.cfg.NoBackendRetryAfter)
-	case !p.Repeat && !p.CallerResend:
-		budget.RecordCall(now)
+	if err := d.recordInBudget(now, p); err != nil {
+		return err
 	}
 	if d.cfg.NoAdmission || p.Admitted {
 		return nil
@@ -39,6 +34,24 @@
 	return verdict.Refuse(verdict.Shed, "%s does not admit priority %d", entry.BlockedBy, p.priority()).WithRetryAfter(entry.RetryAfter)
 }
 
+// recordInBudget records the first attempt of a call in the retry budget. It refuses a call of a
+// repeated run if no extra attempt is left for it. d.mu must be held.
+func (d *Dispatcher) recordInBudget(now time.Time, p *Params) *verdict.Error {
+	budget := d.budgets.ForService(now, p.Operation.Service)
+	if !p.Repeat {
+		if !p.CallerResend {
+			budget.RecordCall(now)
+		}
+		return nil
+	}
+	if budget.Charge(now) {
+		return nil
+	}
+	d.counts.OverBudget++
+	err := verdict.Refuse(verdict.Shed, "no extra attempts left at %s for calls of repeated runs", p.Operation.Service)
+	return err.WithRetryAfter(d.cfg.NoBackendRetryAfter)
+}
+
 // refuseIfLost refuses a request whose service is lost. A call of a run waits instead, and a
 // request whose key names a node asks that node.
 func (d *Dispatcher) refuseIfLost(p *Params) *verdict.Error {
