--- a/dispatch/spend.go
+++ b/dispatch/spend.go
@@ -28,8 +28,9 @@
 }
 
 // takeRetry takes an extra attempt at a target from the ledger and the budget, and returns
-// false if there is none, or none for the calls of its run. With Config.MaxReoffers, another attempt at a node that was already
-// tried takes one from the budget alone, since the request reaches no further node.
+// false if there is none, or none for the calls of its run. With Config.MaxReoffers, another
+// attempt at a node that was already tried takes one from the budget alone, since the request
+// reaches no further node.
 func (d *Dispatcher) takeRetry(p Params, a *attempts, to target, hopAttemptsLeft *int) bool {
 	if d.cfg.HopAttempts > 0 {
 		*hopAttemptsLeft--
--- a/internal/retrybound/retrybound.go
+++ b/internal/retrybound/retrybound.go
@@ -7,6 +7,7 @@
 package retrybound
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"sort"
@@ -116,12 +117,7 @@
 		u.Service = name
 		out = append(out, u)
 	}
-	slices.SortFunc(out, func(a, b Use) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Use) int { return cmp.Compare(a.Service, b.Service) })
 	return out
 }
 
