serve, outage, node: what runs call is learned in one place

reach.Calls and run.callsMade learned which operations the runs of an operation call. outage.Needs had learned the same already, from the calls that results report, and serve holds it. It names them now (Called), and serve asks its Dependencies for the repeat floor when it answers; node, replay and serve.Result lose their copies, and startCall and endCall are countCall again. The stored answer of a key is built once.

The same operations are named; one that is no longer called is forgotten after some 300 successful runs instead of some 90, when its floor has long been zero. New: TestAnswersTellTheRepeatFloor, TestCalledOperationsFollowTheRuns. The tests of reach.Calls went with it: what they asked for, that calls follow the runs and memory is bounded, is asked of outage.Needs.

--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -278,6 +278,11 @@
 	return p.Operation.Reach()
 }
 
+// target returns the operation that is called.
+func (p *Params) target() outage.Target {
+	return outage.Target{Service: p.Operation.Service, Operation: p.Operation.Name}
+}
+
 // root returns the id of the entering request. It sets the priority of all its calls.
 func (p *Params) root() string {
 	if p.RootRequestID != "" {
@@ -317,8 +322,7 @@
 	}
 	out := d.attempt(ctx, p)
 	if p.FromCaller && out.Reason == verdict.DependencyLost {
-		lost := outage.Target{Service: p.Operation.Service, Operation: p.Operation.Name}
-		out.RetryAfter = max(out.RetryAfter, d.outages.retryAfter(lost, p.CallerDeadline))
+		out.RetryAfter = max(out.RetryAfter, d.outages.retryAfter(p.target(), p.CallerDeadline))
 	}
 	d.recordOutcome(p, out)
 	return out
--- a/dispatch/repeat_floor.go
+++ b/dispatch/repeat_floor.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/graph"
+	"github.com/cassialoom/cassialoom/outage"
 )
 
 // An attempt at one service may need many at the services below: the calls of a run that is an
@@ -40,9 +40,9 @@
 }
 
 // repeatFloors holds the floors by operation. It is not safe for concurrent use.
-type repeatFloors map[graph.Ref]*repeatFloor
+type repeatFloors map[outage.Target]*repeatFloor
 
-func (f repeatFloors) record(now time.Time, op graph.Ref, level uint16) {
+func (f repeatFloors) record(now time.Time, op outage.Target, level uint16) {
 	known, ok := f[op]
 	if !ok {
 		if level == 0 || len(f) >= maxAverages {
@@ -54,7 +54,7 @@
 	known.record(now, level)
 }
 
-func (f repeatFloors) at(now time.Time, op graph.Ref) uint16 {
+func (f repeatFloors) at(now time.Time, op outage.Target) uint16 {
 	known, ok := f[op]
 	if !ok {
 		return 0
@@ -69,7 +69,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.repeatFloors.record(time.Now(), p.Operation.Ref(), r.RepeatFloor)
+	d.repeatFloors.record(time.Now(), p.target(), r.RepeatFloor)
 }
 
 // repeatedRunFloor returns the floor for a run that is an extra attempt, given that of its calls.
@@ -79,7 +79,7 @@
 // RepeatFloor returns the lowest priority for which this node has extra attempts for a run that
 // makes the given calls. Services that call back to this node's service don't count, since nodes
 // would keep up each other's floors.
-func (d *Dispatcher) RepeatFloor(now time.Time, calls []graph.Ref) uint16 {
+func (d *Dispatcher) RepeatFloor(now time.Time, calls []outage.Target) uint16 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	floor := uint16(0)
--- a/dispatch/repeat_floor_test.go
+++ b/dispatch/repeat_floor_test.go
@@ -8,8 +8,8 @@
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/call"
-	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/importance"
+	"github.com/cassialoom/cassialoom/outage"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -58,7 +58,7 @@
 	is := is.New(t)
 	f := make(repeatFloors)
 	start := time.Now()
-	op := graph.Ref{Service: "s", Operation: "safe"}
+	op := outage.Target{Service: "s", Operation: "safe"}
 	f.record(start, op, 0x8000)
 	is.True(f.at(start, op) > 0)
 	is.Equal(f.at(start.Add(2*floorTTL), op), uint16(0))
@@ -77,7 +77,7 @@
 			c.Budget.Window, c.Budget.Burst = 10*time.Second, 0
 		}, servedReply)
 		p := params(t, "safe", 0)
-		callee := []graph.Ref{p.Operation.Ref()}
+		callee := []outage.Target{p.target()}
 		is.Equal(a.d.RepeatFloor(time.Now(), callee), uint16(0))
 		a.d.SetForwarded([]string{"s"})
 		now := time.Now()
--- a/dispatch/spend.go
+++ b/dispatch/spend.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	now := time.Now()
-	floor := d.repeatFloors.at(now, p.Operation.Ref())
+	floor := d.repeatFloors.at(now, p.target())
 	if p.priority() < floor || !d.budgets.ForService(now, p.Operation.Service).TryTake(now, p.priority()) {
 		d.counts.OverBudget++
 		return false
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -40,7 +40,6 @@
 	// entryReach holds the services that requests entering here reach; callReach
 	// holds those that the backend server's own calls reach.
 	entryReach, callReach *reach.Tracker
-	usualCalls            *reach.Calls
 }
 
 // run is one task at the backend server.
@@ -56,7 +55,6 @@
 	dependencyLost bool
 	used           []call.SlotTime
 	targets        []outage.Call
-	callsMade      map[graph.Ref]int
 }
 
 // minimalExplain limits the records of decisions, which nothing reads here.
@@ -69,7 +67,6 @@
 		running:    make(map[uint64]*run),
 		entryReach: reach.New(reach.DefaultConfig()),
 		callReach:  reach.New(reach.DefaultConfig()),
-		usualCalls: reach.NewCalls(),
 	}
 	dc := sim.policy.Dispatch
 	dc.Self, dc.Seed, dc.DataCentre = id, sim.nextSeed(), centre
@@ -192,9 +189,6 @@
 	deadline = n.simulation.schedule.deadline(deadline)
 	ctx, stop := n.simulation.schedule.followed(r.ctx)
 	defer stop()
-	n.mu.Lock()
-	r.callsMade[op.Ref()]++
-	n.mu.Unlock()
 	id := n.simulation.nextID()
 	n.simulation.attempts.Sent(time.Now(), c.Service, id, r.extra)
 	out := n.dispatch.Call(ctx, dispatch.Params{
@@ -253,7 +247,7 @@
 	}
 	var started []*run
 	for _, t := range e.Start {
-		r := &run{task: t, class: n.simulation.classes[t.Request.Operation], callsMade: make(map[graph.Ref]int)}
+		r := &run{task: t, class: n.simulation.classes[t.Request.Operation]}
 		r.ctx, r.stop = context.WithDeadline(context.Background(), n.simulation.schedule.deadline(t.Deadline))
 		n.running[t.ID] = r
 		started = append(started, r)
@@ -306,12 +300,7 @@
 	result.Calls = r.targets
 	result.CallsFailed = r.callsFailed
 	result.DependencyLost = r.dependencyLost
-	if result.Status == statusOK {
-		n.usualCalls.Record(r.class.Name, r.callsMade)
-	}
-	callees := n.usualCalls.Callees(r.class.Name)
 	n.mu.Unlock()
-	result.RepeatFloor = n.dispatch.RepeatFloor(time.Now(), callees)
 	n.apply(func(now time.Time, s *serve.Server) serve.Effects { return s.Done(now, r.task.ID, result) })
 }
 
--- a/node/entry.go
+++ b/node/entry.go
@@ -176,12 +176,12 @@
 	p.Repeat = r.task.Request.Repeat
 	p.RunID = r.task.ID
 	p.Slots = n.server.slotsToShare()
-	n.server.startCall(time.Now(), r, p.Operation.Ref())
+	n.server.countCall(time.Now(), r, 1)
 	out := n.dispatch.Call(ctx, p)
 	if out.Verdict != verdict.NotRun {
 		n.server.noteCallMayHaveRun(r)
 	}
 	n.server.addCall(r, p.Operation, out)
-	n.server.endCall(time.Now(), r)
+	n.server.countCall(time.Now(), r, -1)
 	return out
 }
--- a/node/run.go
+++ b/node/run.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/cassialoom/cassialoom/backend"
@@ -120,8 +119,6 @@
 		UnusedGrant:    n.dispatch.CloseLedger(r.ledger),
 	}
 	n.server.addCallResults(r, &result)
-	callees := n.server.learnCalls(r, result.Verdict == verdict.Ran && result.Status < http.StatusInternalServerError)
-	result.RepeatFloor = n.dispatch.RepeatFloor(time.Now(), callees)
 	result.LimitUnreadable = res.Notice.Limit == backend.UnreadableLimit
 	// If a call made for the task may have run, the request as a whole may have
 	// run, even if the backend server declined the task itself.
--- a/node/server.go
+++ b/node/server.go
@@ -12,7 +12,6 @@
 	"github.com/cassialoom/cassialoom/graph"
 	"github.com/cassialoom/cassialoom/once"
 	"github.com/cassialoom/cassialoom/outage"
-	"github.com/cassialoom/cassialoom/reach"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
@@ -30,8 +29,6 @@
 	byToken map[string]*run
 	// byRequest finds a run by its request id, which the backend server knows.
 	byRequest map[string]*run
-	// usualCalls is what runs of each operation call.
-	usualCalls *reach.Calls
 
 	// taskWaiting receives a value when a task begins to wait and none waited before.
 	taskWaiting chan struct{}
@@ -63,8 +60,6 @@
 	callUse []call.SlotTime
 	// targets tells for each target that the task has called whether a call succeeded.
 	targets []outage.Call
-	// callsMade counts the calls that the task has made, by operation.
-	callsMade map[graph.Ref]int
 }
 
 func newServer(s *serve.Server) *server {
@@ -74,7 +69,6 @@
 		taskWaiting: make(chan struct{}, 1),
 		byToken:     make(map[string]*run),
 		byRequest:   make(map[string]*run),
-		usualCalls:  reach.NewCalls(),
 		mints:       make(map[uint64]pendingMint),
 	}
 }
@@ -213,42 +207,14 @@
 	return r, ok
 }
 
-// startCall records the start of a call made by a run.
-func (s *server) startCall(now time.Time, r *run, op graph.Ref) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r.callsMade == nil {
-		r.callsMade = make(map[graph.Ref]int)
-	}
-	r.callsMade[op]++
-	s.countCall(now, r, 1)
-}
-
-// endCall records the end of a call made by a run.
-func (s *server) endCall(now time.Time, r *run) {
+// countCall records the start (change 1) or end (change -1) of a call made by a run.
+func (s *server) countCall(now time.Time, r *run, change int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.countCall(now, r, -1)
-}
-
-// countCall changes the number of calls in flight of a run. The caller holds the lock.
-func (s *server) countCall(now time.Time, r *run, change int) {
 	r.calls += change
 	s.serve.OutgoingCallsChanged(now, r.task.ID, change)
 }
 
-// learnCalls records the calls of a run that has succeeded, and returns the operations that runs
-// like this one call.
-func (s *server) learnCalls(r *run, succeeded bool) []graph.Ref {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	operation := r.task.Request.Operation
-	if succeeded {
-		s.usualCalls.Record(operation, r.callsMade)
-	}
-	return s.usualCalls.Callees(operation)
-}
-
 // noteCallMayHaveRun records that a call made by a run may have run.
 func (s *server) noteCallMayHaveRun(r *run) {
 	s.mu.Lock()
--- a/outage/needs.go
+++ b/outage/needs.go
@@ -28,6 +28,8 @@
 	// MinShare is the least share of successful runs that make a call for the call to be
 	// needed. A refusal of the rest would be wrong.
 	MinShare float64
+	// MinCalledShare is the share below which a call is no longer made.
+	MinCalledShare float64
 	// Weight is the inverse weight of a new run in the share.
 	Weight int
 	// ToleratedTTL is how long a call is not needed after a run has succeeded without it.
@@ -39,12 +41,13 @@
 // DefaultNeedsConfig returns the settings of a node.
 func DefaultNeedsConfig() NeedsConfig {
 	return NeedsConfig{
-		MinRuns:      8,
-		MinShare:     0.97,
-		Weight:       64,
-		ToleratedTTL: time.Minute,
-		Operations:   4096, // as many routes as reach.Tracker knows
-		Calls:        64,
+		MinRuns:        8,
+		MinShare:       0.97,
+		MinCalledShare: 0.01,
+		Weight:         64,
+		ToleratedTTL:   time.Minute,
+		Operations:     4096, // as many routes as reach.Tracker knows
+		Calls:          64,
 	}
 }
 
@@ -116,6 +119,21 @@
 	}
 }
 
+// Called returns the targets that recent successful runs of the operation have called.
+func (n *Needs) Called(name string) []Target {
+	o := n.operations[name]
+	if o == nil {
+		return nil
+	}
+	var called []Target
+	for _, k := range o.calls {
+		if k.share >= n.cfg.MinCalledShare {
+			called = append(called, k.target)
+		}
+	}
+	return called
+}
+
 // Of returns the targets that a run of the operation needs.
 func (n *Needs) Of(now time.Time, name string) []Target {
 	o := n.operations[name]
--- a/outage/needs_test.go
+++ b/outage/needs_test.go
@@ -64,3 +64,17 @@
 	is.Equal(len(n.operations), 2)
 	is.Equal(len(n.operations["a"].calls), 2)
 }
+
+// Guards against a node that tells nobody about scarce extra attempts for calls that only some
+// runs make, or tells of calls that are no longer made.
+func TestCalledOperationsFollowTheRuns(t *testing.T) {
+	is := is.New(t)
+	n := NewNeeds(DefaultNeedsConfig())
+	is.Equal(len(n.Called("op")), 0)
+	recordRuns(n, 1, Call{Target: read, Succeeded: true})
+	is.Equal(n.Called("op"), []Target{read})
+	recordRuns(n, 9, Call{Target: note, Succeeded: true})
+	is.Equal(n.Called("op"), []Target{read, note})
+	recordRuns(n, 400, Call{Target: note, Succeeded: true})
+	is.Equal(n.Called("op"), []Target{note})
+}
--- a/serve/dependencies.go
+++ b/serve/dependencies.go
@@ -8,14 +8,18 @@
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
-// Dependencies tells whether the calls that a run is going to make can be sent.
+// Dependencies tells what becomes of the calls that a run is going to make.
 type Dependencies interface {
 	// RefuseFor returns the refusal of a request whose run needs the operations, nil if they
 	// can be reached or waited for.
 	RefuseFor(needed []outage.Target, r outage.Request) *verdict.Error
+	// RepeatFloor returns the lowest priority for which there are extra attempts for a run
+	// that makes the calls.
+	RepeatFloor(now time.Time, calls []outage.Target) uint16
 }
 
-// SetDependencies sets what tells of lost services. Without it nothing is lost.
+// SetDependencies sets what tells of calls. Without it nothing is lost, and nothing lacks extra
+// attempts.
 func (s *Server) SetDependencies(d Dependencies) { s.dependencies = d }
 
 // checkDependencies returns, and counts, the refusal of a task that can't succeed because a service that it
@@ -42,6 +46,15 @@
 	return err
 }
 
+// repeatFloor returns the lowest priority for which there are extra attempts for a run of an
+// operation.
+func (s *Server) repeatFloor(now time.Time, operation string) uint16 {
+	if s.dependencies == nil {
+		return 0
+	}
+	return s.dependencies.RepeatFloor(now, s.needs.Called(operation))
+}
+
 // SlotsToShare returns the number of slots that the node fills, zero if it starts no further
 // runs.
 func (s *Server) SlotsToShare() int {
--- a/serve/dependencies_test.go
+++ b/serve/dependencies_test.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -16,7 +17,11 @@
 var deepRead = outage.Target{Service: "deep", Operation: "read"}
 
 // lossOf refuses requests that need a target while it is set.
-type lossOf struct{ target outage.Target }
+type lossOf struct {
+	target outage.Target
+	// repeatFloor is that of runs that call deepRead.
+	repeatFloor uint16
+}
 
 func (l *lossOf) RefuseFor(targets []outage.Target, _ outage.Request) *verdict.Error {
 	for _, target := range targets {
@@ -27,6 +32,13 @@
 	return nil
 }
 
+func (l *lossOf) RepeatFloor(_ time.Time, calls []outage.Target) uint16 {
+	if slices.Contains(calls, deepRead) {
+		return l.repeatFloor
+	}
+	return 0
+}
+
 // newDependentCallee returns a callee with one slot whose requests are known to call deepRead.
 func newDependentCallee() (*callee, *lossOf) {
 	c, loss := newCallee(1), &lossOf{}
@@ -99,3 +111,15 @@
 	loss.target = deepRead
 	is.Equal(len(c.arrive(importance.Normal, time.Minute).Start), 0)
 }
+
+// Guards against callers that repeat attempts for whose calls this node lacks extra attempts: the
+// answer of a backend server tells them, also if it declined the request before any call.
+func TestAnswersTellTheRepeatFloor(t *testing.T) {
+	is := is.New(t)
+	c, loss := newDependentCallee()
+	loss.repeatFloor = 0x8000
+	for _, r := range []Result{{Verdict: verdict.Ran, Status: 200}, {Verdict: verdict.NotRun, Reason: verdict.Shed, ReachedBackend: true}} {
+		e := c.finish(c.arrive(importance.Normal, time.Minute), r)
+		is.Equal(e.Replies[0].RepeatFloor, uint16(0x8000))
+	}
+}
--- a/serve/key.go
+++ b/serve/key.go
@@ -14,6 +14,9 @@
 	// heldUntil is the time until which a resend with the key is safe; zero
 	// without a key.
 	heldUntil time.Time
+	// repeatFloor is the lowest priority for which there are extra attempts for a run of the
+	// operation.
+	repeatFloor uint16
 }
 
 // safeFor returns how long after now a resend with the key is safe.
@@ -145,16 +148,16 @@
 	}
 }
 
-func (s *Server) finishKey(now time.Time, t *Task, r Result) (joined []recipient) {
+func (s *Server) finishKey(now time.Time, t *Task, a answer) (joined []recipient) {
 	if t.Request.Key == "" {
 		return nil
 	}
 	// The backend server declined the task without running it: the key is free
 	// again.
-	if r.Verdict == verdict.NotRun {
+	if a.result.Verdict == verdict.NotRun {
 		return s.keys.Abandon(t.Request.Key)
 	}
-	return s.keys.Finish(now, t.Request.Key, answer{result: r, heldUntil: t.heldUntil}, r.Verdict)
+	return s.keys.Finish(now, t.Request.Key, a, a.result.Verdict)
 }
 
 func (s *Server) abandonKey(t *Task) (joined []recipient) {
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -23,9 +23,9 @@
 // finish answers all attempts that wait for a task that was handed to the
 // backend server.
 func (s *Server) finish(now time.Time, t *Task, r Result, e *Effects) {
-	joined := s.finishKey(now, t, r)
+	a := answer{result: r, heldUntil: t.heldUntil, repeatFloor: s.repeatFloor(now, t.Request.Operation)}
+	joined := s.finishKey(now, t, a)
 	s.removeTask(t)
-	a := answer{result: r, heldUntil: t.heldUntil}
 	for _, w := range joined {
 		s.reply(e, s.resultReply(now, w, a))
 	}
@@ -81,7 +81,7 @@
 	reply.SlotTimeUsed = a.result.SlotTimeUsed
 	reply.DependencyLost = a.result.DependencyLost
 	reply.RanFor = a.result.Latency
-	reply.RepeatFloor = a.result.RepeatFloor
+	reply.RepeatFloor = a.repeatFloor
 	reply.KeySafeFor = a.safeFor(now)
 	return reply
 }
--- a/serve/task.go
+++ b/serve/task.go
@@ -114,9 +114,6 @@
 	SlotTimeUsed []call.SlotTime
 	// UnusedGrant is the unused part of the request's grant of extra attempts.
 	UnusedGrant uint32
-	// RepeatFloor is the lowest priority for which there are extra attempts for the calls of a
-	// run like this one.
-	RepeatFloor uint16
 }
 
 // DirectNotices lists notices that one other node of the service must receive before a
