retry, dispatch, replay: one dump for the usage, one record of extra attempts

RetryUsage dumped all budgets twice: UsageBetween takes the two dumps that the dispatcher has anyway, and has a test now. The replay's simulation and its report held the same record; its phases set shares of one backend server in two places.

--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -65,7 +65,7 @@
 func (d *Dispatcher) RetryUsage() []retry.Usage {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	usage := d.budgets.UsageSince(d.budgetsReported)
+	earlier := d.budgetsReported
 	d.budgetsReported = d.budgets.Dump()
-	return usage
+	return retry.UsageBetween(earlier, d.budgetsReported)
 }
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -144,7 +144,7 @@
 
 // enter handles a request of a caller.
 func (n *node) enter(ctx context.Context, c *Class, id string, deadline time.Time) call.Outcome {
-	n.simulation.attempts.Sent(time.Now(), c.Service, id, false)
+	n.simulation.report.ExtraAttempts.Sent(time.Now(), c.Service, id, false)
 	op := n.simulation.operations[c]
 	remaining := time.Until(deadline)
 	if c.Timeout > 0 {
@@ -190,7 +190,7 @@
 	ctx, stop := n.simulation.schedule.followed(r.ctx)
 	defer stop()
 	id := n.simulation.nextID()
-	n.simulation.attempts.Sent(time.Now(), c.Service, id, r.extra)
+	n.simulation.report.ExtraAttempts.Sent(time.Now(), c.Service, id, r.extra)
 	out := n.dispatch.Call(ctx, dispatch.Params{
 		RequestID: id, Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, RunID: r.task.ID, Slots: n.slots(),
@@ -287,7 +287,7 @@
 	defer r.stop()
 	started := time.Now()
 	n.backend.recordArrival()
-	r.extra = n.simulation.attempts.Arrived(started, n.service.Name, r.task.Request.RequestID)
+	r.extra = n.simulation.report.ExtraAttempts.Arrived(started, n.service.Name, r.task.Request.RequestID)
 	result := n.work(r)
 	if result.Verdict != verdict.MayHaveRun {
 		result.Limit = n.backend.nameLimit()
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -90,7 +90,7 @@
 )
 
 func newReport(scenario *Scenario, policy string) *Report {
-	r := &Report{Policy: policy, scenario: scenario, start: time.Now(), slotTimeByRequest: make(map[string]time.Duration),
+	r := &Report{Policy: policy, ExtraAttempts: retrybound.New(retryBounds), scenario: scenario, start: time.Now(), slotTimeByRequest: make(map[string]time.Duration),
 		failures: make(map[failure]int), calls: make(map[string]int)}
 	var whole time.Duration
 	for _, p := range scenario.Phases {
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -10,7 +10,6 @@
 
 	"github.com/cassialoom/cassialoom/dispatch"
 	"github.com/cassialoom/cassialoom/graph"
-	"github.com/cassialoom/cassialoom/internal/retrybound"
 	production "github.com/cassialoom/cassialoom/node"
 	"github.com/cassialoom/cassialoom/serve"
 	"github.com/cassialoom/cassialoom/wire"
@@ -31,7 +30,6 @@
 	operations map[*Class]*graph.Operation
 	report     *Report
 	schedule   *schedule
-	attempts   *retrybound.Record
 	callers    sync.WaitGroup
 	conditions atomic.Pointer[conditions]
 }
@@ -64,7 +62,6 @@
 		classes:    make(map[string]*Class),
 		operations: make(map[*Class]*graph.Operation),
 		schedule:   newSchedule(),
-		attempts:   retrybound.New(retryBounds),
 	}
 	sim.report = newReport(&scenario, policy.Name)
 	for _, c := range scenario.Deployment.Classes {
@@ -91,7 +88,6 @@
 	sim.report.computeRecovery()
 	sim.report.MaxRelativeLoad = sim.maxRelativeLoad()
 	sim.reportRateLimits()
-	sim.report.ExtraAttempts = sim.attempts
 	return sim.report
 }
 
@@ -240,7 +236,7 @@
 	index := 0
 	for _, n := range sim.nodeList {
 		n.backend.update(func(b *backend) {
-			b.rejectShare, b.silentShare = p.Rejecting[n.service.Name], p.Silent[n.service.Name]
+			b.rejectShare, b.silentShare, b.errorShare = p.Rejecting[n.service.Name], p.Silent[n.service.Name], 0
 		})
 		if n.service.Name != sim.deployment.Bottleneck {
 			continue
@@ -250,14 +246,12 @@
 			slowFactor = p.SlowFactor
 		}
 		stopped := index < p.LostServers
-		silentShare, errorShare := p.Silent[n.service.Name], 0.0
-		if index < p.FaultyServers {
-			silentShare, errorShare = p.SilentShare, p.ErrorShare
-		}
 		n.backend.update(func(b *backend) {
 			b.slowFactor, b.stopped = slowFactor, stopped
 			b.rejectShare = max(b.rejectShare, p.RejectShare)
-			b.silentShare, b.errorShare = silentShare, errorShare
+			if index < p.FaultyServers {
+				b.silentShare, b.errorShare = p.SilentShare, p.ErrorShare
+			}
 		})
 		if stopped {
 			sim.members.remove(n.service.Name, n.id)
--- a/retry/budgets.go
+++ b/retry/budgets.go
@@ -72,11 +72,11 @@
 	Calls, Allowed, Charged, Denied uint64
 }
 
-// UsageSince returns the usage since a dump was taken, for services that were denied extra
-// attempts in this time.
-func (b *Budgets) UsageSince(earlier map[string]BudgetState) []Usage {
+// UsageBetween returns the usage between two dumps, for services that were denied extra attempts
+// in this time.
+func UsageBetween(earlier, later map[string]BudgetState) []Usage {
 	var out []Usage
-	for service, s := range b.Dump() {
+	for service, s := range later {
 		before := earlier[service]
 		if s.Denied == before.Denied {
 			continue
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -130,3 +130,23 @@
 	is.Equal(b.Dump().Charged, uint64(charged))
 	is.True(b.Charge(start.Add(time.Minute)))
 }
+
+// Guards against an operator who can't tell repeated attempts from the calls of repeated runs, or
+// reads of services that lacked nothing.
+func TestUsageTellsWhatWasSpent(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig()
+	cfg.Window, cfg.Ratio, cfg.Burst, cfg.ChargeFactor = 10*time.Second, 0, 2, 1
+	b := NewBudgets(cfg)
+	b.ForService(start, "calm").RecordCall(start)
+	earlier := b.Dump()
+	scarce := b.ForService(start, "scarce")
+	for range 3 {
+		scarce.RecordCall(start)
+	}
+	is.True(scarce.Charge(start))
+	is.True(scarce.TryTake(start, 1<<16-1))
+	is.True(!scarce.TryTake(start, 1<<16-1))
+	is.Equal(UsageBetween(earlier, b.Dump()), []Usage{{Service: "scarce", Calls: 3, Allowed: 1, Charged: 1, Denied: 1}})
+	is.Equal(len(UsageBetween(b.Dump(), b.Dump())), 0)
+}
