replay: requests, cancelled runs and handed-over slots have instants of their own

Cause: goroutines that act at one simulated instant run in an order that the Go scheduler draws. A list of such instants named: the start of a request beside the draw of the next one (12,678 in one run), the cancellation of a run beside the run itself and its calls, whose delays after it were equal, the slower of two hedged attempts beside the answered call (a thousand), a slot that is handed over beside the run that gave it up.

Change: each of them takes an instant from the schedule.

After it the list has only a goroutine beside the one that started it and waits.

--- a/internal/replay/backend.go
+++ b/internal/replay/backend.go
@@ -76,7 +76,6 @@
 	b.mu.Unlock()
 	select {
 	case <-granted:
-		b.schedule.sleep(context.WithoutCancel(ctx), 0)
 		return true
 	case <-ctx.Done():
 		return b.leaveBacklog(granted)
@@ -107,8 +106,9 @@
 		b.busy--
 		return
 	}
-	close(b.waiting[0])
+	granted := b.waiting[0]
 	b.waiting = b.waiting[1:]
+	b.schedule.after(0, func() { close(granted) })
 }
 
 // everyNode stands for all nodes in the record of a backend server: the check counts the
--- a/internal/replay/caller.go
+++ b/internal/replay/caller.go
@@ -45,6 +45,7 @@
 		ctx, stop := context.WithDeadline(context.Background(), deadline)
 		out := n.enter(ctx, r.class, id, deadline)
 		stop()
+		schedule.settle()
 		if out.Verdict == verdict.Ran && out.Status == statusOK && time.Now().Before(deadline) {
 			r.simulation.report.succeeded(r, id)
 			return
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,10 +45,12 @@
 
 // run is one task at the backend server.
 type run struct {
-	task        *serve.Task
-	class       *Class
-	ctx         context.Context
-	stop        context.CancelFunc
+	task   *serve.Task
+	class  *Class
+	ctx    context.Context
+	cancel context.CancelFunc
+	// calls are the calls that have not ended.
+	calls       []ongoingCall
 	callsFailed bool
 	// extra says that it is an extra attempt.
 	extra bool
@@ -119,9 +122,14 @@
 	return func() bool { return true }, nil
 }
 
+// maxCancels is the number of attempts of a node that may be cancelled at the same instant.
+const maxCancels = 1024
+
 // Cancel implements dispatch.Link.
 func (l link) Cancel(c call.Cancel) {
-	l.from.simulation.schedule.after(l.delay(), func() {
+	// The attempts of a call may be cancelled at the same instant, in any order.
+	order := time.Duration(c.Seq % maxCancels)
+	l.from.simulation.schedule.after(l.delay()+order, func() {
 		l.to.apply(func(now time.Time, s *serve.Server) serve.Effects { return s.Cancel(now, c) })
 	})
 }
@@ -149,7 +157,7 @@
 	remaining := time.Until(deadline)
 	if c.Timeout > 0 {
 		if limit := time.Now().Add(c.Timeout); limit.Before(deadline) {
-			deadline = limit
+			deadline = n.simulation.schedule.deadline(limit)
 		}
 	}
 	p := dispatch.Params{
@@ -187,15 +195,16 @@
 		deadline = r.task.Deadline
 	}
 	deadline = n.simulation.schedule.deadline(deadline)
-	ctx, stop := n.simulation.schedule.followed(r.ctx)
-	defer stop()
 	id := n.simulation.nextID()
+	ctx, end := n.begin(r, id)
+	defer end()
 	n.simulation.report.ExtraAttempts.Sent(time.Now(), c.Service, id, r.extra)
 	out := n.dispatch.Call(ctx, dispatch.Params{
 		RequestID: id, Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, RunID: r.task.ID, Slots: n.slots(),
 		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
 	})
+	n.simulation.schedule.settle()
 	n.used(r, c, out)
 	n.simulation.report.callEnded(c.Service, out)
 	return out.Verdict == verdict.Ran && out.Status == statusOK
@@ -226,6 +235,37 @@
 	statusFailed = 500
 )
 
+// ongoingCall is a call of a run that has not ended.
+type ongoingCall struct {
+	id     string
+	cancel context.CancelFunc
+}
+
+// begin returns the context of a call of a run.
+func (n *node) begin(r *run, id string) (ctx context.Context, end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r.calls = append(r.calls, ongoingCall{id, cancel})
+	if r.ctx.Err() != nil {
+		n.simulation.schedule.after(0, cancel)
+	}
+	return ctx, func() {
+		cancel()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		r.calls = slices.DeleteFunc(r.calls, func(c ongoingCall) bool { return c.id == id })
+	}
+}
+
+// stop ends a run and its calls, each at an instant of its own. n.mu must be held.
+func (n *node) stop(r *run) {
+	n.simulation.schedule.after(0, r.cancel)
+	for _, c := range r.calls {
+		n.simulation.schedule.after(0, c.cancel)
+	}
+}
+
 // arrive handles a call from a node.
 func (n *node) arrive(req call.Request) {
 	c := n.simulation.classes[req.Operation]
@@ -242,13 +282,13 @@
 	e := f(now, n.callee)
 	for _, id := range e.Stop {
 		if r := n.running[id]; r != nil {
-			r.stop()
+			n.stop(r)
 		}
 	}
 	var started []*run
 	for _, t := range e.Start {
 		r := &run{task: t, class: n.simulation.classes[t.Request.Operation]}
-		r.ctx, r.stop = context.WithDeadline(context.Background(), n.simulation.schedule.deadline(t.Deadline))
+		r.ctx, r.cancel = context.WithDeadline(context.Background(), n.simulation.schedule.deadline(t.Deadline))
 		n.running[t.ID] = r
 		started = append(started, r)
 	}
@@ -284,7 +324,7 @@
 
 // run runs a task at the backend server.
 func (n *node) run(r *run) {
-	defer r.stop()
+	defer r.cancel()
 	started := time.Now()
 	n.backend.recordArrival()
 	r.extra = n.simulation.report.ExtraAttempts.Arrived(started, n.service.Name, r.task.Request.RequestID)
--- a/internal/replay/report.go
+++ b/internal/replay/report.go
@@ -54,6 +54,8 @@
 	LimitsBroken []error
 	// ExtraAttempts is the record of extra attempts.
 	ExtraAttempts *retrybound.Record
+	// Digest is a checksum of the instants of all events.
+	Digest uint64
 
 	scenario          *Scenario
 	start             time.Time
--- a/internal/replay/schedule.go
+++ b/internal/replay/schedule.go
@@ -14,6 +14,9 @@
 type schedule struct {
 	mu    sync.Mutex
 	taken map[int64]struct{} // instants of events to come, in Unix nanoseconds
+	// digest is a checksum of all instants and of those at which they were taken. Runs in which
+	// the same events have the same instants have the same one.
+	digest uint64
 }
 
 // maxTaken is the number of instants after which those that have passed are dropped.
@@ -38,9 +41,19 @@
 		at++
 	}
 	s.taken[at] = struct{}{}
+	s.digest += mix(uint64(now) ^ mix(uint64(at)))
 	return time.Duration(at - now)
 }
 
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 func (s *schedule) dropPassed(now int64) {
 	for at := range s.taken {
 		if at <= now {
@@ -57,22 +70,14 @@
 // after calls f after d.
 func (s *schedule) after(d time.Duration, f func()) { time.AfterFunc(s.delay(d), f) }
 
+// settleDelay is longer than the run of instants that simultaneous events take.
+const settleDelay = time.Microsecond
+
+// settle lets goroutines that run at this instant, too, come to a rest, such as the slower attempt
+// of a call that was answered.
+func (s *schedule) settle() { time.Sleep(s.delay(settleDelay)) }
+
 // sleep waits for d. It returns false if ctx ends first.
 func (s *schedule) sleep(ctx context.Context, d time.Duration) bool {
 	return pause.For(ctx, s.delay(d))
 }
-
-// followed returns a context that ends after parent, at an instant of its own. Several calls of
-// one run would otherwise end at the same instant.
-func (s *schedule) followed(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
-	own := s.delay(0)
-	stop := context.AfterFunc(parent, func() {
-		time.Sleep(own)
-		cancel()
-	})
-	return ctx, func() {
-		stop()
-		cancel()
-	}
-}
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -88,6 +88,7 @@
 	sim.report.computeRecovery()
 	sim.report.MaxRelativeLoad = sim.maxRelativeLoad()
 	sim.reportRateLimits()
+	sim.report.Digest = sim.schedule.digest
 	return sim.report
 }
 
@@ -224,7 +225,11 @@
 		time.Sleep(sim.schedule.delay(gap))
 		r := &request{simulation: sim, class: sim.pickClass(), phase: i, start: time.Now(), eager: sim.rng.Float64() < sim.scenario.EagerShare, rng: rand.New(rand.NewPCG(sim.nextSeed(), 2))}
 		sim.report.offered(r)
-		sim.callers.Go(r.send)
+		sim.callers.Add(1)
+		sim.schedule.after(0, func() {
+			defer sim.callers.Done()
+			r.send()
+		})
 	}
 }
 
