--- a/internal/replay/extra_attempts_test.go
+++ b/internal/replay/extra_attempts_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/cassialoom/cassialoom/importance"
 )
 
 // declines is a scenario in whose second phase services decline shares of their requests.
@@ -43,6 +45,25 @@
 	is.New(t).NoErr(r.ExtraAttempts.Check())
 }
 
+// Guards against important requests that fail in a long decline of all servers of the deepest
+// service while less important ones are served: what is allowed in ten seconds covers the
+// extra attempts of all important ones.
+func TestImportantRequestsFinishDuringALongDecline(t *testing.T) {
+	t.Parallel()
+	shares := map[string]float64{"history-svc": 0.3}
+	s := Scenario{Deployment: Hallwyl(), Seed: seed, Phases: []Phase{{Name: "before", Duration: 8 * time.Second, Load: 0.9}}}
+	for i := range 4 {
+		s.Phases = append(s.Phases, Phase{Name: fmt.Sprint("part ", i+1), Duration: 2 * time.Second, Load: 0.9, Rejecting: shares})
+	}
+	s.Phases = append(s.Phases, Phase{Name: "after", Duration: time.Second, Load: 0.9})
+	r := runScenario(t, s, Production())
+	for _, p := range r.Phases {
+		if p.Served(importance.Critical) < 0.95 {
+			t.Errorf("%s: %.2f of the critical requests served, %.2f of the normal ones", p.Name, p.Served(importance.Critical), p.Served(importance.Normal))
+		}
+	}
+}
+
 // randomDeclines is a scenario of a random deployment in which each service declines a share of
 // its requests, or leaves a share of its answers out, in some of the phases.
 func randomDeclines(seed uint64) Scenario {
