retry: extra attempts of a window are spread over a long failure

What callers saw: while servers of the deepest service decline for seconds, requests of any importance take extra attempts until three tenths of a window are left, two seconds later.

Change: besides the floor for scarce attempts the window has a pace. While extra attempts are spent faster than would use up the rest in 4 s, or a whole window in its length, the priority floor rises by the steps of the bucket's floor, and falls while they are spent at less than 0.7 of that. The first fifth is spent at any rate, for short failures. The bound of the window is as it was.

--- a/retry/budget.go
+++ b/retry/budget.go
@@ -12,6 +12,7 @@
 	tokens        float64
 	window        *window // nil for a bucket
 	priorityFloor priorityFloor
+	pace          pace // of a window
 	last          time.Time
 	calls         uint64
 	allowed       uint64
@@ -78,19 +79,30 @@
 
 // refreshFromWindow sets the available attempts and the priority floor from the window.
 // Below Config.ScarceShare the floor rises as fewer are available, so that the last attempts go
-// to the most important requests.
+// to the most important requests; before that it keeps to the pace.
 func (b *Budget) refreshFromWindow(now time.Time) {
 	b.window.now(now)
-	remaining, total := b.window.available(b.cfg.Ratio, b.cfg.Burst)
+	remaining, unspent, total := b.window.available(b.cfg.Ratio, b.cfg.Burst)
 	b.tokens = remaining
 	scarce := max(b.cfg.ScarceShare*total, 1)
 	b.priorityFloor.level = math.MaxUint16 * (1 - min(1, max(0, remaining)/scarce))
+	if b.cfg.PaceTime > 0 {
+		b.pace.adjust(now, remaining, unspent, b.sustainableRate(remaining, total))
+		b.priorityFloor.level = max(b.priorityFloor.level, b.pace.floor.level)
+	}
+}
+
+// sustainableRate returns the extra attempts per second that spend the remaining ones in
+// Config.PaceTime, or all of a window in its length, if that is more.
+func (b *Budget) sustainableRate(remaining, total float64) float64 {
+	return max(remaining/b.cfg.PaceTime.Seconds(), total/b.cfg.Window.Seconds())
 }
 
 func (b *Budget) spend(now time.Time) {
 	b.tokens--
 	if b.window != nil {
 		b.window.now(now).extra++
+		b.pace.spent++
 	}
 }
 
@@ -114,7 +126,7 @@
 // chargeable returns how many calls can be charged to the window.
 func (b *Budget) chargeable(now time.Time) float64 {
 	b.window.now(now)
-	remaining, _ := b.window.available(b.cfg.Ratio*b.cfg.ChargeFactor, b.cfg.Burst*b.cfg.ChargeFactor)
+	remaining, _, _ := b.window.available(b.cfg.Ratio*b.cfg.ChargeFactor, b.cfg.Burst*b.cfg.ChargeFactor)
 	return remaining
 }
 
--- a/retry/floor.go
+++ b/retry/floor.go
@@ -37,10 +37,17 @@
 	f.adjustedAt = now
 	switch {
 	case availableShare < raiseBelow:
-		f.level += floorRise * (math.MaxUint16 - f.level)
+		f.raise()
 	case availableShare > lowerAbove:
-		f.level *= floorFall
+		f.lower(1)
 	}
+}
+
+func (f *priorityFloor) raise() { f.level += floorRise * (math.MaxUint16 - f.level) }
+
+// lower makes the given number of adjustments at once.
+func (f *priorityFloor) lower(adjustments float64) {
+	f.level *= math.Pow(floorFall, adjustments)
 	if f.level < minFloor {
 		f.level = 0
 	}
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -47,6 +47,9 @@
 	// ScarceShare is the share of a window's extra attempts below which those of low priority
 	// are rejected. The rest goes to any request.
 	ScarceShare float64
+	// PaceTime is the time over which the remaining extra attempts of a window are spread: while
+	// they are spent faster, those of low priority are rejected. Zero spends them at any rate.
+	PaceTime time.Duration
 	// ChargeFactor is how many times the extra attempts of a window may be spent before calls of
 	// repeated runs are rejected, too. Rejecting them wastes the work of their runs.
 	ChargeFactor float64
@@ -64,7 +67,7 @@
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	return Config{
-		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1, ScarceShare: 0.3, ChargeFactor: 1.08, MaxServiceBudgets: 1024,
+		Ratio: 0.1, Burst: 10, MinPerSecond: 0.1, ScarceShare: 0.3, PaceTime: 4 * time.Second, ChargeFactor: 1.08, MaxServiceBudgets: 1024,
 		MaxRequests: 16384, RequestMemory: time.Minute,
 	}
 }
@@ -83,6 +86,9 @@
 	if c.ScarceShare < 0 || c.ScarceShare > 1 {
 		return fmt.Errorf("retry scarce share %v: want 0 to 1", c.ScarceShare)
 	}
+	if c.PaceTime < 0 {
+		return fmt.Errorf("retry pace time %v: want 0 or more", c.PaceTime)
+	}
 	if c.ChargeFactor < 1 {
 		return fmt.Errorf("retry charge factor %v: want 1 or more", c.ChargeFactor)
 	}
--- a/retry/window.go
+++ b/retry/window.go
@@ -43,9 +43,9 @@
 }
 
 // available returns how many extra attempts may be made now without exceeding the limit of
-// any window that contains the present, and how many there would be if none had been made
-// in the current window. Windows that end in the future are assumed to get no more calls.
-func (w *window) available(ratio, slack float64) (remaining, total float64) {
+// any window that contains the present, how many if none had been made before, and how many the
+// calls of the current window have earned. Windows that end in the future are assumed to get no more calls.
+func (w *window) available(ratio, slack float64) (remaining, unspent, total float64) {
 	var calls, extra [historyIntervals + 1]float64 // index i: sum over ages i and older
 	for age := historyIntervals - 1; age >= 0; age-- {
 		s := interval{}
@@ -61,14 +61,15 @@
 		return sums[from] - sums[before]
 	}
 	remaining = slack + ratio*between(&calls, 0, windowIntervals)
-	total = remaining
+	unspent, total = remaining, remaining
 	for ends := range windowIntervals { // intervals from now
 		inside := between(&calls, -ends, windowIntervals-ends)
 		// The latest interval of an earlier window may lie partly after that window.
 		half := between(&calls, windowIntervals/2+1-ends, windowIntervals*3/2-ends)
 		before := between(&calls, windowIntervals+1-ends, 2*windowIntervals-ends)
 		bound := slack + ratio*max(inside, half, before)
+		unspent = min(unspent, bound)
 		remaining = min(remaining, bound-between(&extra, -ends, windowIntervals+1-ends))
 	}
-	return remaining, total
+	return remaining, unspent, total
 }
