replay: nodes that restart and forget what they have spent

Nodes of a service can restart at the start of a phase now: their caller's side forgets all it knows. TestRandomDeclines runs each graph with restarts, too; its seeds and their draws are as before.

--- a/internal/replay/day.go
+++ b/internal/replay/day.go
@@ -19,6 +19,8 @@
 	// services other than the bottleneck, too. Silent is the share of requests that they run
 	// and leave without an answer.
 	Rejecting, Silent map[string]float64
+	// Restarting are the services whose nodes restart at the start of the phase.
+	Restarting []string
 	// The first FaultyServers backend servers leave the share SilentShare of their
 	// requests without an answer and answer the share ErrorShare with a failure. Their
 	// health checks pass.
--- a/internal/replay/extra_attempts_test.go
+++ b/internal/replay/extra_attempts_test.go
@@ -79,6 +79,20 @@
 	return s
 }
 
+// restarting returns the scenario with restarts of the nodes of about half of the services at the
+// start of each phase but the first.
+func (s Scenario) restarting() Scenario {
+	rng := rand.New(rand.NewPCG(s.Seed, 17))
+	for i := range s.Phases[1:] {
+		for _, service := range s.Deployment.Services {
+			if rng.IntN(2) == 0 {
+				s.Phases[i+1].Restarting = append(s.Phases[i+1].Restarting, service.Name)
+			}
+		}
+	}
+	return s
+}
+
 // randomShares draws a share up to most for about half of the services.
 func randomShares(rng *rand.Rand, services []Service, most float64) map[string]float64 {
 	shares := make(map[string]float64)
@@ -91,7 +105,7 @@
 }
 
 // Guards against more extra attempts than allowed on call graphs, loads and declines that no
-// other test has.
+// other test has, also where nodes restart and forget what they have spent.
 func TestRandomDeclinesStayWithinTheExtraAttempts(t *testing.T) {
 	seeds := []uint64{3, 4, 6}
 	if n, err := strconv.ParseUint(os.Getenv("RANDOM"), 10, 16); err == nil {
@@ -105,5 +119,9 @@
 			t.Parallel()
 			checkExtraAttempts(t, randomDeclines(seed))
 		})
+		t.Run(fmt.Sprint(seed, " with restarts"), func(t *testing.T) {
+			t.Parallel()
+			checkExtraAttempts(t, randomDeclines(seed).restarting())
+		})
 	}
 }
--- a/internal/replay/node.go
+++ b/internal/replay/node.go
@@ -29,7 +29,8 @@
 	service    *Service
 	centre     string
 	backend    *backend
-	dispatch   *dispatch.Dispatcher
+	// dispatcher is replaced when the node restarts.
+	dispatcher atomic.Pointer[dispatch.Dispatcher]
 
 	// attempts counts the attempts sent to this node, including refused ones.
 	attempts atomic.Int64
@@ -71,14 +72,12 @@
 		entryReach: reach.New(reach.DefaultConfig()),
 		callReach:  reach.New(reach.DefaultConfig()),
 	}
-	dc := sim.policy.Dispatch
-	dc.Self, dc.Seed, dc.DataCentre = id, sim.nextSeed(), centre
-	n.dispatch = dispatch.New(dc, linker{n}, sim.members, explain.New(minimalExplain))
+	n.startDispatcher()
 	sc := sim.policy.Serve
 	sc.Self, sc.Service, sc.Seed = id, s.Name, sim.nextSeed()
 	now := time.Now()
 	n.callee = serve.New(sc, [once.SecretLen]byte{}, now)
-	n.callee.SetDependencies(n.dispatch)
+	n.callee.SetDependencies(n.dispatcher.Load())
 	n.callee.SetReady(now, true)
 	if !sim.policy.HideSlots {
 		n.callee.SetSlots(now, s.Slots)
@@ -86,6 +85,22 @@
 	return n
 }
 
+// startDispatcher gives the node a dispatcher that knows nothing of earlier calls.
+func (n *node) startDispatcher() {
+	cfg := n.simulation.policy.Dispatch
+	cfg.Self, cfg.Seed, cfg.DataCentre = n.id, n.simulation.nextSeed(), n.centre
+	n.dispatcher.Store(dispatch.New(cfg, linker{n}, n.simulation.members, explain.New(minimalExplain)))
+}
+
+// restart lets the caller's side of the node forget all it knows. Calls under way get no answer, what
+// runs at its backend server goes on.
+func (n *node) restart() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.startDispatcher()
+	n.callee.SetDependencies(n.dispatcher.Load())
+}
+
 // linker implements dispatch.Linker with simulated connections.
 type linker struct{ n *node }
 
@@ -165,7 +180,7 @@
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, FromCaller: true, CallerDeadline: remaining,
 		Reach: n.reach(c),
 	}
-	out := n.dispatch.Call(ctx, p)
+	out := n.dispatcher.Load().Call(ctx, p)
 	if out.Verdict == verdict.Ran {
 		n.learnReach(c, call.SlotTimeServices(out.SlotTimeUsed))
 	}
@@ -199,7 +214,7 @@
 	ctx, end := n.begin(r, id)
 	defer end()
 	n.simulation.report.ExtraAttempts.Sent(time.Now(), c.Service, id, r.extra)
-	out := n.dispatch.Call(ctx, dispatch.Params{
+	out := n.dispatcher.Load().Call(ctx, dispatch.Params{
 		RequestID: id, Operation: op, Importance: req.Importance, Deadline: deadline,
 		Ledger: retry.NewLedger(uint32(op.ExtraAttempts)), Fanout: 1, RunID: r.task.ID, Slots: n.slots(),
 		RootRequestID: req.RootID(), AdmittedLevels: req.AdmittedLevels, Admitted: true, ForRun: true, Repeat: req.Repeat, Depth: req.Depth + 1,
@@ -226,7 +241,7 @@
 	r.callsFailed = r.callsFailed || !out.Succeeded()
 	r.dependencyLost = r.dependencyLost || out.LacksDependency()
 	if n.callReach.Record(time.Now(), "", call.SlotTimeServices(r.used)) {
-		n.dispatch.SetForwarded(n.callReach.Reach(""))
+		n.dispatcher.Load().SetForwarded(n.callReach.Reach(""))
 	}
 }
 
@@ -304,7 +319,7 @@
 
 // reply sends a reply with the admission levels that this node knows.
 func (n *node) reply(now time.Time, r call.Reply, ownLevel uint16) {
-	r.Levels = n.dispatch.Levels(now)
+	r.Levels = n.dispatcher.Load().Levels(now)
 	if ownLevel > 0 {
 		r.Levels = append(r.Levels, call.Level{Service: n.service.Name, Priority: ownLevel})
 	}
@@ -312,7 +327,7 @@
 		r.Notice = call.Notice{Incarnation: n.id.Short(), Limited: true, PerSecond: perSecond}
 	}
 	to := n.simulation.nodes[r.To]
-	n.simulation.schedule.after(link{from: n, to: to}.delay(), func() { to.dispatch.Reply(n.id, r) })
+	n.simulation.schedule.after(link{from: n, to: to}.delay(), func() { to.dispatcher.Load().Reply(n.id, r) })
 }
 
 // rateLimit returns the limit that the node's backend server has named, and false for none.
--- a/internal/replay/world.go
+++ b/internal/replay/world.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -188,8 +189,8 @@
 
 // probeLostServices tries to reach the lost services, as in production.
 func (n *node) probeLostServices(ctx context.Context) {
-	for _, service := range n.dispatch.ServicesToProbe() {
-		n.simulation.schedule.after(0, func() { n.dispatch.Probe(ctx, service) })
+	for _, service := range n.dispatcher.Load().ServicesToProbe() {
+		n.simulation.schedule.after(0, func() { n.dispatcher.Load().Probe(ctx, service) })
 	}
 }
 
@@ -200,13 +201,13 @@
 	interval := n.simulation.policy.Dispatch.LevelGossip.Interval
 	schedule.sleep(stop, time.Duration(rng.Int64N(int64(interval))))
 	for schedule.sleep(stop, interval) {
-		levels := n.dispatch.OutgoingGossip(time.Now())
+		levels := n.dispatcher.Load().OutgoingGossip(time.Now())
 		if len(levels) == 0 {
 			continue
 		}
 		for range production.GossipFanOut {
 			to := n.simulation.nodeList[rng.IntN(len(n.simulation.nodeList))]
-			schedule.after(link{from: n, to: to}.delay(), func() { to.dispatch.ReceiveGossip(time.Now(), levels) })
+			schedule.after(link{from: n, to: to}.delay(), func() { to.dispatcher.Load().ReceiveGossip(time.Now(), levels) })
 		}
 	}
 }
@@ -243,6 +244,9 @@
 		n.backend.update(func(b *backend) {
 			b.rejectShare, b.silentShare, b.errorShare = p.Rejecting[n.service.Name], p.Silent[n.service.Name], 0
 		})
+		if slices.Contains(p.Restarting, n.service.Name) {
+			n.restart()
+		}
 		if n.service.Name != sim.deployment.Bottleneck {
 			continue
 		}
