serve, node: no isolated run before others know that the node is ready

A node that had just become ready took itself for the isolation node, since its list of ready nodes is up to 200 ms old and theirs don't have it yet.

Change: within 0.5 s after a backend server has become ready no suspect runs there; it is refused with Retry-After. A heartbeat of one that is ready already changes nothing.

Evidence: TestNoIsolatedRunBeforeOthersKnowThatTheNodeIsReady fails without the wait.

--- a/node/node.go
+++ b/node/node.go
@@ -99,9 +99,12 @@
 	DecodeRoutes func(text []byte) (*routes.Table, error)
 }
 
+// isolationSettle covers two updates of the list of ready nodes and the way of a change to all of them.
+const isolationSettle = 500 * time.Millisecond
+
 // DefaultConfig returns the default settings of the daemon.
 func DefaultConfig() Config {
-	return Config{
+	cfg := Config{
 		DrainGrace:     time.Second,
 		BackendSilence: 5 * time.Second,
 		LateCallWait:   100 * time.Millisecond,
@@ -118,6 +121,8 @@
 		MaxProofAge:    1600 * time.Millisecond,
 		Clock:          bootclock.Now,
 	}
+	cfg.Serve.IsolationSettle = isolationSettle
+	return cfg
 }
 
 // Node connects one backend server to the other nodes. It is safe for
--- a/serve/config.go
+++ b/serve/config.go
@@ -40,6 +40,10 @@
 	// recovery time, such as a drain. It is short: another node can serve the
 	// request at once.
 	RefuseRetryAfter time.Duration
+	// IsolationSettle is the time after a backend server has become ready in which no suspect runs
+	// there: until the nodes of the service agree on who is ready, two of them may each take itself for
+	// the isolation node. Zero means none.
+	IsolationSettle time.Duration
 	// SlotShare is the fraction of the stated slots of a backend server that
 	// the node fills. Some backend servers slow down when nearly all slots
 	// are in use.
--- a/serve/isolation.go
+++ b/serve/isolation.go
@@ -68,7 +68,8 @@
 
 // holdForIsolation lets nothing else start until the isolated run of t has ended. It refuses t
 // instead if that would hold back others for too much of the time, while the slots don't suffice for
-// them, or while the backend server may be gone: its crash would be taken for that of t.
+// them, while other nodes may not know yet that this one is ready, or while the backend server may
+// be gone: its crash would be taken for that of t.
 func (s *Server) holdForIsolation(now time.Time, t *Task, e *Effects) {
 	wait := s.isolation.wait(now)
 	if s.gate.Level(now) > 0 {
@@ -77,6 +78,7 @@
 	if s.unanswered.unresolved(now) {
 		wait = max(wait, s.cfg.RefuseRetryAfter)
 	}
+	wait = max(wait, s.readySince.Add(s.cfg.IsolationSettle).Sub(now))
 	if wait > 0 {
 		s.counts.NotIsolated++
 		err := verdict.Refuse(verdict.Shed, "an isolated run would hold back other requests")
--- a/serve/isolation_test.go
+++ b/serve/isolation_test.go
@@ -202,3 +202,28 @@
 	}
 	is.Equal(l.cleared, 1)
 }
+
+// Guards against two isolation nodes at once: where backend servers return together, each node may
+// take itself for the only one that is ready.
+func TestNoIsolatedRunBeforeOthersKnowThatTheNodeIsReady(t *testing.T) {
+	is := is.New(t)
+	l := newIsolationLoad(1)
+	l.cfg.IsolationSettle = 500 * time.Millisecond
+	l.apply(l.SetReady(l.now, false))
+	l.now = l.now.Add(time.Second)
+	l.apply(l.SetReady(l.now, true))
+	l.send(1)
+	is.Equal(l.refused, 1)
+	for range 400 {
+		l.step()
+	}
+	l.apply(l.SetReady(l.now, true)) // a heartbeat changes nothing
+	l.send(1)
+	is.Equal(l.refused, 2)
+	is.Equal(l.cleared, 0)
+	for range 1000 {
+		l.resendDue()
+		l.step()
+	}
+	is.Equal(l.cleared, 2)
+}
--- a/serve/server.go
+++ b/serve/server.go
@@ -63,6 +63,7 @@
 	incarnation uint64
 	slots       int  // usable slots that the backend server stated; zero if unknown
 	ready       bool // the backend server accepts requests
+	readySince  time.Time
 	crashed     bool // it crashed and has not announced itself since
 	draining    bool
 	drainedAt   time.Time // when the drain began
@@ -108,6 +109,9 @@
 // refused when it does not.
 func (s *Server) SetReady(now time.Time, ready bool) Effects {
 	var e Effects
+	if ready && !s.ready {
+		s.readySince = now
+	}
 	s.ready = ready
 	if ready {
 		s.crashed = false
