node, wire: a backend server gets no requests before its node has heard of crashing ones

What was seen: a node that has just started runs a copy of a crashing request before the answer to its request for notices (260 ms after its backend server was ready; 3 crashes where 2 may be), or misses notices since it was no member yet when they were sent (4 crashes).

Change: when a backend server becomes ready, also after a crash, its node asks three others of the service for all notices and sets it ready with the first answer, which ends with a message of its own, at the latest after 0.3 s. A node that knows no other and has been up for that long doesn't wait. New members are informed as soon as gossip names them, not at the next tick.

--- a/daemon/platform_config.go
+++ b/daemon/platform_config.go
@@ -80,6 +80,8 @@
 	// Together they stay within enterGrace.
 	drainAfter = 1900 * time.Millisecond
 	drainGrace = 200 * time.Millisecond
+	// noticeWait is several times what a node that starts needs to reach another of its service.
+	noticeWait = 300 * time.Millisecond
 	// budgetNodes is the number of nodes that share the allowed burst of extra
 	// attempts.
 	budgetNodes = 16
@@ -140,6 +142,7 @@
 	cfg.CallerGrace = enterGrace
 	cfg.DrainAfter = drainAfter
 	cfg.DrainGrace = drainGrace
+	cfg.NoticeWait = noticeWait
 	cfg.DecodeRoutes = platform.DecodeRoutes
 	cfg.Directory = true
 	cfg.Membership.JoinInterval = joinInterval
--- a/daemon/settings_doc_test.go
+++ b/daemon/settings_doc_test.go
@@ -19,7 +19,7 @@
 	"soonerShare": soonerShare, "levelQueue": levelQueue, "levelSettle": levelSettle, "keptIdle": keptIdle, "reroutes": reroutes,
 	"enterGrace": enterGrace, "stopShare": stopShare, "slowStart": slowStart, "joinInterval": joinInterval,
 	"joinAddrs": joinAddrs, "reconnectInterval": reconnectInterval, "reoffers": reoffers, "drainAfter": drainAfter,
-	"drainGrace": drainGrace, "budgetNodes": budgetNodes, "budgetShare": budgetShare,
+	"drainGrace": drainGrace, "noticeWait": noticeWait, "budgetNodes": budgetNodes, "budgetShare": budgetShare,
 	"revokeShare": revokeShare, "applyShare": applyShare, "proofReads": proofReads, "readShare": readShare,
 }
 
--- a/node/instance.go
+++ b/node/instance.go
@@ -129,9 +129,20 @@
 	}
 }
 
-// setReady applies the readiness of the backend server to the callee's side of this node and
-// publishes it to the other nodes. The caller holds reportMu.
+// setReady applies what the backend server says of its readiness, once this node has heard of the
+// requests that crash backend servers. The caller holds reportMu.
 func (n *Node) setReady(ready bool, why string) {
+	if ready && n.cfg.NoticeWait > 0 {
+		n.awaitNotices(why)
+		return
+	}
+	n.noticeWait.waiting = false
+	n.applyReady(ready, why)
+}
+
+// applyReady applies the readiness of the backend server to the callee's side of this node and
+// publishes it to the other nodes. The caller holds reportMu.
+func (n *Node) applyReady(ready bool, why string) {
 	n.serve(func(now time.Time, s *serve.Server) serve.Effects { return s.SetReady(now, ready) })
 	n.announceReady(ready, why)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -65,6 +65,10 @@
 	// BackendSilence is the time without a heartbeat after which the backend
 	// server counts as gone. It sends one every second.
 	BackendSilence time.Duration
+	// NoticeWait is the longest time for which a backend server that has become ready gets no
+	// requests while its node asks others of its service for notices about requests that crash
+	// backend servers. Zero means no wait.
+	NoticeWait time.Duration
 	// LateCallWait is how long a call that arrives late waits for its cancel
 	// before it is accepted: several round trips inside a region, the time in
 	// which a connection that resumes delivers its backlog.
@@ -169,8 +173,10 @@
 	// them; nil otherwise.
 	listed atomic.Pointer[addressOwners]
 
-	informed         map[wire.NodeID]bool // nodes of the service that were informed; used by one loop alone
+	informedMu       sync.Mutex
+	informed         map[wire.NodeID]bool // nodes of the service that were informed
 	noticesRequested atomic.Bool
+	noticeWait       noticeWait // guarded by reportMu
 
 	startedAt      time.Time
 	inForce        atomic.Uint64 // version of the configuration in force
--- a/node/peers.go
+++ b/node/peers.go
@@ -94,7 +94,7 @@
 // messageNames holds the names of the message kinds in metrics.
 var messageNames = map[wire.Kind]string{
 	wire.KindCall: "call", wire.KindReply: "reply", wire.KindCancel: "cancel", wire.KindMembership: "membership",
-	wire.KindConfig: "config", wire.KindPoison: "poison", wire.KindPoisonRequest: "poison", wire.KindRoutes: "routes", wire.KindLevels: "levels",
+	wire.KindConfig: "config", wire.KindPoison: "poison", wire.KindPoisonRequest: "poison", wire.KindPoisonAnswered: "poison", wire.KindRoutes: "routes", wire.KindLevels: "levels",
 	wire.KindQuotaRequest: "quota", wire.KindQuotaAnswer: "quota", wire.KindQuotaClaim: "quota",
 }
 
@@ -126,6 +126,8 @@
 		return decode(f, func(m poison.Notice) { n.handleNotice(m) })
 	case wire.KindPoisonRequest:
 		return decode(f, func(noticesRequest) { n.handleNoticesRequest(from) })
+	case wire.KindPoisonAnswered:
+		return decode(f, func(noticesAnswered) { n.noticesHeard() })
 	case wire.KindQuotaRequest:
 		return decode(f, func(m quotaRequest) { n.handleQuotaRequest(from, m) })
 	case wire.KindQuotaAnswer:
@@ -191,6 +193,7 @@
 		return m.Receive(now, from, msg)
 	}))
 	n.requestNotices()
+	n.informNewPeers(now)
 }
 
 func (n *Node) handleConfig(from wire.NodeID, msg config.Message) {
--- a/node/suspicions.go
+++ b/node/suspicions.go
@@ -24,7 +24,7 @@
 	// informers is the mean number of nodes that inform a new one. That none does is unlikely,
 	// and gossip makes up for it.
 	informers = 6
-	// noticeSources is the number of nodes that a starting node asks.
+	// noticeSources is the number of nodes that a node asks.
 	noticeSources = 3
 )
 
@@ -73,7 +73,7 @@
 type noticesRequest struct{}
 
 // requestNotices asks some nodes of the service for all notices, once, as soon as this node knows
-// others: a request that the others refuse may arrive here next.
+// others.
 func (n *Node) requestNotices() {
 	if n.noticesRequested.Load() {
 		return
@@ -82,14 +82,21 @@
 	if len(others) == 0 || n.noticesRequested.Swap(true) {
 		return
 	}
+	n.askForNotices(others)
+}
+
+// askForNotices asks a few of the given nodes for all notices.
+func (n *Node) askForNotices(others []wire.NodeID) {
 	for _, i := range rand.Perm(len(others))[:min(len(others), noticeSources)] {
 		n.outbox.sendToMember(others[i], wire.KindPoisonRequest, noticesRequest{})
 	}
 }
 
 // informNewPeers sends all notices to the nodes of the service that have joined since the last
-// call. In a large service some nodes of it do so, drawn at random. Only one loop calls it.
+// call. In a large service some nodes of it do so, drawn at random.
 func (n *Node) informNewPeers(now time.Time) {
+	n.informedMu.Lock()
+	defer n.informedMu.Unlock()
 	others := n.members.othersOfService(n.cfg.Service)
 	informed := make(map[wire.NodeID]bool, len(others))
 	for _, id := range others {
@@ -101,13 +108,6 @@
 	n.informed = informed
 }
 
-// handleNoticesRequest sends all notices to a node, which need not be a member here yet.
-func (n *Node) handleNoticesRequest(from wire.NodeID) {
-	for _, notice := range n.allNotices(time.Now()) {
-		n.outbox.sendIfConnected(from, wire.KindPoison, notice)
-	}
-}
-
 func (n *Node) allNotices(now time.Time) []poison.Notice {
 	n.server.mu.Lock()
 	defer n.server.mu.Unlock()
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -42,6 +42,8 @@
 	KindUsedKeys
 	// KindPoisonRequest: request for all notices of KindPoison, of a node that has just started.
 	KindPoisonRequest
+	// KindPoisonAnswered: end of the notices that answer KindPoisonRequest.
+	KindPoisonAnswered
 )
 
 // Limits for messages from peers, which keep memory bounded. A peer that
