serve: a run cut short clears no suspect

Change: only a run to its end clears: no 504, no failure after a failed call. Otherwise the request stays a suspect, as after a run without an answer.

TestRunsCutShortClearNoSuspect failed before in 'deadline' and 'failed call'.

--- a/poison/guard.go
+++ b/poison/guard.go
@@ -138,15 +138,15 @@
 	return true
 }
 
-// Abandoned records that an isolated run ended without an answer of the backend
-// server, by deadline or cancellation. The request stays a suspect.
+// Abandoned records that an isolated run ended early: without an answer of the backend server, at the
+// deadline, or with a failed call. The request stays a suspect.
 func (g *Guard) Abandoned(fp uint64) {
 	if g.occupied && g.isolated == fp {
 		g.occupied = false
 	}
 }
 
-// Finished records that the backend server answered the request completely, and
+// Finished records that the backend server ran the request to its end and answered it, and
 // clears it if it is a suspect. That includes a copy that began before the
 // suspicion: a request that crashes every backend server never finishes. The
 // returned notices go to all nodes of the service.
--- a/serve/run.go
+++ b/serve/run.go
@@ -214,7 +214,7 @@
 	if t.incarnation == s.incarnation {
 		s.unanswered.record(now, t, r, s.isolated == t)
 	}
-	if r.answeredWhole() {
+	if r.ranToItsEnd() {
 		e.Notices = append(e.Notices, s.guard.Finished(now, fp)...)
 		s.noteSuspicions(e, contentOf(t))
 		return
--- a/serve/suspicion_test.go
+++ b/serve/suspicion_test.go
@@ -47,3 +47,31 @@
 	}
 	return (to + 1) % len(m.ids)
 }
+
+// Guards against a crashing request that is cleared by a run that ended before its crash, at the
+// deadline or with a failed call: its copies would run like any others again.
+func TestRunsCutShortClearNoSuspect(t *testing.T) {
+	for name, c := range map[string]struct {
+		result  Result
+		cleared bool
+	}{
+		"success":                  {Result{Verdict: verdict.Ran, Status: 200}, true},
+		"client error":             {Result{Verdict: verdict.Ran, Status: 404}, true},
+		"failure of its own":       {Result{Verdict: verdict.Ran, Status: 500}, true},
+		"success without a call":   {Result{Verdict: verdict.Ran, Status: 200, CallsFailed: true}, true},
+		"deadline":                 {Result{Verdict: verdict.Ran, Status: 504}, false},
+		"failed call":              {Result{Verdict: verdict.Ran, Status: 500, CallsFailed: true}, false},
+		"answer broken off":        {Result{Verdict: verdict.Ran, Status: 200, Reason: verdict.Incomplete}, false},
+		"no answer, still at work": {Result{Verdict: verdict.MayHaveRun, Reason: verdict.Deadline}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newIsolationLoad(1)
+			l.send(1)
+			is.Equal(len(l.running), 1)
+			is.True(l.running[0].mustIsolate)
+			l.apply(l.Done(l.now, l.running[0].ID, c.result))
+			is.Equal(l.guard.Check(l.now, 1) == poison.Normal, c.cleared)
+		})
+	}
+}
--- a/serve/unanswered.go
+++ b/serve/unanswered.go
@@ -1,9 +1,11 @@
 package serve
 
 import (
+	"net/http"
 	"slices"
 	"time"
 
+	"github.com/cassialoom/cassialoom/call"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -50,6 +52,13 @@
 // answeredWhole reports whether the backend server answered a task completely.
 func (r *Result) answeredWhole() bool { return r.Verdict == verdict.Ran && r.Reason == verdict.None }
 
+// ranToItsEnd reports whether the backend server worked on a task to the end. Its deadline or a
+// failed call ends a run early.
+func (r *Result) ranToItsEnd() bool {
+	cutShort := r.Status == http.StatusGatewayTimeout || r.CallsFailed && r.Status >= call.MinServerError
+	return r.answeredWhole() && !cutShort
+}
+
 // mayHaveCrashed reports whether the run may have crashed the backend server without a sign.
 func (r *Result) mayHaveCrashed() bool {
 	return r.Verdict != verdict.NotRun && !r.answeredWhole() && !r.ReachedBackend
