replay: the schedule looks through its instants only once they have doubled

Cause: with more than 65,536 instants ahead every event looked through all of them for ones that had passed.

Change: the next look comes at twice what the last one left. Instants and their order are the same.

--- a/internal/replay/schedule.go
+++ b/internal/replay/schedule.go
@@ -17,12 +17,14 @@
 	// digest is a checksum of all instants and of those at which they were taken. Runs in which
 	// the same events have the same instants have the same one.
 	digest uint64
+	// dropAt is the number of instants at which those that have passed are dropped.
+	dropAt int
 }
 
-// maxTaken is the number of instants after which those that have passed are dropped.
-const maxTaken = 1 << 16
+// minDropAt is the least dropAt.
+const minDropAt = 1 << 16
 
-func newSchedule() *schedule { return &schedule{taken: make(map[int64]struct{})} }
+func newSchedule() *schedule { return &schedule{taken: make(map[int64]struct{}), dropAt: minDropAt} }
 
 // delay returns the time until the first free instant that is d from now or later, and takes
 // that instant. It is always positive.
@@ -31,7 +33,7 @@
 	at := now + max(1, int64(d))
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.taken) >= maxTaken {
+	if len(s.taken) >= s.dropAt {
 		s.dropPassed(now)
 	}
 	for {
@@ -54,12 +56,15 @@
 	return x ^ x>>31
 }
 
+// dropPassed drops the instants that have passed. It runs again once twice as many as are left are
+// taken, since all of those may lie ahead.
 func (s *schedule) dropPassed(now int64) {
 	for at := range s.taken {
 		if at <= now {
 			delete(s.taken, at)
 		}
 	}
+	s.dropAt = max(minDropAt, 2*len(s.taken))
 }
 
 // deadline takes an instant for the deadline at.
