--- a/review/rig2/stale.go
+++ b/review/rig2/stale.go
@@ -20,7 +20,7 @@
 	staleServices = 5
 	// staleReleases is the number of releases whose machines have left their records in the list
 	// of nodes. Each replaced all machines.
-	staleReleases = 500
+	staleReleases = 300
 )
 
 // listFormerMachines writes the records that the nodes of former machines have left in the list of
