backend: an answer cut by a reset while the request is being written is incomplete

Callers saw: the beginning of a body as a complete 200, when a backend server answered a long upload at once without a length, sent a part and reset the connection.

Cause: a large body is written while the answer is read. The kernel reports a reset once; the writer took it, and the reader then saw the plain end of the stream, which ends an answer without a length. Whether writing had failed was asked only before the connection was used again.

Why it works: an answer without a length is complete only after the request has been written without an error. The reader waits for the writer at the end of the stream; the end of the context aborts both. The writer's error counts as the connection's, so that a crash is still told from a reset.

--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -42,9 +42,13 @@
 	msg        Message
 	reused     bool // the connection carried a request before
 	sentAt     time.Time
-	sentBefore int64      // bytes written to the connection before the request
-	bodyDone   chan error // result of writing a large body; nil for a small one
-	reserved   int64      // bytes taken from Client.largeAnswers
+	sentBefore int64 // bytes written to the connection before the request
+	// bodyDone is closed when a large body is written or has failed; nil for a small one.
+	bodyDone chan struct{}
+	// writeErr says why the request is not written completely. It is set before bodyDone is
+	// closed.
+	writeErr error
+	reserved int64 // bytes taken from Client.largeAnswers
 }
 
 // encode returns the encoded head of the request, followed by its body if that
@@ -82,19 +86,19 @@
 	stop := context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
 	x.client.pool.begin(x.conn)
 	defer x.client.pool.end(x.conn)
-	err := x.conn.write(head)
-	if err != nil && x.conn.sent == x.sentBefore {
+	x.writeErr = x.conn.write(head)
+	if x.writeErr != nil && x.conn.sent == x.sentBefore {
 		stop()
 		x.conn.Close()
 		return Result{}, true
 	}
-	if err == nil {
+	if x.writeErr == nil {
 		x.writeBody()
 	}
 	res, reusable := x.readAnswer(ctx)
 	x.client.largeAnswers.give(x.reserved)
 	x.conn.last = lastRequest{id: x.run.RequestID, sent: x.sentAt, verdict: res.Verdict}
-	reusable = x.bodyWritten() && reusable && err == nil
+	reusable = x.written() && reusable
 	if stop() && reusable {
 		x.client.pool.put(x.conn, x.run.address)
 	} else {
@@ -107,23 +111,31 @@
 	if len(x.msg.Body) < asyncBodyThreshold {
 		return
 	}
-	x.bodyDone = make(chan error, 1)
+	x.bodyDone = make(chan struct{})
 	go func() {
-		_, err := x.conn.Conn.Write(x.msg.Body)
-		x.bodyDone <- err
+		defer close(x.bodyDone)
+		_, x.writeErr = x.conn.Conn.Write(x.msg.Body)
 	}()
 }
 
-// bodyWritten reports whether the body was written completely, and aborts
-// writing it if not. A connection with a partly written body must not be
-// reused.
-func (x *exchange) bodyWritten() bool {
+// awaitWritten waits until the request is written, has failed to be, or the context has ended,
+// which aborts writing. It returns why the request is not written completely.
+func (x *exchange) awaitWritten() error {
+	if x.bodyDone != nil {
+		<-x.bodyDone
+	}
+	return x.writeErr
+}
+
+// written reports whether the request was written completely, and aborts writing it if not. A
+// connection with a partly written body must not be reused.
+func (x *exchange) written() bool {
 	if x.bodyDone == nil {
-		return true
+		return x.writeErr == nil
 	}
 	select {
-	case err := <-x.bodyDone:
-		return err == nil
+	case <-x.bodyDone:
+		return x.writeErr == nil
 	default:
 	}
 	x.conn.Close()
@@ -190,6 +202,9 @@
 		return res.withReason(verdict.Incomplete, "the answer has neither a length nor chunks"), false
 	}
 	body, err := x.body(resp)
+	if err == nil && !framed {
+		err = x.endError()
+	}
 	if err != nil {
 		return x.incomplete(ctx, res, err), false
 	}
@@ -201,6 +216,15 @@
 	return res, framed && x.reusableAfter(resp)
 }
 
+// endError returns why the end of the connection does not end an answer without a length, nil if
+// it does. A connection that is reset while the request is being written fails only the writer:
+// the reader sees an ordinary end.
+func (x *exchange) endError() error {
+	err := x.awaitWritten()
+	x.conn.noteError(err)
+	return err
+}
+
 func (x *exchange) refusal(resp *http.Response, kind AnswerKind, after time.Duration) (Result, bool) {
 	e := verdict.Refuse(verdict.Shed, "the backend server refused: status %d", resp.StatusCode).WithRetryAfter(after)
 	if kind == OtherIncarnation {
