backend: an answer without a valid status is no answer

Callers saw: when a backend server sent "HTTP/1.1 000", a blank line and then the bytes of an answer, those as the answer. A status of 600 to 999, another major version or a control byte in the status line was forwarded.

Cause: the reader relied on http.ReadResponse, which takes any three characters that Atoi reads as a status; everything below 200 was passed over as an interim answer.

Why it works: package framing follows the stream from answer to answer and holds back the first line that makes one invalid, with all that follows, so that net/http never sees the end of such a head. Status lines are version 1.x, a status from 100 to 599 (RFC 9110, 15) and a reason without control bytes; only 100 to 199 are interim. A connection on which something invalid has come is not used again.

--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -410,3 +410,17 @@
 	is.Equal(client.Run(t.Context(), s.url, run("after")).Status, 200)
 	is.Equal(s.timesSeen("full"), 1)
 }
+
+// Guards against a request on a connection on which an invalid answer has followed a whole one.
+func TestConnectionWithAnInvalidAnswerIsNotUsedAgain(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(_ *rawServer, c net.Conn, _ *http.Request) bool {
+		io.WriteString(c, completeAnswer+"HTTP/1.1 000 \r\n\r\n")
+		return false
+	})
+	client := newClient(t)
+	for _, id := range []string{"first", "second"} {
+		is.Equal(client.Run(t.Context(), s.url, run(id)).Status, 200)
+	}
+	is.Equal(client.ConnectionsOpened(), int64(2))
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -14,15 +14,18 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/cassialoom/cassialoom/framing"
 )
 
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
 	// number identifies the connection among those of its pool, from 1 on.
-	number uint64
-	in     *limitedReader
-	r      *bufio.Reader
+	number  uint64
+	in      *limitedReader
+	answers *framing.Reader
+	r       *bufio.Reader
 	// sent counts the bytes written. NotRun may only be claimed for a request
 	// of which no byte was written.
 	sent int64
@@ -61,9 +64,13 @@
 
 func newConn(c net.Conn, idleFor time.Duration) *conn {
 	in := &limitedReader{r: c}
-	return &conn{Conn: c, in: in, r: bufio.NewReaderSize(in, readBuffer), idleFor: idleFor}
+	answers := framing.NewReader(in)
+	return &conn{Conn: c, in: in, answers: answers, r: bufio.NewReaderSize(answers, readBuffer), idleFor: idleFor}
 }
 
+// hasUnread reports whether bytes have been received that were not read.
+func (c *conn) hasUnread() bool { return c.r.Buffered() > 0 || c.answers.Invalid() }
+
 // setReadLimit sets how many more bytes may be read from the connection.
 func (c *conn) setReadLimit(bytes int64) { c.in.left = bytes }
 
@@ -103,7 +110,7 @@
 
 // idleState returns the state of an idle connection. After unread it can't be used any more.
 func (c *conn) idleState() idleState {
-	if c.r.Buffered() > 0 {
+	if c.hasUnread() {
 		return unread
 	}
 	raw, ok := c.Conn.(syscall.Conn)
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -85,6 +85,7 @@
 func (x *exchange) do(ctx context.Context, head []byte) (res Result, unsent bool) {
 	x.sentBefore, x.sentAt = x.conn.sent, time.Now()
 	x.conn.noteCarried(x.run.RequestID)
+	x.conn.answers.SetMethod(x.msg.Method)
 	// The end of the context aborts reads and writes at once.
 	stop := context.AfterFunc(ctx, func() { x.conn.SetDeadline(time.Unix(1, 0)) })
 	x.client.pool.begin(x.conn)
@@ -270,7 +271,7 @@
 // reusableAfter reports whether the connection may carry another request after
 // resp, and applies its Keep-Alive timeout.
 func (x *exchange) reusableAfter(resp *http.Response) bool {
-	if resp.Close || x.conn.desynchronized || x.conn.r.Buffered() > 0 || len(x.conn.carried) >= maxCarried {
+	if resp.Close || x.conn.desynchronized || x.conn.hasUnread() || len(x.conn.carried) >= maxCarried {
 		return false
 	}
 	if idle, ok := keepAlive(resp.Header); ok {
--- a/daemon/broken_test.go
+++ b/daemon/broken_test.go
@@ -14,6 +14,7 @@
 // brokenAnswers are the answers that no caller may get.
 var brokenAnswers = map[string]standin.BrokenAnswer{
 	"without a length, cut by a reset": standin.CutByReset,
+	"status 000 before the answer":     standin.InvalidStatus,
 }
 
 // Guards against a broken answer of a backend server that reaches a caller, whole or in parts, and
--- a/entry/headers/headers.go
+++ b/entry/headers/headers.go
@@ -93,22 +93,22 @@
 // rest.
 func ApplyAnswer(h http.Header, fields []call.Field) {
 	for _, f := range fields {
-		if validName(f.Name) && validValue(f.Value) {
+		if Valid(f.Name, f.Value) {
 			Apply(h, []call.Field{f})
 		}
 	}
 }
 
 // Valid reports whether a field with this name and value is valid in HTTP.
-func Valid(name, value string) bool { return validName(name) && validValue(value) }
+func Valid[T string | []byte](name, value T) bool { return validName(name) && ValidValue(value) }
 
 // nameSymbols holds the characters other than letters and digits that a field
 // name may contain (RFC 9110, 5.6.2).
 const nameSymbols = "!#$%&'*+-.^_`|~"
 
-// validName and validValue reject what would make an answer unreadable for the
+// validName and ValidValue reject what would make an answer unreadable for the
 // caller, because net/http writes names and values unchanged.
-func validName(name string) bool {
+func validName[T string | []byte](name T) bool {
 	for i := range len(name) {
 		c := name[i]
 		letter := 'a' <= c|0x20 && c|0x20 <= 'z'
@@ -117,10 +117,11 @@
 			return false
 		}
 	}
-	return name != ""
+	return len(name) > 0
 }
 
-func validValue(v string) bool {
+// ValidValue reports whether v is valid as the value of a field.
+func ValidValue[T string | []byte](v T) bool {
 	for i := range len(v) {
 		if c := v[i]; c < ' ' && c != '\t' || c == 0x7f {
 			return false
