framing: an answer with a line that is no field is no answer

Callers saw: 200 with bytes that were not the backend server's body, when a blank stood in or after the name of a field of the head ("Content-Length : 2" with more bytes behind, "Transfer-Encoding : chunked"); the same when a line began with a blank, which joins it to the value before, also to the signature. A "Content-Encoding : gzip", "X-Not-Executed : 1" or another id was taken as absent.

Cause: net/http keeps names with blanks as unknown fields, and joins continued lines.

Held already, and kept: control bytes, DEL and other letters in a name, a tab after one, no name, no colon, a control byte in a value.

Why it works: each line of a head, also of an interim one, must be a field by the same rule that entry/headers applies to what the node itself sends. Continued lines are refused (RFC 9112, 5.2 allows that); so is a blank after a name, which a gateway may remove only if nothing else depends on it. Callers get 502: the request may have run.

--- a/daemon/broken_test.go
+++ b/daemon/broken_test.go
@@ -15,6 +15,7 @@
 var brokenAnswers = map[string]standin.BrokenAnswer{
 	"without a length, cut by a reset": standin.CutByReset,
 	"status 000 before the answer":     standin.InvalidStatus,
+	"blank after a field's name":       standin.InvalidField,
 }
 
 // Guards against a broken answer of a backend server that reaches a caller, whole or in parts, and
--- a/framing/reader.go
+++ b/framing/reader.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"strconv"
+
+	"github.com/cassialoom/cassialoom/entry/headers"
 )
 
 // InvalidError says which part of an answer is not valid HTTP/1.
@@ -15,6 +17,7 @@
 // The parts of an answer that can be invalid.
 const (
 	errStatusLine InvalidError = "status line"
+	errField      InvalidError = "header field"
 	errLength     InvalidError = "Content-Length"
 	errCoding     InvalidError = "Transfer-Encoding"
 	errChunk      InvalidError = "chunk"
@@ -166,13 +169,19 @@
 	return err
 }
 
-// checkField takes over a field of a head.
+// checkField checks a field of a head.
 func (r *Reader) checkField(line []byte) error {
-	name, value, _ := bytes.Cut(line, []byte(":"))
 	if r.next == trailerLine {
 		return nil
 	}
-	return r.head.addField(name, bytes.Trim(value, " \t"))
+	name, value, found := bytes.Cut(line, []byte(":"))
+	value = bytes.Trim(value, " \t")
+	if !found || !headers.Valid(name, value) {
+		// This includes a field that is continued on a second line: what looks like a field to one
+		// reader is a part of another field's value to the next.
+		return errField
+	}
+	return r.head.addField(name, value)
 }
 
 // afterChunkSize parses the line before a chunk.
--- a/framing/reader_test.go
+++ b/framing/reader_test.go
@@ -84,6 +84,22 @@
 	"invalid interim":          {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 \r\n\r\n" + answer, errStatusLine},
 	"invalid second answer":    {"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 700 \r\n\r\n", errStatusLine},
 
+	"blank in a name":             {"HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n", errField},
+	"blank after a name":          {"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n", errField},
+	"tab after a name":            {"HTTP/1.1 200 OK\r\nTransfer-Encoding\t: chunked\r\n\r\n0\r\n\r\n", errField},
+	"blank before a name":         {"HTTP/1.1 200 OK\r\nX: 1\r\n Content-Length: 0\r\n\r\n", errField},
+	"tab before a name":           {"HTTP/1.1 200 OK\r\nX: 1\r\n\tContent-Length: 0\r\n\r\n", errField},
+	"blank before the first name": {"HTTP/1.1 200 OK\r\n Content-Length: 0\r\n\r\n", errField},
+	"control byte in a name":      {"HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 0\r\n\r\n", errField},
+	"zero byte in a name":         {"HTTP/1.1 200 OK\r\nX\x00A: 1\r\nContent-Length: 0\r\n\r\n", errField},
+	"DEL in a name":               {"HTTP/1.1 200 OK\r\nX\x7f: 1\r\nContent-Length: 0\r\n\r\n", errField},
+	"other letters in a name":     {"HTTP/1.1 200 OK\r\nX\xc5\x99: 1\r\nContent-Length: 0\r\n\r\n", errField},
+	"no name":                     {"HTTP/1.1 200 OK\r\n: 1\r\nContent-Length: 0\r\n\r\n", errField},
+	"no colon":                    {"HTTP/1.1 200 OK\r\nX\r\nContent-Length: 0\r\n\r\n", errField},
+	"control byte in a value":     {"HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 0\r\n\r\n", errField},
+	"CR in a value":               {"HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 0\r\n\r\n", errField},
+	"blank in an interim name":    {"HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + answer, errField},
+
 	"another coding":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", errCoding},
 	"two codings":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", errCoding},
 	"two lengths":                {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", errLength},
@@ -158,7 +174,7 @@
 }
 
 // Guards against an answer that is read differently when it arrives in other pieces, against one
-// that net/http reads with a status that the protocol does not know, and against one
+// that net/http reads with a status or a name that the protocol does not know, and against one
 // that net/http ends elsewhere.
 func FuzzReader(f *testing.F) {
 	for _, stream := range validAnswers {
@@ -184,6 +200,11 @@
 		if resp.StatusCode < minStatus || resp.StatusCode > maxStatus {
 			t.Fatalf("status %d", resp.StatusCode)
 		}
+		for name := range resp.Header {
+			if strings.ContainsAny(name, " \t") {
+				t.Fatalf("name %q", name)
+			}
+		}
 		if _, err := io.Copy(io.Discard, resp.Body); err == nil && r.next != statusLine && r.next != rest {
 			t.Fatalf("net/http ends the answer before part %d", r.next)
 		}
