framing: an answer whose head says its length in two ways is no answer

Callers saw: the frames of chunks in the body of a 200, when a backend server sent chunks in version 1.0 of the protocol; 204 without the body that was sent after it; the bytes of a body that an interim answer announced, as the answer.

Cause: net/http prefers one of the two readings: it ignores chunks in 1.0, drops the length beside chunks, and knows of no body for the statuses 1xx and 204, whatever the head says.

Held already, and kept: two lengths, a length with a sign, two codings, another coding, an empty one.

Why it works: the protocol has one reading for each valid head (RFC 9112, 6.1 and 6.3). A head that has chunks beside a length or in 1.0, or a body where the status allows none, is not valid. What all readers read alike stays: a length of zero in a 204, the length in a 304, the same length twice.

--- a/daemon/broken_test.go
+++ b/daemon/broken_test.go
@@ -16,6 +16,7 @@
 	"without a length, cut by a reset": standin.CutByReset,
 	"status 000 before the answer":     standin.InvalidStatus,
 	"blank after a field's name":       standin.InvalidField,
+	"chunks in version 1.0":            standin.AmbiguousLength,
 }
 
 // Guards against a broken answer of a backend server that reaches a caller, whole or in parts, and
--- a/framing/head.go
+++ b/framing/head.go
@@ -68,11 +68,16 @@
 func (h *head) bodyPart(headOnly bool) (part, error) {
 	interim := h.status < http.StatusOK
 	switch {
+	case h.chunked && (h.hasLength || h.minor == '0'):
+		// Readers differ in which of the two they follow, or whether they know chunks at all.
+		return 0, errCoding
+	case (interim || h.status == http.StatusNoContent) && (h.chunked || h.length > 0):
+		return 0, errNoBody
 	case h.status == http.StatusSwitchingProtocols:
 		return rest, nil
 	case headOnly || interim || h.status == http.StatusNoContent || h.status == http.StatusNotModified:
 		return statusLine, nil
-	case h.chunked && h.minor != '0':
+	case h.chunked:
 		return chunkSize, nil
 	case !h.hasLength:
 		return rest, nil
--- a/framing/reader.go
+++ b/framing/reader.go
@@ -20,6 +20,7 @@
 	errField      InvalidError = "header field"
 	errLength     InvalidError = "Content-Length"
 	errCoding     InvalidError = "Transfer-Encoding"
+	errNoBody     InvalidError = "body where the status allows none"
 	errChunk      InvalidError = "chunk"
 	errTrailer    InvalidError = "trailer field"
 	errLineLength InvalidError = "line too long"
--- a/framing/reader_test.go
+++ b/framing/reader_test.go
@@ -100,6 +100,12 @@
 	"CR in a value":               {"HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 0\r\n\r\n", errField},
 	"blank in an interim name":    {"HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + answer, errField},
 
+	"coding and length":          {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", errCoding},
+	"chunks in 1.0":              {"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", errCoding},
+	"chunks in a 204":            {"HTTP/1.1 204 No Content\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", errNoBody},
+	"length in a 204":            {"HTTP/1.1 204 No Content\r\nContent-Length: 2\r\n\r\nok", errNoBody},
+	"length in an interim":       {"HTTP/1.1 103 Early Hints\r\nContent-Length: 43\r\n\r\n" + answer, errNoBody},
+	"chunks in an interim":       {"HTTP/1.1 100 Continue\r\nTransfer-Encoding: chunked\r\n\r\n" + answer, errNoBody},
 	"another coding":             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", errCoding},
 	"two codings":                {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", errCoding},
 	"two lengths":                {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", errLength},
