framing: a body in chunks with an invalid trailer or extension is incomplete

Callers saw: a complete 200 although the lines around the chunks of its body were not valid: a blank in the name of a trailer's field, a continued line there, a control byte in an extension.

Cause: net/http reads a trailer as it reads a head, and does not look at extensions.

Why it works: the lines of chunks and trailers go through the same checks as the head. Trailers that are valid are left out of the answer, as before (RFC 9110, 6.5.1 allows that): what they say about the request or its length counts for nothing. A padded chunk size stays valid.

--- a/daemon/broken_test.go
+++ b/daemon/broken_test.go
@@ -17,6 +17,7 @@
 	"status 000 before the answer":     standin.InvalidStatus,
 	"blank after a field's name":       standin.InvalidField,
 	"chunks in version 1.0":            standin.AmbiguousLength,
+	"blank in a trailer's name":        standin.InvalidTrailer,
 }
 
 // Guards against a broken answer of a backend server that reaches a caller, whole or in parts, and
--- a/framing/reader.go
+++ b/framing/reader.go
@@ -170,26 +170,31 @@
 	return err
 }
 
-// checkField checks a field of a head.
+// checkField checks a field of a head or trailer. The fields of a trailer have no meaning for the
+// framing.
 func (r *Reader) checkField(line []byte) error {
-	if r.next == trailerLine {
-		return nil
-	}
 	name, value, found := bytes.Cut(line, []byte(":"))
 	value = bytes.Trim(value, " \t")
-	if !found || !headers.Valid(name, value) {
+	valid := found && headers.Valid(name, value)
+	switch {
+	case valid && r.next == fieldLine:
+		return r.head.addField(name, value)
+	case valid:
+		return nil
+	case r.next == trailerLine:
+		return errTrailer
+	default:
 		// This includes a field that is continued on a second line: what looks like a field to one
 		// reader is a part of another field's value to the next.
 		return errField
 	}
-	return r.head.addField(name, value)
 }
 
 // afterChunkSize parses the line before a chunk.
 func afterChunkSize(line []byte) (next part, size uint64, err error) {
 	text, found := bytes.CutSuffix(line, []byte("\r\n"))
-	digits, _, _ := bytes.Cut(text, []byte(";"))
-	if !found {
+	digits, extension, _ := bytes.Cut(text, []byte(";"))
+	if !found || !headers.ValidValue(extension) {
 		return 0, 0, errChunk
 	}
 	// Some servers pad the size.
--- a/framing/reader_test.go
+++ b/framing/reader_test.go
@@ -113,10 +113,15 @@
 	"length with a sign":         {"HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok", errLength},
 	"empty length":               {"HTTP/1.1 200 OK\r\nContent-Length:\r\n\r\nok", errLength},
 	"length beyond all bounds":   {"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n", errLength},
+	"control byte in a chunk":    {chunkedHead + "2;x\x00\r\nok\r\n0\r\n\r\n", errChunk},
 	"chunk size without digits":  {chunkedHead + ";x\r\n\r\n0\r\n\r\n", errChunk},
 	"chunk size with a sign":     {chunkedHead + "-2\r\nok\r\n0\r\n\r\n", errChunk},
 	"chunk line without CR":      {chunkedHead + "2\nok\r\n0\r\n\r\n", errChunk},
 	"chunk longer than its size": {chunkedHead + "2\r\nokay\r\n0\r\n\r\n", errChunk},
+	"blank in a trailer's name":  {chunkedHead + "2\r\nok\r\n0\r\nX A: 1\r\n\r\n", errTrailer},
+	"folded trailer":             {chunkedHead + "2\r\nok\r\n0\r\nX: 1\r\n 2\r\n\r\n", errTrailer},
+	"trailer without CR":         {chunkedHead + "2\r\nok\r\n0\r\n\n" + answer, errTrailer},
+	"answer in a trailer":        {chunkedHead + "2\r\nok\r\n0\r\n" + answer + "\r\n\r\n", errTrailer},
 }
 
 // Guards against an answer that net/http reads although the protocol does not allow it: its
