--- a/backend/end_test.go
+++ b/backend/end_test.go
@@ -1,7 +1,6 @@
 package backend
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cassialoom/cassialoom/internal/rawserver"
 	"github.com/cassialoom/cassialoom/verdict"
 )
 
@@ -17,32 +17,8 @@
 
 func (closeDelimitedDialect) AllowsCloseDelimited() bool { return true }
 
-// serveHeads answers the first request of each connection as soon as its head has arrived. The
-// connection is closed when answer returns.
-func serveHeads(t *testing.T, answer func(c *net.TCPConn, body io.Reader)) (url string) {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				answer(c.(*net.TCPConn), r.Body)
-			}
-			c.Close()
-		}
-	}()
-	return "http://" + ln.Addr().String()
-}
-
 // upload sends a request with a body of the given size in bytes.
-func upload(t *testing.T, url string, size int) Result {
+func upload(t *testing.T, addr string, size int) Result {
 	t.Helper()
 	cfg := DefaultConfig()
 	cfg.Dialect = closeDelimitedDialect{}
@@ -50,7 +26,7 @@
 	defer client.Close()
 	r := run("r")
 	r.Body = make([]byte, size)
-	return client.Run(t.Context(), url, r)
+	return client.Run(t.Context(), "http://"+addr, r)
 }
 
 const (
@@ -66,13 +42,13 @@
 // connection is reset while the request is being written.
 func TestAnswerCutByAResetIsIncomplete(t *testing.T) {
 	is := is.New(t)
-	url := serveHeads(t, func(c *net.TCPConn, _ io.Reader) {
+	addr := rawserver.Serve(t, func(c *net.TCPConn, _ *http.Request) {
 		io.WriteString(c, unframed+"part")
 		c.SetLinger(0)
 	})
 	for _, size := range []int{20 << 10, 200 << 10, 1 << 20, 3 << 20} {
 		for range resetPlays {
-			res := upload(t, url, size)
+			res := upload(t, addr, size)
 			is.Equal(res.Verdict, verdict.Ran)
 			is.Equal(res.Reason, verdict.Incomplete)
 			is.Equal(len(res.Body), 0)
@@ -85,10 +61,10 @@
 // connection is closed before the request has arrived, and reset by it.
 func TestAnswerCutBeforeTheRequestHasArrivedIsIncomplete(t *testing.T) {
 	is := is.New(t)
-	url := serveHeads(t, func(c *net.TCPConn, _ io.Reader) { io.WriteString(c, unframed+"part") })
+	addr := rawserver.Serve(t, func(c *net.TCPConn, _ *http.Request) { io.WriteString(c, unframed+"part") })
 	for _, size := range []int{20 << 10, 200 << 10, 1 << 20, 3 << 20} {
 		for range resetPlays {
-			res := upload(t, url, size)
+			res := upload(t, addr, size)
 			is.Equal(res.Verdict, verdict.Ran)
 			is.Equal(res.Reason, verdict.Incomplete)
 			is.True(res.Broken)
@@ -125,9 +101,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			url := serveHeads(t, answer)
+			addr := rawserver.Serve(t, func(c *net.TCPConn, r *http.Request) { answer(c, r.Body) })
 			for _, size := range []int{100, 20 << 10, 1 << 20, 3 << 20} {
-				res := upload(t, url, size)
+				res := upload(t, addr, size)
 				is.Equal(res.Reason, verdict.None)
 				is.Equal(string(res.Body), "done")
 			}
