--- a/framing/reader_test.go
+++ b/framing/reader_test.go
@@ -82,7 +82,6 @@
 	"CR in reason":             {"HTTP/1.1 200 O\rK\r\nContent-Length: 0\r\n\r\n", errStatusLine},
 	"blank line first":         {"\r\n" + answer, errStatusLine},
 	"invalid interim":          {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 \r\n\r\n" + answer, errStatusLine},
-	"invalid second answer":    {"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 700 \r\n\r\n", errStatusLine},
 
 	"blank in a name":             {"HTTP/1.1 200 OK\r\nX A: 1\r\nContent-Length: 0\r\n\r\n", errField},
 	"blank after a name":          {"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n", errField},
@@ -156,13 +155,17 @@
 // Guards against a whole answer that is lost because of what follows it.
 func TestAnswerBeforeAnInvalidOneIsRead(t *testing.T) {
 	is := is.New(t)
-	for _, first := range []string{answer, chunkedHead + "2\r\nok\r\n0\r\n\r\n"} {
+	for first, body := range map[string]string{
+		answer:                               "ok",
+		chunkedHead + "2\r\nok\r\n0\r\n\r\n": "ok",
+		"HTTP/1.1 204 No Content\r\n\r\n":    "",
+	} {
 		r := NewReader(strings.NewReader(first + "HTTP/1.1 000 \r\n\r\n"))
 		resp, err := http.ReadResponse(bufio.NewReader(r), nil)
 		is.NoErr(err)
-		body, err := io.ReadAll(resp.Body)
+		text, err := io.ReadAll(resp.Body)
 		is.NoErr(err)
-		is.Equal(string(body), "ok")
+		is.Equal(string(text), body)
 		is.True(r.Invalid()) // the connection is not to be used again
 	}
 }
