applog: an invalid or truncated answer of the log proves nothing

Operators would have seen: an append confirmed, or a page read, by an answer with a blank in or before the name of a field, or by one whose body ended before its length.

Cause: the client of the log read answers with net/http, and decoded the first JSON value of a body without reading to its end.

Why it works: the client's connections are framing.Conn, and a body is decoded only when it has arrived whole. Answers without a length that end with a plain close stay valid.

--- a/applog/http.go
+++ b/applog/http.go
@@ -13,6 +13,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/cassialoom/cassialoom/framing"
 )
 
 const (
@@ -52,7 +54,7 @@
 func defaultTransport() *http.Transport {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         framing.DialContext(dialer),
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     time.Minute,
 	}
@@ -81,7 +83,7 @@
 	var answer struct {
 		Offset *uint64 `json:"offset"`
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&answer); err != nil {
+	if err := decode(resp, maxErrorBytes, &answer); err != nil {
 		return 0, fmt.Errorf("append to %s: %w: %w", stream, ErrUnknownOutcome, err)
 	}
 	if answer.Offset == nil {
@@ -131,12 +133,25 @@
 		return Page{}, fmt.Errorf("read %s: %w: %w", stream, ErrUnavailable, statusError(resp))
 	}
 	var page Page
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxPageBytes)).Decode(&page); err != nil {
+	if err := decode(resp, maxPageBytes, &page); err != nil {
 		return Page{}, fmt.Errorf("read %s: %w: %w", stream, ErrUnavailable, err)
 	}
 	return page, page.check(from)
 }
 
+// decode decodes the body of an answer, of at most limit bytes, after it has arrived whole.
+func decode(resp *http.Response, limit int64, v any) error {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	switch {
+	case err != nil:
+		return err
+	case int64(len(body)) > limit:
+		return fmt.Errorf("answer of more than %d bytes", limit)
+	default:
+		return json.Unmarshal(body, v)
+	}
+}
+
 // check returns an error if the records of a page have a gap or are out of
 // order: applying them would give a state that differs from other readers.
 func (p Page) check(from uint64) error {
