caller: a program gets no invalid answer, nor a part of one

Cause: the library reads answers with net/http, whose transport checks no status, keeps names with blanks, and takes the end of the stream for the end of the answer although writing has failed.

Held already, and kept: control bytes in a name.

Why it works: the default transport's connections are framing.Conn, which checks the stream, and the state of the connection at the end of an answer without a length. Sound ones are still returned, also without a length and after an upload (TestValidAnswersAreReturned).

Left open: a transport writes a body in parts. A node that closes the connection plainly between two of them, after a part of an answer without a length, is not told from one that has read the request. Nodes send all answers with a length.

--- a/caller/client.go
+++ b/caller/client.go
@@ -6,10 +6,12 @@
 	"encoding/binary"
 	"math"
 	mathrand "math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/cassialoom/cassialoom/framing"
 	"github.com/cassialoom/cassialoom/internal/pause"
 	"github.com/cassialoom/cassialoom/retry"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -46,7 +48,7 @@
 	}
 	transport := cfg.Transport
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: idleConnsPerNode, IdleConnTimeout: idleConnTimeout}
+		transport = newTransport()
 	}
 	c := &Client{
 		cfg:        cfg,
@@ -60,6 +62,15 @@
 	return c, nil
 }
 
+// newTransport returns a transport that reads only valid answers.
+func newTransport() http.RoundTripper {
+	return &http.Transport{
+		DialContext:         framing.DialContext(&net.Dialer{}),
+		MaxIdleConnsPerHost: idleConnsPerNode,
+		IdleConnTimeout:     idleConnTimeout,
+	}
+}
+
 // Close stops fetching keys and closes idle connections. It doesn't affect requests in
 // progress.
 func (c *Client) Close() {
--- a/caller/config.go
+++ b/caller/config.go
@@ -39,7 +39,8 @@
 	// Seed is the random seed of the jitter and of the first node; zero means a
 	// random one.
 	Seed uint64
-	// Transport sends the HTTP requests; nil means a new http.Transport.
+	// Transport sends the HTTP requests; nil means a new http.Transport on connections of
+	// package framing. Another one must refuse invalid answers itself.
 	Transport http.RoundTripper
 }
 
--- a/caller/exchange.go
+++ b/caller/exchange.go
@@ -42,8 +42,12 @@
 // maxDetail limits the part of the body of a refusal that an error quotes, in bytes.
 const maxDetail = 512
 
-// errTooLarge means that an answer exceeds its size limit.
-var errTooLarge = errors.New("answer exceeds the limit")
+var (
+	// errTooLarge means that an answer exceeds its size limit.
+	errTooLarge = errors.New("answer exceeds the limit")
+	// errSwitched means that a node changed the protocol, which no request asks for.
+	errSwitched = errors.New("the protocol was switched")
+)
 
 // attempt makes one attempt at one node. reached is false if the connection failed
 // before the node answered.
@@ -57,8 +61,11 @@
 		return nil, false, transportError(ctx, node, sent, err)
 	}
 	defer answer.Body.Close()
-	body, err := readLimited(answer.Body, c.cfg.MaxAnswer)
 	v := verdict.Parse(answer.Header.Get(headerVerdict))
+	if answer.StatusCode == http.StatusSwitchingProtocols {
+		return nil, true, incompleteAnswer(ctx, node, v, errSwitched)
+	}
+	body, err := readLimited(answer.Body, c.cfg.MaxAnswer)
 	if err != nil {
 		return nil, true, incompleteAnswer(ctx, node, v, err)
 	}
