operator: an invalid answer is not shown as a node's

Operators saw: the state or version of a node from an answer with a blank in or before the name of a field, or of another major version, and that of another server to which an answer redirected.

Cause: the command reads answers with net/http's client as it is.

Evidence: TestInvalidAnswerOfANodeIsNotShown failed on the code before in 5 of 12 cases. Held already, and kept: status 000 and 600, control bytes in a name, truncated answers.

Why it works: the client's connections are framing.Conn, and it follows no redirect. Answers without a length that end with a plain close are shown as before.

--- a/operator/fleet_test.go
+++ b/operator/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cassialoom/cassialoom/explain"
+	"github.com/cassialoom/cassialoom/internal/rawserver"
 	"github.com/cassialoom/cassialoom/membership"
 	"github.com/cassialoom/cassialoom/ops"
 	"github.com/cassialoom/cassialoom/verdict"
@@ -203,3 +204,36 @@
 		is.True(strings.Contains(err.Error(), setting))
 	}
 }
+
+// Guards against an answer that the protocol does not allow, or that of another server, that is shown
+// as a node's.
+func TestInvalidAnswerOfANodeIsNotShown(t *testing.T) {
+	const length = "Content-Length: 12\r\n\r\n"
+	const state = `{"queued":3}`
+	other := rawserver.ServeBytes(t, "HTTP/1.1 200 OK\r\n"+length+state)
+	for name, c := range map[string]struct {
+		head  string
+		valid bool
+	}{
+		"length":                 {"HTTP/1.1 200 OK\r\n" + length, true},
+		"without a length":       {"HTTP/1.1 200 OK\r\n\r\n", true},
+		"status 000":             {"HTTP/1.1 000 \r\n" + length, false},
+		"status 000, then more":  {"HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\n" + length, false},
+		"status 600":             {"HTTP/1.1 600 X\r\n" + length, false},
+		"blank in a name":        {"HTTP/1.1 200 OK\r\nX A: 1\r\n" + length, false},
+		"blank after the length": {"HTTP/1.1 200 OK\r\nContent-Length : 12\r\n\r\n", false},
+		"blank before a name":    {"HTTP/1.1 200 OK\r\nX: 1\r\n " + length, false},
+		"control byte in a name": {"HTTP/1.1 200 OK\r\nX\x01: 1\r\n" + length, false},
+		"version 2.0":            {"HTTP/2.0 200 OK\r\n" + length, false},
+		"truncated":              {"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n", false},
+		"redirected":             {"HTTP/1.1 307 Go\r\nLocation: http://" + other + "/state\r\n" + length, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSession(nil)
+			err := s.Dump(t.Context(), rawserver.ServeBytes(t, c.head+state))
+			is.Equal(err == nil, c.valid)
+			is.Equal(s.printed("queued"), c.valid)
+		})
+	}
+}
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -7,10 +7,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/cassialoom/cassialoom/applog"
+	"github.com/cassialoom/cassialoom/framing"
 )
 
 // ErrRefused marks a negative result: the text has problems, the publication was
@@ -94,9 +96,12 @@
 }
 
 // newClient returns a client without idle connections, since a command sends each node
-// only one or two requests.
+// only one or two requests. It follows no redirects: another server's answer is not the node's.
 func newClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	return &http.Client{
+		Transport:     &http.Transport{DialContext: framing.DialContext(&net.Dialer{}), DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // Report prints formatted output of a command.
