entry: no answer with a status that is not final reaches a caller

Callers would have seen: at the platform's entry a closed connection, since net/http panics, when the node beside the backend server passed on an answer without a final status; a status from 600 to 999 at both entries.

Cause: only the project's own entry checked the status of an outcome, and up to 999.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -305,7 +305,7 @@
 
 func TestOutcomeWithoutFinalStatus(t *testing.T) {
 	is := is.New(t)
-	for _, status := range []int{0, 101, 1000, -1} {
+	for _, status := range []int{0, 101, 600, 999, 1000, -1} {
 		resp, _ := startAndExchange(t, &fakeDoer{out: call.Outcome{Verdict: verdict.MayHaveRun, Status: status}}, get)
 		is.Equal(resp.StatusCode, http.StatusBadGateway)
 		is.Equal(resp.Header.Get(headers.Verdict), "may have run")
--- a/entry/write.go
+++ b/entry/write.go
@@ -23,27 +23,36 @@
 
 // write sends the outcome as one complete answer.
 func write(cfg Config, w http.ResponseWriter, requestID string, out call.Outcome) {
+	out = RequireFinalStatus(out)
 	if out.KeySafeFor > 0 {
 		setMs(w.Header(), headers.KeyHeldMs, out.KeySafeFor)
 	}
-	switch {
-	case out.Reason != verdict.None:
+	if out.Reason != verdict.None {
 		writeError(cfg, w, out.Reason.Status(), requestID, outcomeError(out))
-	case !finalStatus(out.Status):
-		e := &verdict.Error{Verdict: out.Verdict, Reason: verdict.Internal, Detail: "the answer has no final status"}
-		writeError(cfg, w, verdict.Internal.Status(), requestID, e)
-	default:
-		writeAnswer(cfg, w, requestID, out)
+		return
 	}
+	writeAnswer(cfg, w, requestID, out)
 }
 
 func outcomeError(out call.Outcome) *verdict.Error {
 	return &verdict.Error{Verdict: out.Verdict, Reason: out.Reason, Detail: out.Detail, RetryAfter: out.RetryAfter}
 }
 
-// finalStatus reports whether s is a final HTTP status. net/http panics on
-// statuses out of range and treats 1xx as informational.
-func finalStatus(s int) bool { return s >= 200 && s <= 999 }
+// RequireFinalStatus turns an answer without a final HTTP status into a failure. Another node, or
+// another version of it, may let one pass; net/http panics on statuses out of range and treats 1xx
+// as informational.
+func RequireFinalStatus(out call.Outcome) call.Outcome {
+	if out.Reason == verdict.None && (out.Status < minFinalStatus || out.Status > maxFinalStatus) {
+		out.Reason, out.Detail = verdict.Internal, "the answer has no final status"
+	}
+	return out
+}
+
+// The final statuses (RFC 9110, 15).
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
 
 func writeAnswer(cfg Config, w http.ResponseWriter, requestID string, out call.Outcome) {
 	h := w.Header()
