Soak and property: backend servers send broken answers

Cause: neither sent answers that are cut by a reset without a length, have no valid status, field or length, or end with an invalid trailer.

Evidence: with a build that accepts lines which are no fields, the soak finds 278 broken promises in 12,259 requests (TestFaultyBuildsAreFound, PROVE=1, once), and 12 of 12 schedules of TestPropVerdictsAreTrueBesideAnyBytes fail. On this code the 12 pass, and 800 of 800 new ones.

--- a/internal/soak/broken_test.go
+++ b/internal/soak/broken_test.go
@@ -118,6 +118,12 @@
 		faults:  []string{crashingRequests},
 		promise: "on and on",
 	},
+	{
+		name:    "an answer with a line that is no field is accepted",
+		edits:   []edit{{"framing/reader.go", "valid := found && headers.Valid(name, value)", "valid := found || headers.Valid(name, value)"}},
+		faults:  []string{"backend server sends broken answers"},
+		promise: "whole answer",
+	},
 }
 
 // Guards against a soak that misses a broken promise.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -121,6 +121,7 @@
 		e.sending.Go(func() { e.sendCrashing(ctx, d) })
 		return nil
 	}},
+	{"backend server sends broken answers", targetFault(standin.TargetFaults{Decline: 0.2, Broken: 0.5})},
 }
 
 // maxRateLimit is the largest rate limit of a backend server, in requests a second.
