backend: invalid answers are counted, and the log line names the invalid part

Cause: to an operator, a backend server that sends invalid answers looked like one that loses its connections; for chunks, net/http reports a consequence ("suspiciously long trailer").

Change: cassialoom_backend_invalid_answers, and the part that is invalid in the detail of the lines "lost". Measured: TestInvalidAnswersAreCounted failed before on the detail of an invalid trailer.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -91,6 +91,8 @@
 	strays       atomic.Int64
 	// contradictions counts the strays that contradict a result.
 	contradictions atomic.Int64
+	// invalid counts the answers that are not valid HTTP.
+	invalid atomic.Int64
 }
 
 // New returns a Client. It follows no redirects, uses no proxy and does not
@@ -125,6 +127,9 @@
 // reported as not run.
 func (c *Client) Contradictions() int64 { return c.contradictions.Load() }
 
+// InvalidAnswers returns the number of answers to requests that were not valid HTTP.
+func (c *Client) InvalidAnswers() int64 { return c.invalid.Load() }
+
 // Run sends the request at most once and waits for the complete answer or the
 // end of the context.
 func (c *Client) Run(ctx context.Context, baseURL string, r Run) Result {
--- a/backend/backend_test.go
+++ b/backend/backend_test.go
@@ -424,3 +424,27 @@
 	}
 	is.Equal(client.ConnectionsOpened(), int64(2))
 }
+
+// Guards against an operator who takes a backend server that sends invalid answers for one that loses
+// its connections.
+func TestInvalidAnswersAreCounted(t *testing.T) {
+	is := is.New(t)
+	for answer, invalid := range map[string]int64{
+		completeAnswer:          0,
+		"HTTP/1.1 200 OK\r\n":   0, // truncated
+		"HTTP/1.1 000 \r\n\r\n": 1,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX A: 1\r\n\r\n": 1,
+		completeAnswer + "HTTP/1.1 000 \r\n\r\n":                                   0,
+	} {
+		s := serve(t, func(_ *rawServer, c net.Conn, _ *http.Request) bool {
+			io.WriteString(c, answer)
+			return true
+		})
+		client := newClient(t)
+		res := client.Run(t.Context(), s.url, run("r"))
+		is.Equal(client.InvalidAnswers(), invalid)
+		if invalid > 0 {
+			is.True(strings.Contains(res.Detail, "invalid HTTP answer"))
+		}
+	}
+}
--- a/backend/conn.go
+++ b/backend/conn.go
@@ -69,7 +69,7 @@
 }
 
 // hasUnread reports whether bytes have been received that were not read.
-func (c *conn) hasUnread() bool { return c.r.Buffered() > 0 || c.answers.Invalid() }
+func (c *conn) hasUnread() bool { return c.r.Buffered() > 0 || c.answers.Err() != nil }
 
 // setReadLimit sets how many more bytes may be read from the connection.
 func (c *conn) setReadLimit(bytes int64) { c.in.left = bytes }
--- a/backend/exchange.go
+++ b/backend/exchange.go
@@ -101,6 +101,9 @@
 	}
 	res, reusable := x.readAnswer(ctx)
 	x.client.largeAnswers.give(x.reserved)
+	if x.conn.answers.Err() != nil && res.Reason != verdict.None {
+		x.client.invalid.Add(1)
+	}
 	x.conn.last = lastRequest{id: x.run.RequestID, sent: x.sentAt, verdict: res.Verdict}
 	reusable = x.written() && reusable
 	if stop() && reusable {
@@ -263,11 +266,19 @@
 	case contextReason(ctx) != verdict.None:
 		return res.withReason(contextReason(ctx), "the answer was not complete in time")
 	}
-	res = res.withReason(verdict.Incomplete, fmt.Sprintf("the answer is truncated: %v", err))
+	res = res.withReason(verdict.Incomplete, fmt.Sprintf("the answer is truncated: %v", x.cause(err)))
 	x.client.detectCrash(ctx, x.run.address, x.conn, &res)
 	return res
 }
 
+// cause returns why reading an answer has failed. net/http may report only what follows from it.
+func (x *exchange) cause(err error) error {
+	if invalid := x.conn.answers.Err(); invalid != nil {
+		return invalid
+	}
+	return err
+}
+
 // reusableAfter reports whether the connection may carry another request after
 // resp, and applies its Keep-Alive timeout.
 func (x *exchange) reusableAfter(resp *http.Response) bool {
@@ -303,7 +314,7 @@
 	if now := time.Now(); x.reused && x.conn.broken && now.Sub(x.sentAt) < staleResetLimit {
 		x.client.pool.reduceReuseIdle(now, x.sentAt.Sub(x.conn.idleSince))
 	}
-	res := failed(verdict.MayHaveRunError(verdict.ConnectionLost, "no answer: %v", err))
+	res := failed(verdict.MayHaveRunError(verdict.ConnectionLost, "no answer: %v", x.cause(err)))
 	x.client.detectCrash(ctx, x.run.address, x.conn, &res)
 	return res
 }
--- a/framing/reader.go
+++ b/framing/reader.go
@@ -65,8 +65,9 @@
 // GET.
 func (r *Reader) SetMethod(method string) { r.headOnly = method == http.MethodHead }
 
-// Invalid reports whether an answer has been invalid. All that follows belongs to no request.
-func (r *Reader) Invalid() bool { return r.err != nil }
+// Err returns the InvalidError of the first invalid answer, nil if there was none. All that follows
+// it belongs to no request.
+func (r *Reader) Err() error { return r.err }
 
 // EndsWithConnection reports whether the answer that is being read ends only with the connection.
 func (r *Reader) EndsWithConnection() bool { return r.next == rest }
--- a/framing/reader_test.go
+++ b/framing/reader_test.go
@@ -131,8 +131,7 @@
 			is := is.New(t)
 			r := NewReader(strings.NewReader(c.stream))
 			is.True(readAnswers(r) != nil)
-			is.Equal(r.err, c.err)
-			is.True(r.Invalid())
+			is.Equal(r.Err(), c.err)
 			is.True(readAnswers(NewReader(iotest.OneByteReader(strings.NewReader(c.stream)))) != nil)
 		})
 	}
@@ -166,7 +165,7 @@
 		text, err := io.ReadAll(resp.Body)
 		is.NoErr(err)
 		is.Equal(string(text), body)
-		is.True(r.Invalid()) // the connection is not to be used again
+		is.Equal(r.Err(), errStatusLine) // the connection is not to be used again
 	}
 }
 
--- a/node/ops.go
+++ b/node/ops.go
@@ -142,6 +142,7 @@
 	n.counts.RateLimited.Set(int64(n.server.dump(time.Now()).Counts.RateLimited))
 	n.counts.StrayAnswers.Set(n.backend.StrayAnswers())
 	n.counts.Contradictions.Set(n.backend.Contradictions())
+	n.counts.InvalidAnswers.Set(n.backend.InvalidAnswers())
 	n.counts.BackendConnsOpened.Set(n.backend.ConnectionsOpened())
 }
 
--- a/ops/counters.go
+++ b/ops/counters.go
@@ -76,8 +76,9 @@
 	LateHeartbeats expvar.Int
 	// Hedges counts second attempts made while the first had no answer yet,
 	// StrayAnswers counts answers of the backend server that belong to no request,
-	// Contradictions those that show that a request ran which it had declined.
-	Hedges, StrayAnswers, Contradictions expvar.Int
+	// Contradictions those that show that a request ran which it had declined, InvalidAnswers
+	// those that are not valid HTTP.
+	Hedges, StrayAnswers, Contradictions, InvalidAnswers expvar.Int
 	// TransparentRetries counts repeated attempts of calls that had not been sent because no
 	// connection could be opened.
 	TransparentRetries expvar.Int
@@ -180,6 +181,7 @@
 		{name: "deferred", value: &c.Deferred},
 		{name: "strays", value: &c.StrayAnswers},
 		{name: "contradictions", value: &c.Contradictions},
+		{name: "backend_invalid_answers", value: &c.InvalidAnswers},
 	}
 }
 
