daemon: answers that held already, and sound ones, at the platform's entry

Sound answers pass before and now: with a length before a request of 1 MiB is read, and without a length after requests of 0 bytes to 1 MiB. Nothing of the product is changed.

--- a/daemon/broken_test.go
+++ b/daemon/broken_test.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
 	"testing"
@@ -14,7 +15,9 @@
 // brokenAnswers are the answers that no caller may get.
 var brokenAnswers = map[string]standin.BrokenAnswer{
 	"without a length, cut by a reset": standin.CutByReset,
-	"status 000 before the answer":     standin.InvalidStatus,
+	"status 000":                       standin.InvalidStatus,
+	"status 000 before the answer":     standin.InvalidInterim,
+	"control byte in a field's name":   standin.ControlByte,
 	"blank after a field's name":       standin.InvalidField,
 	"chunks in version 1.0":            standin.AmbiguousLength,
 	"blank in a trailer's name":        standin.InvalidTrailer,
@@ -43,3 +46,25 @@
 		})
 	}
 }
+
+// Guards against sound answers that are given up with the broken ones: before a long request has been
+// read, and without a length.
+func TestSoundAnswersReachTheirCallers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	m, target := s.addServed("deep")
+	for _, faults := range []standin.TargetFaults{{}, {Unframed: true}} {
+		target.SetFaults(faults)
+		for _, size := range []int{0, 100, 20 << 10, 1 << 20} {
+			for i := range 5 {
+				id := fmt.Sprintf("s%v.%d.%d", faults.Unframed, size, i)
+				a := standin.SendRequest(t.Context(), s.client, m, standin.Request{
+					Method: http.MethodPost, Host: siteHost, Path: "/deep/x", ID: id, Body: make([]byte, size), Timeout: 4 * time.Second,
+				})
+				is.Equal(a.Status, http.StatusOK)
+				is.Equal(a.Body, standin.Body(id, "/deep/x"))
+				is.Equal(a.Signature, standin.Sign(id, "/deep/x"))
+			}
+		}
+	}
+}
